--- /dev/null
+++ b/api/catalogue/catalogue.go
@@ -0,0 +1,159 @@
+// Package catalogue defines the configuration that operators keep in the platform: customers and their keys, models,
+// pools, classes of work and routes. The same types and the same validation serve the command line and the daemon.
+package catalogue
+
+// Catalogue is the whole configuration, stored as one platform object. Its revision is the object's version.
+type Catalogue struct {
+	// Owner names the team that answers for this catalogue.
+	Owner     string     `json:"owner"`
+	Customers []Customer `json:"customers"`
+	Models    []Model    `json:"models"`
+	Classes   []Class    `json:"classes"`
+	Pools     []Pool     `json:"pools"`
+	Routes    []Route    `json:"routes"`
+	Policy    Policy     `json:"policy"`
+}
+
+// Customer is a tenant with its limits and keys.
+type Customer struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner"`
+	// RateTokens is the number of tokens a second, prompt and output together, across the fleet.
+	RateTokens int64 `json:"rateTokensPerSecond"`
+	// BurstTokens is the number of tokens that may be admitted at once, across the fleet.
+	BurstTokens int64 `json:"burstTokens"`
+	// Weight is the customer's part of a contended pool; 1 if absent.
+	Weight int64 `json:"weight,omitempty"`
+	Keys   []Key `json:"keys"`
+	// Models that the customer may use; empty means all.
+	Models []string `json:"models,omitempty"`
+}
+
+// Key is a granted key. Only the digest is stored.
+type Key struct {
+	// Name tells keys of a customer apart, for instance "2026-autumn".
+	Name string `json:"name"`
+	// SHA256 is the lower-case hexadecimal digest of the key.
+	SHA256 string `json:"sha256"`
+}
+
+// Model is a model that callers name in requests.
+type Model struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner"`
+	// Class is the class of work of requests to this model.
+	Class string `json:"class"`
+	// BytesPerToken is the least number of prompt bytes a token covers on average; prompt tokens are estimated with it.
+	BytesPerToken int64 `json:"bytesPerToken"`
+	// KVBytesPerToken is the size of the KV cache of one token, in bytes.
+	KVBytesPerToken int64 `json:"kvBytesPerToken"`
+	// MaxPromptTokens and MaxOutputTokens bound a request; DefaultOutputTokens applies if the caller gives no limit.
+	MaxPromptTokens     int64 `json:"maxPromptTokens"`
+	MaxOutputTokens     int64 `json:"maxOutputTokens"`
+	DefaultOutputTokens int64 `json:"defaultOutputTokens"`
+}
+
+// ClassKind says whether somebody waits for the answer.
+type ClassKind string
+
+// Kinds of classes of work.
+const (
+	ClassInteractive ClassKind = "interactive"
+	ClassBatch       ClassKind = "batch"
+)
+
+// Class is a class of work with its latency targets.
+type Class struct {
+	Name string    `json:"name"`
+	Kind ClassKind `json:"kind"`
+	// FirstTokenMS and TokenIntervalMS are the latency targets for 95 in 100 requests, in milliseconds.
+	FirstTokenMS    int64 `json:"firstTokenMs"`
+	TokenIntervalMS int64 `json:"tokenIntervalMs"`
+	// QueuePatienceMS is the longest time a request waits at the entry, in milliseconds.
+	QueuePatienceMS int64 `json:"queuePatienceMs"`
+	// Priority orders requests inside an engine; smaller runs earlier.
+	Priority int `json:"priority"`
+}
+
+// PoolRole is the role of the endpoints of a pool.
+type PoolRole string
+
+// Roles of pools.
+const (
+	RolePrefill PoolRole = "prefill"
+	RoleDecode  PoolRole = "decode"
+	RoleService PoolRole = "service"
+)
+
+// Pool is a set of endpoints of one role. Its members come from the platform's instance list.
+type Pool struct {
+	Name  string   `json:"name"`
+	Owner string   `json:"owner"`
+	Role  PoolRole `json:"role"`
+	// Model is what the pool serves; empty for services.
+	Model string `json:"model,omitempty"`
+	// Slots, Blocks and BlockTokens describe one decode endpoint: concurrent requests, KV cache blocks, tokens per block.
+	Slots       int   `json:"slots,omitempty"`
+	Blocks      int64 `json:"blocks,omitempty"`
+	BlockTokens int64 `json:"blockTokens,omitempty"`
+	// PrefillRate is the speed of one prefill endpoint in tokens a second.
+	PrefillRate int64 `json:"prefillTokensPerSecond,omitempty"`
+	// LinkRate is the rate of the transfer link of one decode endpoint in bytes a second.
+	LinkRate int64 `json:"linkBytesPerSecond,omitempty"`
+	// ChecksFencing says whether the pool's endpoints refuse orders with an old fencing number.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
+}
+
+// Route maps a path of callers to a service pool. Model paths are built in.
+type Route struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner"`
+	// PathPrefix selects the calls; the longest matching prefix wins.
+	PathPrefix string `json:"pathPrefix"`
+	Pool       string `json:"pool"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Repeatable calls may be sent again to another endpoint; others run at most once and need an Idempotency-Key.
+	Repeatable bool `json:"repeatable"`
+	// TimeoutMS bounds one call, in milliseconds.
+	TimeoutMS int64 `json:"timeoutMs"`
+	// CostTokens is what a call charges to the customer's rate; 0 if absent.
+	CostTokens int64 `json:"costTokens,omitempty"`
+}
+
+// PolicyName selects how endpoints are chosen.
+type PolicyName string
+
+// Policies. PolicyReserve is the default; the others are kept as baselines.
+const (
+	PolicyReserve      PolicyName = "reserve"
+	PolicyTwoChoices   PolicyName = "two-choices"
+	PolicyRandom       PolicyName = "random"
+	PolicyLeastLoaded  PolicyName = "least-loaded"
+	PolicyPrefillFirst PolicyName = "prefill-first"
+)
+
+// Policy holds settings of the fleet.
+type Policy struct {
+	Scheduling PolicyName `json:"scheduling,omitempty"`
+	// RetryBudgetPercent bounds repeated attempts to this part of requests; 10 if absent.
+	RetryBudgetPercent int `json:"retryBudgetPercent,omitempty"`
+	// MaxBodyBytes bounds a caller's body; 8 MiB if absent.
+	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+}
+
+// Status says whether a revision is in force, and if not, why.
+type Status struct {
+	Revision uint64    `json:"revision"`
+	Valid    bool      `json:"valid"`
+	Problems []Problem `json:"problems,omitempty"`
+	// JudgedBy is the instance that wrote the status.
+	JudgedBy string `json:"judgedBy"`
+}
+
+// Problem is one fault of a catalogue: where it is, what is wrong, and what to do.
+type Problem struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
--- /dev/null
+++ b/api/peer/peer.go
@@ -0,0 +1,183 @@
+// Package peer holds the messages between router instances: HTTP with JSON on the peer port, with a shared bearer token.
+package peer
+
+import (
+	"encoding/json"
+
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/api/platform"
+)
+
+// Paths of the peer port.
+const (
+	PathHeartbeat    = "/peer/heartbeat"
+	PathConfirm      = "/peer/confirm"
+	PathAgreeRemoval = "/peer/agree-removal"
+	PathSnapshot     = "/peer/catalogue"
+	PathLoan         = "/peer/loan"
+	PathLoanDone     = "/peer/loan-done"
+	PathReserve      = "/peer/reserve"
+	PathRelease      = "/peer/release"
+	PathInflight     = "/peer/inflight"
+	PathClaims       = "/peer/claims"
+)
+
+// MemberID names one life of an instance.
+type MemberID struct {
+	Name string `json:"name"`
+	// Incarnation is the start time in nanoseconds since the epoch; a restarted process has a greater one.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Member is an instance as the roster and heartbeats name it.
+type Member struct {
+	MemberID
+	// Address is the base URL of the peer port.
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+}
+
+// Roster is the set of instances that hold shares, a platform object changed only by conditional updates.
+type Roster struct {
+	// Generation grows by one with each change.
+	Generation uint64   `json:"generation"`
+	Members    []Member `json:"members"`
+}
+
+// HeartbeatEntry is what the fleet knows about one member.
+type HeartbeatEntry struct {
+	Member
+	// Counter grows with each heartbeat of the member.
+	Counter uint64 `json:"counter"`
+	// RosterGeneration and CatalogueRevision are those in force at the member.
+	RosterGeneration  uint64 `json:"rosterGeneration"`
+	CatalogueRevision uint64 `json:"catalogueRevision"`
+	Draining          bool   `json:"draining,omitempty"`
+}
+
+// Heartbeat carries the sender's table; the answer is a Heartbeat with the receiver's table.
+type Heartbeat struct {
+	From    MemberID         `json:"from"`
+	Entries []HeartbeatEntry `json:"entries"`
+	// Roster is the newest roster the sender knows.
+	Roster Roster `json:"roster"`
+}
+
+// ConfirmRequest asks a peer whether the sender may go on using its shares.
+type ConfirmRequest struct {
+	From       MemberID `json:"from"`
+	Generation uint64   `json:"generation"`
+}
+
+// ConfirmReply answers a ConfirmRequest.
+type ConfirmReply struct {
+	// Platform is true if the peer read the roster from the platform after the question arrived.
+	Platform bool `json:"platform"`
+	// Named is true if the newest roster names the asking member and the peer has not agreed to its removal.
+	Named bool `json:"named"`
+	// Roster is the newest roster the peer knows.
+	Roster Roster `json:"roster"`
+}
+
+// RemovalRequest asks a peer to agree that a member is removed from the roster.
+type RemovalRequest struct {
+	From       MemberID `json:"from"`
+	Generation uint64   `json:"generation"`
+	Remove     MemberID `json:"remove"`
+}
+
+// RemovalReply answers a RemovalRequest.
+type RemovalReply struct {
+	Agreed bool   `json:"agreed"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Snapshot is the newest configuration a peer has, for instances that cannot read it from the platform.
+type Snapshot struct {
+	Revision  uint64              `json:"revision"`
+	Catalogue json.RawMessage     `json:"catalogue"`
+	Instances []platform.Instance `json:"instances"`
+}
+
+// LoanRequest asks a holder for tokens of a customer.
+type LoanRequest struct {
+	From     MemberID `json:"from"`
+	Customer string   `json:"customer"`
+	Tokens   int64    `json:"tokens"`
+}
+
+// LoanReply gives tokens for use in one request, within the loan's validity counted from the sending of LoanRequest.
+type LoanReply struct {
+	LoanID uint64 `json:"loanId"`
+	Tokens int64  `json:"tokens"`
+	// Level is what the holder has left.
+	Level int64 `json:"level"`
+}
+
+// LoanDone ends a loan before its validity does. Used loans free the lender's capacity; others return the tokens too.
+type LoanDone struct {
+	From     MemberID `json:"from"`
+	Customer string   `json:"customer"`
+	LoanID   uint64   `json:"loanId"`
+	Used     bool     `json:"used"`
+}
+
+// ReserveRequest asks the owner of an endpoint for a slot.
+type ReserveRequest struct {
+	From     MemberID `json:"from"`
+	Endpoint string   `json:"endpoint"`
+	// Attempt is the attempt id that will use the slot.
+	Attempt string `json:"attempt"`
+	// Prefill says that backlog of a prefill endpoint is reserved; otherwise a decode slot is.
+	Prefill bool `json:"prefill"`
+	// InMS is when the slot is needed, in milliseconds from now.
+	InMS int64 `json:"inMs"`
+	// WithinMS is how much later than InMS the slot may get free, in milliseconds.
+	WithinMS     int64 `json:"withinMs"`
+	PromptTokens int64 `json:"promptTokens"`
+	CachedTokens int64 `json:"cachedTokens"`
+	OutputTokens int64 `json:"outputTokens"`
+	// KVBytes is the size of the transfer to a decode endpoint.
+	KVBytes int64 `json:"kvBytes"`
+}
+
+// ReserveReply answers a ReserveRequest.
+type ReserveReply struct {
+	Granted bool `json:"granted"`
+	// InMS is when the slot is predicted free, in milliseconds from now, also if it was not granted.
+	InMS int64 `json:"inMs"`
+	// NotOwner tells the asker that its view of the owners is out of date.
+	NotOwner bool `json:"notOwner,omitempty"`
+}
+
+// ReleaseRequest gives a slot back, or reports progress of the attempt that uses it.
+type ReleaseRequest struct {
+	Endpoint string `json:"endpoint"`
+	Attempt  string `json:"attempt"`
+}
+
+// InflightRequest asks an instance which of these attempts it does not know.
+type InflightRequest struct {
+	Attempts []string `json:"attempts"`
+}
+
+// InflightReply lists the attempts that the instance does not have in flight.
+type InflightReply struct {
+	Unknown []string `json:"unknown"`
+}
+
+// ClaimsRequest asks whether the instance has sent a call for a claim.
+type ClaimsRequest struct {
+	Claim string `json:"claim"`
+}
+
+// ClaimsReply answers a ClaimsRequest.
+type ClaimsReply struct {
+	Sent bool `json:"sent"`
+}
+
+// Problem is the body of an error answer between peers.
+type Problem struct {
+	Message string         `json:"message"`
+	Outcome openai.Outcome `json:"outcome,omitempty"`
+}
--- /dev/null
+++ b/lab/cmd/tanagerlab/main.go
@@ -0,0 +1,17 @@
+// Command tanagerlab runs the stand-ins for engines, services and the platform, and the load and experiment tools.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/router/internal/domain/config/snapshot.go
@@ -0,0 +1,135 @@
+// Package config holds the configuration in force: an immutable, indexed form of one catalogue revision.
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"sort"
+	"strings"
+
+	"tanagerwood.dev/api/catalogue"
+)
+
+// Digest is the SHA-256 digest of a key.
+type Digest [sha256.Size]byte
+
+// Customer is a customer with the index of its models.
+type Customer struct {
+	catalogue.Customer
+	models map[string]bool
+}
+
+// MayUse reports whether the customer may use the model.
+func (c *Customer) MayUse(model string) bool {
+	return len(c.models) == 0 || c.models[model]
+}
+
+// Snapshot is one revision of the catalogue with its indexes. It is never changed after New.
+type Snapshot struct {
+	Revision  uint64
+	Catalogue catalogue.Catalogue
+
+	customers map[string]*Customer
+	keys      map[Digest]*Customer
+	models    map[string]*catalogue.Model
+	classes   map[string]*catalogue.Class
+	pools     map[string]*catalogue.Pool
+	routes    []catalogue.Route
+}
+
+// New indexes a catalogue that has passed validation.
+func New(revision uint64, c catalogue.Catalogue) *Snapshot {
+	s := &Snapshot{
+		Revision:  revision,
+		Catalogue: c,
+		customers: make(map[string]*Customer, len(c.Customers)),
+		keys:      make(map[Digest]*Customer),
+		models:    make(map[string]*catalogue.Model, len(c.Models)),
+		classes:   make(map[string]*catalogue.Class, len(c.Classes)),
+		pools:     make(map[string]*catalogue.Pool, len(c.Pools)),
+	}
+	for _, customer := range c.Customers {
+		s.addCustomer(customer)
+	}
+	for i := range c.Models {
+		s.models[c.Models[i].Name] = &c.Models[i]
+	}
+	for i := range c.Classes {
+		s.classes[c.Classes[i].Name] = &c.Classes[i]
+	}
+	for i := range c.Pools {
+		s.pools[c.Pools[i].Name] = &c.Pools[i]
+	}
+	s.routes = append(s.routes, c.Routes...)
+	sort.SliceStable(s.routes, func(i, j int) bool { return len(s.routes[i].PathPrefix) > len(s.routes[j].PathPrefix) })
+	return s
+}
+
+func (s *Snapshot) addCustomer(customer catalogue.Customer) {
+	indexed := &Customer{Customer: customer, models: make(map[string]bool, len(customer.Models))}
+	for _, m := range customer.Models {
+		indexed.models[m] = true
+	}
+	s.customers[customer.Name] = indexed
+	for _, k := range customer.Keys {
+		raw, err := hex.DecodeString(k.SHA256)
+		if err == nil && len(raw) == sha256.Size {
+			s.keys[Digest(raw)] = indexed
+		}
+	}
+}
+
+// DigestKey returns the digest of a presented key.
+func DigestKey(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// CustomerByKey finds the customer that the digest is granted to. The map lookup works on the digest, so its timing
+// tells nothing about the key; the stored digest is compared in constant time all the same.
+func (s *Snapshot) CustomerByKey(d Digest) (*Customer, bool) {
+	c, ok := s.keys[d]
+	if !ok {
+		return nil, false
+	}
+	for _, k := range c.Keys {
+		raw, err := hex.DecodeString(k.SHA256)
+		if err == nil && subtle.ConstantTimeCompare(raw, d[:]) == 1 {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+// Customer finds a customer by name.
+func (s *Snapshot) Customer(name string) (*Customer, bool) {
+	c, ok := s.customers[name]
+	return c, ok
+}
+
+// Model finds a model by name.
+func (s *Snapshot) Model(name string) (*catalogue.Model, bool) {
+	m, ok := s.models[name]
+	return m, ok
+}
+
+// Class finds a class of work by name.
+func (s *Snapshot) Class(name string) (*catalogue.Class, bool) {
+	c, ok := s.classes[name]
+	return c, ok
+}
+
+// Pool finds a pool by name.
+func (s *Snapshot) Pool(name string) (*catalogue.Pool, bool) {
+	p, ok := s.pools[name]
+	return p, ok
+}
+
+// Route finds the route with the longest prefix that matches whole segments of the path.
+func (s *Snapshot) Route(path string) (*catalogue.Route, bool) {
+	for i := range s.routes {
+		prefix := strings.TrimSuffix(s.routes[i].PathPrefix, "/")
+		if path == prefix || strings.HasPrefix(path, prefix+"/") {
+			return &s.routes[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/router/internal/fault/fault.go
@@ -0,0 +1,104 @@
+// Package fault defines the typed errors of the router. Every error has a kind, which decides the HTTP status and the
+// OpenAI error code, an outcome, and a message that names the remedy.
+package fault
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerwood.dev/api/openai"
+)
+
+// Kind classifies an error.
+type Kind string
+
+// Kinds of errors.
+const (
+	BadRequest       Kind = "bad_request"
+	Unauthorized     Kind = "invalid_api_key"
+	Forbidden        Kind = "not_allowed"
+	NotFound         Kind = "not_found"
+	TooLarge         Kind = "body_too_large"
+	OverLimit        Kind = "exceeds_customer_burst"
+	RateLimited      Kind = "rate_limited"
+	Overloaded       Kind = "overloaded"
+	NotConfirmed     Kind = "instance_not_confirmed"
+	PlatformDown     Kind = "platform_unavailable"
+	KeyWithdrawn     Kind = "key_withdrawn"
+	EndpointFailed   Kind = "endpoint_failed"
+	EndpointRefused  Kind = "endpoint_refused"
+	Timeout          Kind = "timeout"
+	CallerGone       Kind = "caller_gone"
+	Conflict         Kind = "conflict"
+	KeyReused        Kind = "idempotency_key_reused"
+	MissingKey       Kind = "idempotency_key_missing"
+	NoEndpoint       Kind = "no_endpoint"
+	Draining         Kind = "draining"
+	Internal         Kind = "internal_error"
+	InvalidSettings  Kind = "invalid_settings"
+	InvalidCatalogue Kind = "invalid_catalogue"
+)
+
+// Error is a typed error.
+type Error struct {
+	Kind    Kind
+	Outcome openai.Outcome
+	// Message says what happened and what to do.
+	Message string
+	// RetryAfter is when to come back; zero means that coming back does not help.
+	RetryAfter time.Duration
+	// Cause is wrapped with a stack trace; it never reaches callers.
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return e.Message
+	}
+	return e.Message + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// New returns an error of the kind whose work did not run.
+func New(kind Kind, message string) *Error {
+	return &Error{Kind: kind, Outcome: openai.NotRun, Message: message}
+}
+
+// Wrap returns an error of the kind with a cause.
+func Wrap(cause error, kind Kind, outcome openai.Outcome, message string) *Error {
+	return &Error{Kind: kind, Outcome: outcome, Message: message, Cause: eris.Wrap(cause, string(kind))}
+}
+
+// WithRetryAfter returns a copy that tells when to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// WithOutcome returns a copy with another outcome.
+func (e *Error) WithOutcome(o openai.Outcome) *Error {
+	c := *e
+	c.Outcome = o
+	return &c
+}
+
+// As returns the typed error in err's chain, or an Internal one with outcome unknown that wraps it.
+func As(err error) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return Wrap(err, Internal, openai.Unknown, "internal error; see the instance's timeline for the request id")
+}
+
+// Is reports whether err is a typed error of the kind.
+func Is(err error, kind Kind) bool {
+	var typed *Error
+	return errors.As(err, &typed) && typed.Kind == kind
+}
