Add the engine stand-in

Cause: the router needs model engines to be built and measured against.

Ruled out: one batching loop per engine that wakes every handler. Real KV bytes were ruled out because they would measure the loopback.

It builds in the workspace.

--- /dev/null
+++ b/lab/standin/engine/cache.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"tanagerwood.dev/api/engine"
+)
+
+// cacheEventRing is how many cache events are kept for readers.
+const cacheEventRing = 16384
+
+type cacheEvent struct {
+	engine.CacheEvent
+	at   time.Time
+	lost bool
+}
+
+// prefixCache keeps the most recently used prefix blocks and the events that tell of them.
+type prefixCache struct {
+	capacity int
+	delay    time.Duration
+	// loss is the part of events that is never shown, in units of 1/2^32.
+	loss uint64
+
+	mu     sync.Mutex
+	order  *list.List
+	blocks map[uint64]*list.Element
+	seq    uint64
+	ring   []cacheEvent
+}
+
+func newPrefixCache(o Options) *prefixCache {
+	c := &prefixCache{
+		capacity: o.CacheBlocks, delay: o.CacheEventDelay, loss: uint64(o.CacheEventLoss * (1 << 32)),
+		order: list.New(), blocks: make(map[uint64]*list.Element), ring: make([]cacheEvent, cacheEventRing),
+	}
+	c.event(engine.CacheCleared, 0)
+	return c
+}
+
+// match returns how many leading blocks are cached, and marks them used.
+func (c *prefixCache) match(hashes []uint64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, h := range hashes {
+		element, ok := c.blocks[h]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(element)
+	}
+	return len(hashes)
+}
+
+// store adds the blocks and evicts the least recently used ones.
+func (c *prefixCache) store(hashes []uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range hashes {
+		if element, ok := c.blocks[h]; ok {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.blocks[h] = c.order.PushFront(h)
+		c.event(engine.CacheStored, h)
+	}
+	for c.order.Len() > c.capacity {
+		h := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.blocks, h)
+		c.event(engine.CacheRemoved, h)
+	}
+}
+
+// clear drops all blocks, as a model load does.
+func (c *prefixCache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order.Init()
+	clear(c.blocks)
+	c.event(engine.CacheCleared, 0)
+}
+
+func (c *prefixCache) event(op engine.CacheOp, block uint64) {
+	c.seq++
+	// The loss is a function of the sequence number, so that runs repeat. A lost "cleared" would leave readers wrong for
+	// good, which no protocol with gaps intends; readers see the gap of any other event.
+	lost := op != engine.CacheCleared && (c.seq*tokenMix)>>32 < c.loss
+	c.ring[c.seq%cacheEventRing] = cacheEvent{
+		CacheEvent: engine.CacheEvent{Seq: c.seq, Op: op, Block: block}, at: time.Now(), lost: lost,
+	}
+}
+
+// page returns the visible events after since.
+func (c *prefixCache) page(name string, since uint64) engine.CacheEventPage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page := engine.CacheEventPage{Engine: name, Next: since, Events: []engine.CacheEvent{}}
+	first := since + 1
+	if c.seq > cacheEventRing && first <= c.seq-cacheEventRing {
+		first = c.seq - cacheEventRing + 1
+	}
+	for s := first; s <= c.seq; s++ {
+		ev := c.ring[s%cacheEventRing]
+		if time.Since(ev.at) < c.delay {
+			break
+		}
+		page.Next = s
+		if !ev.lost {
+			page.Events = append(page.Events, ev.CacheEvent)
+		}
+	}
+	return page
+}
