Add the plain service stand-in

Cause: the at-most-once promise of bookings needs a judge outside the router.

Change: lab/standin/service with the subcommand service. It counts each run by the body field 'booking' and by the attempt in X-Request-Id; GET and HEAD are lookups. The die_after_run fault ends the process, or in a test cuts all connections until the next POST /faults. Held calls on silent connections read their body first, because net/http notices a closed client only after that.

--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&engineCommand{}, "stand-ins")
+	subcommands.Register(&serviceCommand{}, "stand-ins")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/lab/standin/engine/faults.go
+++ b/lab/standin/engine/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -138,6 +139,8 @@
 		e.conns[r.RemoteAddr] = true
 		e.mu.Unlock()
 		if e.isSilent(r.RemoteAddr) {
+			// net/http notices that the client closed only once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			select {
 			case <-r.Context().Done():
 			case <-e.closing:
--- /dev/null
+++ b/lab/standin/service/faults.go
@@ -0,0 +1,118 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"tanagerwood.dev/api/event"
+)
+
+// maxConns bounds the table of connections that were used.
+const maxConns = 10_000
+
+// Faults are the failures that a service shows. POST /faults replaces all of them; absent ones are off.
+type Faults struct {
+	// DieAfterRun makes the service die after its next booking ran, before it answers.
+	DieAfterRun bool `json:"die_after_run,omitempty"`
+	// Silent makes the connections that were used before the switch silent: they accept and never answer or run.
+	Silent bool `json:"silent_connections,omitempty"`
+	// SlowMS is waited before a call runs, LateReplyMS after it, in milliseconds.
+	SlowMS      int64 `json:"slow_ms,omitempty"`
+	LateReplyMS int64 `json:"late_reply_ms,omitempty"`
+	// DropBeforeReading is how many next calls are cut before their body is read; they do not run.
+	DropBeforeReading int `json:"drop_before_reading,omitempty"`
+}
+
+// SetFaults replaces the faults and revives a dead service.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead = false
+	if f.Silent {
+		for addr := range s.conns {
+			s.silent[addr] = true
+		}
+	} else {
+		clear(s.silent)
+	}
+	s.faults = f
+	detail, _ := json.Marshal(f)
+	s.log.Record(event.Event{Kind: event.FaultSwitched, Endpoint: s.opts.Name, Detail: string(detail)})
+}
+
+// CurrentFaults returns the faults that are on.
+func (s *Service) CurrentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			writeJSON(w, http.StatusBadRequest, "the faults are not JSON: "+err.Error())
+			return
+		}
+		s.SetFaults(f)
+	}
+	writeJSON(w, http.StatusOK, s.CurrentFaults())
+}
+
+// beforeReading cuts or holds the call if a fault says so.
+func (s *Service) beforeReading(r *http.Request) {
+	s.mu.Lock()
+	if len(s.conns) >= maxConns {
+		clear(s.conns)
+	}
+	s.conns[r.RemoteAddr] = true
+	silent, cut := s.silent[r.RemoteAddr], s.dead
+	if !silent && !cut && s.faults.DropBeforeReading > 0 {
+		s.faults.DropBeforeReading--
+		cut = true
+	}
+	if !silent && !cut {
+		s.headers = append(s.headers, r.Header.Clone())
+	}
+	s.mu.Unlock()
+	if silent {
+		// net/http notices that the client closed only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+		case <-s.closing:
+		}
+	}
+	if silent || cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Service) afterRun() {
+	s.mu.Lock()
+	die := s.faults.DieAfterRun
+	if die {
+		s.faults.DieAfterRun, s.dead = false, true
+	}
+	s.mu.Unlock()
+	if !die {
+		return
+	}
+	if s.opts.Exit != nil {
+		s.opts.Exit()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// pause waits; it goes on when the client is gone, as a service that has begun a call does.
+func (s *Service) pause(r *http.Request, ms int64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), time.Duration(ms)*time.Millisecond)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-s.closing:
+	}
+}
--- /dev/null
+++ b/lab/standin/service/service.go
@@ -0,0 +1,187 @@
+// Package service is a stand-in for a plain service: it counts every booking that it ran, answers lookups, and shows
+// switchable faults.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/openai"
+)
+
+const (
+	// DefaultField is the body field that names a booking.
+	DefaultField = "booking"
+	logEvents    = 8192
+	maxBodyBytes = 8 << 20
+)
+
+// Options configures a service.
+type Options struct {
+	Name string
+	// Field is the field of a JSON body that names the booking; DefaultField if empty.
+	Field string
+	// Exit ends the process for the fault DieAfterRun; if nil, the service cuts all connections from then on.
+	Exit func()
+	// Log is the timeline; a new one if nil.
+	Log *event.Log
+}
+
+// Run counts how often one booking ran.
+type Run struct {
+	Count int `json:"count"`
+	// Attempts counts the runs by the attempt id in the X-Request-Id header.
+	Attempts map[string]int `json:"attempts"`
+}
+
+// Runs is the answer of GET /runs.
+type Runs struct {
+	Service string         `json:"service"`
+	Runs    map[string]Run `json:"runs"`
+	Lookups int            `json:"lookups"`
+}
+
+// Answer is the body of an answered booking or lookup. A lookup's answer is a function of its path.
+type Answer struct {
+	Service string `json:"service,omitempty"`
+	Booking string `json:"booking,omitempty"`
+	Path    string `json:"path"`
+	// Run is the number of times the booking has run.
+	Run int `json:"run,omitempty"`
+}
+
+// Service is one running stand-in.
+type Service struct {
+	opts    Options
+	log     *event.Log
+	handler http.Handler
+	closing chan struct{}
+	once    sync.Once
+
+	mu      sync.Mutex
+	runs    map[string]Run
+	lookups int
+	headers []http.Header
+	faults  Faults
+	dead    bool
+	conns   map[string]bool
+	silent  map[string]bool
+}
+
+// New returns a service. Close ends calls that wait.
+func New(opts Options) *Service {
+	if opts.Name == "" {
+		opts.Name = "service"
+	}
+	if opts.Field == "" {
+		opts.Field = DefaultField
+	}
+	s := &Service{
+		opts: opts, log: opts.Log, closing: make(chan struct{}), runs: make(map[string]Run),
+		conns: make(map[string]bool), silent: make(map[string]bool),
+	}
+	if s.log == nil {
+		s.log = event.NewLog(opts.Name, "", logEvents, time.Now)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Runs()) })
+	mux.HandleFunc("/faults", s.serveFaults)
+	mux.Handle("GET /events", s.log)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
+	mux.HandleFunc("/", s.serveCall)
+	s.handler = s.log.Handler(mux)
+	return s
+}
+
+// Handler serves the service's HTTP API.
+func (s *Service) Handler() http.Handler { return s.handler }
+
+// Close ends calls that wait.
+func (s *Service) Close() { s.once.Do(func() { close(s.closing) }) }
+
+// Runs returns the counts.
+func (s *Service) Runs() Runs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Runs{Service: s.opts.Name, Runs: make(map[string]Run, len(s.runs)), Lookups: s.lookups}
+	for k, v := range s.runs {
+		r.Runs[k] = Run{Count: v.Count, Attempts: maps.Clone(v.Attempts)}
+	}
+	return r
+}
+
+// Count is how often the booking ran.
+func (s *Service) Count(booking string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[booking].Count
+}
+
+// Headers returns the headers of the calls that arrived, oldest first.
+func (s *Service) Headers() []http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]http.Header{}, s.headers...)
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.beforeReading(r)
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, "the body ended early")
+		return
+	}
+	f := s.CurrentFaults()
+	s.pause(r, f.SlowMS)
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		s.lookup()
+		s.pause(r, f.LateReplyMS)
+		writeJSON(w, http.StatusOK, Answer{Path: r.URL.Path})
+		return
+	}
+	answer := s.run(r, body)
+	s.afterRun()
+	s.pause(r, f.LateReplyMS)
+	writeJSON(w, http.StatusCreated, answer)
+}
+
+func (s *Service) lookup() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookups++
+}
+
+// run runs the booking: it is the only place that counts.
+func (s *Service) run(r *http.Request, body []byte) Answer {
+	booking := s.booking(body)
+	attempt := r.Header.Get(openai.RequestIDHeader)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := s.runs[booking]
+	if run.Attempts == nil {
+		run.Attempts = make(map[string]int)
+	}
+	run.Count++
+	run.Attempts[attempt]++
+	s.runs[booking] = run
+	s.log.Record(event.Event{Kind: event.ServiceAnswered, Request: attempt, Endpoint: s.opts.Name, Detail: booking})
+	return Answer{Service: s.opts.Name, Booking: booking, Path: r.URL.Path, Run: run.Count}
+}
+
+func (s *Service) booking(body []byte) string {
+	fields := map[string]any{}
+	_ = json.Unmarshal(body, &fields)
+	name, _ := fields[s.opts.Field].(string)
+	return name
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
