Add the callers' port, the engine client and the model path

Cause: nothing between callers and engines exists yet.

Change: enginehttp implements port.Engine (extension merged into the caller's body, own headers, a progress deadline per chunk, a probe over a second connection that finds silent ones, separate management client). callers serves the OpenAI-compatible paths and hands plain service paths to an interface. modelpath takes a request through admit, place, prefill, decode, relay and settle, with attempt ids, a retry budget, continuation and a registry of open attempts. placement.Random is a first placer.

Ruled out: decoding bodies straight into openai.Request, because encoding/json matches field names without regard to case, so that router and engine could see different models.

--- /dev/null
+++ b/router/internal/adapter/callers/handler.go
@@ -0,0 +1,211 @@
+// Package callers serves the callers' port: OpenAI-compatible model requests and the paths of plain services.
+package callers
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/domain/config"
+	"tanagerwood.dev/router/internal/fault"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// Paths of the model API.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+)
+
+const (
+	defaultMaxBody = 8 << 20
+	// defaultWriteTimeout is how long a caller may take no bytes before it counts as gone.
+	defaultWriteTimeout = 30 * time.Second
+	// readTimeout bounds the reading of a body.
+	readTimeout = 30 * time.Second
+	// statusClientClosed is what logs show for callers that left; nobody receives it.
+	statusClientClosed = 499
+)
+
+// ModelPath serves model requests.
+type ModelPath interface {
+	Serve(ctx context.Context, req *modelpath.Request, sink modelpath.Sink) (modelpath.Result, error)
+}
+
+// Call is one call of a plain service.
+type Call struct {
+	Route *catalogue.Route
+	// Customer is nil on open routes.
+	Customer  *config.Customer
+	KeyDigest config.Digest
+	Method    string
+	// Path includes the query without credentials.
+	Path string
+	// Header holds the caller's headers without credentials.
+	Header         http.Header
+	Body           []byte
+	IdempotencyKey string
+	RequestID      string
+}
+
+// ServicePath serves calls of plain services.
+type ServicePath interface {
+	Handle(ctx context.Context, call Call) (port.ServiceResponse, error)
+}
+
+// Deps are the parts that a handler works with.
+type Deps struct {
+	Config  port.Config
+	Models  ModelPath
+	Service ServicePath
+	IDs     *modelpath.IDs
+	Clock   port.Clock
+	// WriteTimeout is how long a caller may take no bytes; 30 s if zero.
+	WriteTimeout time.Duration
+}
+
+// Handler serves the callers' port.
+type Handler struct{ Deps }
+
+// New returns a handler.
+func New(d Deps) *Handler {
+	if d.WriteTimeout == 0 {
+		d.WriteTimeout = defaultWriteTimeout
+	}
+	return &Handler{Deps: d}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := h.IDs.Next()
+	w.Header().Set(openai.RequestIDHeader, id)
+	if err := h.route(w, r, id); err != nil {
+		h.writeError(w, err)
+	}
+}
+
+// route serves the request, or returns an error if nothing was written yet.
+func (h *Handler) route(w http.ResponseWriter, r *http.Request, id string) error {
+	if err := checkHeaders(r); err != nil {
+		return err
+	}
+	if err := checkPath(r); err != nil {
+		return err
+	}
+	snapshot := h.Config.Current()
+	switch {
+	case r.URL.Path == pathChat || r.URL.Path == pathCompletions:
+		return h.completion(w, r, snapshot, id)
+	case r.URL.Path == pathModels || strings.HasPrefix(r.URL.Path, pathModels+"/"):
+		return h.models(w, r, snapshot)
+	default:
+		return h.service(w, r, snapshot, id)
+	}
+}
+
+// authenticate finds the customer of the presented key.
+func authenticate(r *http.Request, s *config.Snapshot) (*config.Customer, config.Digest, error) {
+	key, ok := bearer(r.Header.Get("Authorization"))
+	if !ok {
+		return nil, config.Digest{}, fault.New(fault.Unauthorized, `no key; send "Authorization: Bearer KEY"`)
+	}
+	digest := config.DigestKey(key)
+	customer, ok := s.CustomerByKey(digest)
+	if !ok {
+		return nil, config.Digest{}, fault.New(fault.Unauthorized, "the key is not granted; check it or ask the operator for one")
+	}
+	return customer, digest, nil
+}
+
+func bearer(header string) (string, bool) {
+	scheme, key, ok := strings.Cut(header, " ")
+	key = strings.TrimSpace(key)
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" || strings.ContainsAny(key, " ,\t") {
+		return "", false
+	}
+	return key, true
+}
+
+// singleHeaders must not be repeated, because two readers may pick different ones.
+var singleHeaders = []string{"Authorization", "Content-Type", "Content-Length", "Transfer-Encoding", "Idempotency-Key", "Host"}
+
+// checkHeaders refuses requests that two HTTP parsers may read differently.
+func checkHeaders(r *http.Request) error {
+	for _, name := range singleHeaders {
+		if len(r.Header.Values(name)) > 1 {
+			return fault.New(fault.BadRequest, "header "+name+" is repeated; send it once")
+		}
+	}
+	for name := range r.Header {
+		// Some servers read an underscore as a hyphen, so that such a name could pass for another header.
+		if strings.Contains(name, "_") {
+			return fault.New(fault.BadRequest, "header names with underscores are not accepted; use hyphens")
+		}
+	}
+	for _, value := range r.Header.Values("Connection") {
+		for token := range strings.SplitSeq(value, ",") {
+			if t := strings.TrimSpace(token); t != "" && !strings.EqualFold(t, "keep-alive") && !strings.EqualFold(t, "close") {
+				return fault.New(fault.BadRequest, `"Connection" may only be keep-alive or close; it cannot name headers to drop`)
+			}
+		}
+	}
+	return nil
+}
+
+// checkPath refuses paths that could match another route at the endpoint than they do here.
+func checkPath(r *http.Request) error {
+	clean := path.Clean(r.URL.Path)
+	escaped := strings.ToLower(r.URL.EscapedPath())
+	if clean != strings.TrimSuffix(r.URL.Path, "/") && r.URL.Path != "/" ||
+		strings.Contains(escaped, "%2f") || strings.Contains(escaped, "%5c") || strings.Contains(escaped, "%00") {
+		return fault.New(fault.BadRequest, "the path is not in its plain form; remove dot segments, empty segments and encoded slashes")
+	}
+	return nil
+}
+
+// readBody reads at most the configured number of bytes.
+func readBody(w http.ResponseWriter, r *http.Request, s *config.Snapshot) ([]byte, error) {
+	limit := s.Catalogue.Policy.MaxBodyBytes
+	if limit == 0 {
+		limit = defaultMaxBody
+	}
+	controller := http.NewResponseController(w)
+	// Recorders of tests have no deadlines; a connection always has them.
+	_ = controller.SetReadDeadline(time.Now().Add(readTimeout))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes; shorten it")
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, openai.NotRun, "the body ended early; send it again")
+	}
+	return body, nil
+}
+
+// deadlineWriter sets the write deadline before each write, so that only a caller that takes no bytes is cut.
+type deadlineWriter struct {
+	http.ResponseWriter
+	controller *http.ResponseController
+	timeout    time.Duration
+}
+
+func (h *Handler) deadline(w http.ResponseWriter) *deadlineWriter {
+	return &deadlineWriter{ResponseWriter: w, controller: http.NewResponseController(w), timeout: h.WriteTimeout}
+}
+
+func (w *deadlineWriter) Write(p []byte) (int, error) {
+	_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *deadlineWriter) flush() error { return w.controller.Flush() }
--- /dev/null
+++ b/router/internal/adapter/enginehttp/stream.go
@@ -0,0 +1,141 @@
+package enginehttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/router/internal/fault"
+)
+
+const (
+	// maxEventBytes bounds one server-sent event, so that an engine cannot exhaust the router's memory.
+	maxEventBytes    = 1 << 20
+	streamBufferSize = 4 << 10
+)
+
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
+
+var errEventTooLong = errors.New("server-sent event longer than 1 MiB")
+
+// stream reads the server-sent events of a decode call.
+type stream struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	client *Client
+	body   io.ReadCloser
+	reader *bufio.Reader
+	// timeout is the limit of the next chunk: the first one has its own.
+	timeout time.Duration
+	ended   bool
+}
+
+func newStream(ctx context.Context, cancel context.CancelCauseFunc, c *Client, body io.ReadCloser) *stream {
+	return &stream{
+		ctx: ctx, cancel: cancel, client: c, body: body,
+		reader: bufio.NewReaderSize(body, streamBufferSize), timeout: c.opts.FirstTokenTimeout,
+	}
+}
+
+// Next implements port.TokenStream. The progress deadline covers one chunk, so that comments that keep the connection
+// alive do not pass for progress; it does not run while the caller is slow to take tokens.
+func (s *stream) Next() (openai.Completion, error) {
+	if s.ended {
+		return openai.Completion{}, io.EOF
+	}
+	limit := s.timeout
+	s.timeout = s.client.opts.ProgressTimeout
+	watchdog := time.AfterFunc(limit, func() { s.cancel(&SilentError{Waited: limit}) })
+	defer watchdog.Stop()
+	data, err := readEvent(s.reader)
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return openai.Completion{}, s.client.transportError(s.ctx, err, true)
+	}
+	if bytes.Equal(data, doneMarker) {
+		s.ended = true
+		// Reading to the end lets the connection return to the pool.
+		_, _ = io.Copy(io.Discard, io.LimitReader(s.reader, maxErrorBytes))
+		return openai.Completion{}, io.EOF
+	}
+	return parseChunk(data)
+}
+
+// Close implements io.Closer. It may be called at any time.
+func (s *stream) Close() error {
+	s.cancel(nil)
+	return s.body.Close()
+}
+
+func parseChunk(data []byte) (openai.Completion, error) {
+	var chunk struct {
+		openai.Completion
+		Error *openai.Error `json:"error"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return openai.Completion{}, fault.Wrap(err, fault.EndpointFailed, openai.Unknown, "the engine sent a chunk that is not valid")
+	}
+	if chunk.Error != nil {
+		return openai.Completion{}, fault.New(fault.EndpointFailed, "the engine ended the stream: "+chunk.Error.Message).WithOutcome(openai.Unknown)
+	}
+	return chunk.Completion, nil
+}
+
+// readEvent returns the data of the next event that has any. Lines of one event are joined by a newline.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var data []byte
+	seen := false
+	for {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			if seen {
+				return data, nil
+			}
+			continue
+		}
+		value, ok := bytes.CutPrefix(line, dataPrefix)
+		if !ok {
+			continue
+		}
+		value = bytes.TrimPrefix(value, []byte(" "))
+		if seen {
+			data = append(data, '\n')
+		}
+		if len(data)+len(value) > maxEventBytes {
+			return nil, errEventTooLong
+		}
+		data = append(data, value...)
+		seen = true
+	}
+}
+
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxEventBytes {
+			return nil, errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return bytes.TrimRight(line, "\r\n"), nil
+	}
+}
--- /dev/null
+++ b/router/internal/app/placement/random.go
@@ -0,0 +1,47 @@
+// Package placement queues jobs, chooses a pair of endpoints for each and reserves it.
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"tanagerwood.dev/api/platform"
+	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/fault"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// Random places each job at once on a random pair of endpoints.
+type Random struct{ Config port.Config }
+
+// Place implements modelpath.Placer.
+func (r Random) Place(_ context.Context, job modelpath.Job) (modelpath.Placement, error) {
+	prefill, ok := r.pick(job, platform.RolePrefill)
+	decode, also := r.pick(job, platform.RoleDecode)
+	if !ok || !also {
+		return nil, fault.New(fault.NoEndpoint, "no endpoint serves the model now; come back later").WithRetryAfter(retryNoEndpoint)
+	}
+	return pair{prefill: prefill, decode: decode}, nil
+}
+
+func (r Random) pick(job modelpath.Job, role platform.InstanceRole) (port.Endpoint, bool) {
+	var candidates []port.Endpoint
+	for _, ep := range r.Config.Endpoints() {
+		pool, ok := r.Config.Current().Pool(ep.Pool)
+		if ok && ep.Role == role && pool.Model == job.Model.Name && !ep.Leaving && !job.Exclude[ep.Name] {
+			candidates = append(candidates, ep)
+		}
+	}
+	if len(candidates) == 0 {
+		return port.Endpoint{}, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
+}
+
+// pair is a placement without reservations.
+type pair struct{ prefill, decode port.Endpoint }
+
+func (p pair) Prefill() port.Endpoint                        { return p.prefill }
+func (p pair) Decode(context.Context) (port.Endpoint, error) { return p.decode, nil }
+func (p pair) PrefillEnded(int64)                            {}
+func (p pair) Release()                                      {}
