--- /dev/null
+++ b/router/internal/adapter/platformhttp/client_test.go
@@ -0,0 +1,132 @@
+package platformhttp_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/api/platform"
+	standin "tanagerwood.dev/lab/standin/platform"
+	"tanagerwood.dev/router/internal/adapter/platformhttp"
+	"tanagerwood.dev/router/internal/fault"
+)
+
+func TestPlatformHTTP(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "platform client")
+}
+
+// yes and one are fault values; Faults uses pointers to tell absent from zero.
+var (
+	yes = true
+	one = 1
+)
+
+var _ = Describe("the platform client", func() {
+	var (
+		ctx    = context.Background()
+		server *standin.Server
+		web    *httptest.Server
+		client *platformhttp.Client
+		log    *event.Log
+	)
+
+	start := func(o standin.Options) {
+		o.Token = "secret"
+		server = standin.New(o)
+		web = httptest.NewServer(server)
+		DeferCleanup(web.Close)
+		log = event.NewLog("router", "1", 16, time.Now)
+		client = platformhttp.New(platformhttp.Options{BaseURL: web.URL, Token: "secret", Timeout: 5 * time.Second, Events: log})
+	}
+
+	expectFault := func(err error, kind fault.Kind, outcome openai.Outcome) {
+		GinkgoHelper()
+		Expect(err).To(HaveOccurred())
+		Expect(fault.As(err).Kind).To(Equal(kind), err.Error())
+		Expect(fault.As(err).Outcome).To(Equal(outcome), err.Error())
+	}
+
+	It("creates, reads, replaces and deletes under conditions, and names the present version on a conflict", func() {
+		start(standin.Options{})
+		v, err := client.Create(ctx, platform.KindRoster, "main", []byte(`{"generation":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		_, changed, err := client.GetNewer(ctx, platform.KindRoster, "main", v)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeFalse())
+		o, changed, err := client.GetNewer(ctx, platform.KindRoster, "main", v-1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeTrue())
+		Expect(o.Version).To(Equal(v))
+		w, err := client.Replace(ctx, platform.KindRoster, "main", v, []byte(`{"generation":2}`))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Replace(ctx, platform.KindRoster, "main", v, []byte(`{"generation":3}`))
+		expectFault(err, fault.Conflict, openai.NotRun)
+		var conflict *platformhttp.VersionConflict
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+		Expect(conflict.Present).To(Equal(w))
+		list, err := client.List(ctx, platform.KindRoster)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list.Objects).To(HaveLen(1))
+		Expect(client.Delete(ctx, platform.KindRoster, "main", w)).To(Succeed())
+		_, err = client.Get(ctx, platform.KindRoster, "main")
+		expectFault(err, fault.NotFound, openai.NotRun)
+	})
+
+	It("reports a lost reply of a write as unknown and does not send the write again", func() {
+		start(standin.Options{})
+		_, err := client.Get(ctx, platform.KindClaim, "warm-up") // leaves a pooled connection, on which net/http may retry
+		Expect(err).To(HaveOccurred())
+		server.SetFaults(standin.Faults{LoseReplies: &one})
+		_, err = client.Create(ctx, platform.KindClaim, "a", []byte(`1`))
+		expectFault(err, fault.PlatformDown, openai.Unknown)
+		Expect(server.Calls().Kinds[platform.KindClaim].Writes).To(BeEquivalentTo(1))
+		o, err := client.Get(ctx, platform.KindClaim, "a")
+		Expect(err).NotTo(HaveOccurred())
+		server.SetFaults(standin.Faults{LoseReplies: &one})
+		expectFault(client.Delete(ctx, platform.KindClaim, "a", o.Version), fault.PlatformDown, openai.Unknown)
+		Expect(server.Calls().Kinds[platform.KindClaim].Deletes).To(BeEquivalentTo(1))
+	})
+
+	It("reports a write as not run only if it cannot have reached the platform", func() {
+		start(standin.Options{WritesPerSecond: 0.5})
+		_, err := client.Create(ctx, platform.KindClaim, "a", []byte(`1`))
+		expectFault(err, fault.PlatformDown, openai.NotRun) // 429
+		Expect(fault.As(err).RetryAfter).To(BeNumerically(">", 0))
+		server.SetFaults(standin.Faults{Outage: &yes})
+		_, err = client.Create(ctx, platform.KindClaim, "a", []byte(`1`))
+		expectFault(err, fault.PlatformDown, openai.Unknown) // 503 may come from an intermediary
+		_, err = client.Get(ctx, platform.KindClaim, "a")
+		expectFault(err, fault.PlatformDown, openai.NotRun)
+		web.Close()
+		_, err = client.Create(ctx, platform.KindClaim, "a", []byte(`1`))
+		expectFault(err, fault.PlatformDown, openai.NotRun) // connection refused
+	})
+
+	It("gives up on a platform that accepts connections and never answers", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		client = platformhttp.New(platformhttp.Options{BaseURL: "http://" + silent.Addr().String(), Timeout: 50 * time.Millisecond})
+		_, err = client.Instances(ctx)
+		expectFault(err, fault.PlatformDown, openai.NotRun)
+		_, err = client.Create(ctx, platform.KindClaim, "a", []byte(`1`))
+		expectFault(err, fault.PlatformDown, openai.Unknown)
+	})
+
+	It("names the setting to correct when the token is wrong", func() {
+		start(standin.Options{})
+		wrong := platformhttp.New(platformhttp.Options{BaseURL: web.URL, Token: "other"})
+		_, err := wrong.Instances(ctx)
+		expectFault(err, fault.PlatformDown, openai.NotRun)
+		Expect(err.Error()).To(ContainSubstring("TANAGERWOOD_PLATFORM_TOKEN"))
+	})
+})
