--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&engineCommand{}, "stand-ins")
 	subcommands.Register(&serviceCommand{}, "stand-ins")
+	subcommands.Register(&platformCommand{}, "stand-ins")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
