Add the load generator

Ruled out: closed-loop clients, because they slow down with the system and hide waiting. First-token times therefore count from the planned arrival. A window check on assumed admission times was ruled out too: callers see only that admission lies between sending and the first token, so the check counts a request only in windows that hold the whole span. It reports only certain excess.

Change: lab/internal/load with seeded Poisson arrivals, prompts with shared prefixes, an ideal token bucket, fair shares, HdrHistogram latencies that can be merged, engine counters and booking checks; subcommand load. Targets that are not literal loopback addresses are refused.

Conclusion: the tool tells whole, wrong, cut and refused answers of a fake router apart.

--- /dev/null
+++ b/lab/cmd/tanagerlab/load.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/peterbourgon/ff/v3"
+
+	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/lab/internal/load"
+)
+
+// settleTime lets engines finish cancelled work before their counters are read.
+const settleTime = 1500 * time.Millisecond
+
+// loadCommand sends the traffic of a scenario and judges the answers.
+type loadCommand struct {
+	flags      *flag.FlagSet
+	scenario   string
+	catalogue  string
+	routers    string
+	engines    string
+	services   string
+	out        string
+	records    string
+	policy     string
+	seed       uint64
+	parallel   int
+	timeout    time.Duration
+	firstToken time.Duration
+	interval   time.Duration
+	progress   time.Duration
+}
+
+func (*loadCommand) Name() string     { return "load" }
+func (*loadCommand) Synopsis() string { return "send the traffic of a scenario and judge the answers" }
+func (*loadCommand) Usage() string {
+	return `tanagerlab load -scenario FILE -catalogue FILE -routers URL,URL [flags]
+
+Sends open-loop traffic to routers on loopback addresses and writes a JSON result and a text table.
+Flags may also be set by environment variables: TANAGERLAB_ROUTERS for -routers, and so on.
+
+`
+}
+
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	c.flags = f
+	f.StringVar(&c.scenario, "scenario", "", "scenario `file`")
+	f.StringVar(&c.catalogue, "catalogue", "", "catalogue `file` with rates, bursts and latency targets")
+	f.StringVar(&c.routers, "routers", "", "base `URLs` of the routers' callers' ports, separated by commas")
+	f.StringVar(&c.engines, "engines", "", "base `URLs` of the engines, for their counters; optional")
+	f.StringVar(&c.services, "services", "", "base `URLs` of the plain services, for their counters; optional")
+	f.StringVar(&c.out, "out", "", "`file` for the JSON result; optional")
+	f.StringVar(&c.records, "records", "", "`file` for one JSON line a request; optional")
+	f.StringVar(&c.policy, "policy", "", "`label` of the policy in the result; the scenario's if empty")
+	f.Uint64Var(&c.seed, "seed", 0, "seed that replaces the scenario's; 0 keeps it")
+	f.IntVar(&c.parallel, "parallel", 4000, "most open requests; arrivals beyond it are not sent")
+	f.DurationVar(&c.timeout, "request-timeout", time.Minute, "longest time for one request")
+	f.DurationVar(&c.firstToken, "first-token", 0, "target for the first token; 0 takes the catalogue's targets")
+	f.DurationVar(&c.interval, "token-interval", 0, "target for the mean time between tokens; needs -first-token")
+	f.DurationVar(&c.progress, "progress", 5*time.Second, "time between progress lines")
+}
+
+// Execute implements subcommands.Command.
+func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := ff.Parse(c.flags, nil, ff.WithEnvVarPrefix("TANAGERLAB")); err != nil || f.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "tanagerlab load: wrong flag or environment variable:", err)
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "tanagerlab load:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *loadCommand) run(ctx context.Context) error {
+	o, err := c.options()
+	if err != nil {
+		return err
+	}
+	engines, err := load.SplitTargets(c.engines)
+	if err != nil {
+		return err
+	}
+	services, err := load.SplitTargets(c.services)
+	if err != nil {
+		return err
+	}
+	runner, err := load.NewRunner(o)
+	if err != nil {
+		return err
+	}
+	client := load.NewClient(len(engines) + len(services))
+	before := load.ReadEngines(ctx, client, engines)
+	started := time.Now()
+	records := runner.Run(ctx)
+	if ctx.Err() != nil {
+		return errors.New("interrupted; no result written")
+	}
+	time.Sleep(settleTime)
+	result, err := load.Judge(o.Scenario, o.Limits, records, o.Targets)
+	if err != nil {
+		return err
+	}
+	result.StartedMS = started.UnixMilli()
+	result.Engines = load.PrefillWork(before, load.ReadEngines(ctx, client, engines), records)
+	result.Bookings = load.CheckBookings(o.Scenario, records, load.ReadExecutions(ctx, client, services))
+	return c.write(result, records)
+}
+
+func (c *loadCommand) options() (load.Options, error) {
+	scenario, err := load.ReadScenario(c.scenario)
+	if err != nil {
+		return load.Options{}, err
+	}
+	if c.seed != 0 {
+		scenario.Seed = c.seed
+	}
+	if c.policy != "" {
+		scenario.Policy = c.policy
+	}
+	limits, err := readCatalogue(c.catalogue)
+	if err != nil {
+		return load.Options{}, err
+	}
+	routers, err := load.SplitTargets(c.routers)
+	if err != nil {
+		return load.Options{}, err
+	}
+	return load.Options{
+		Scenario:       scenario,
+		Limits:         limits,
+		Routers:        routers,
+		Targets:        load.Targets{FirstToken: c.firstToken, Interval: c.interval},
+		Parallel:       max(c.parallel, 1),
+		RequestTimeout: c.timeout,
+		Progress:       os.Stderr,
+		ProgressEvery:  c.progress,
+	}, nil
+}
+
+func (c *loadCommand) write(result load.Result, records []load.Record) error {
+	if c.records != "" {
+		if err := load.WriteRecords(c.records, records); err != nil {
+			return err
+		}
+	}
+	if c.out != "" {
+		if err := result.Write(c.out); err != nil {
+			return err
+		}
+	}
+	return load.WriteTable(os.Stdout, result)
+}
+
+func readCatalogue(path string) (*load.Limits, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var c catalogue.Catalogue
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return load.NewLimits(c), nil
+}
--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -12,6 +12,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&loadCommand{}, "experiments")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/lab/internal/load/bucket.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"sort"
+	"time"
+)
+
+// Bucket is an ideal token bucket for the whole fleet. It starts full.
+type Bucket struct {
+	rate  float64
+	burst float64
+	level float64
+	at    time.Duration
+}
+
+// NewBucket returns a full bucket with a rate in tokens a second.
+func NewBucket(rateTokens, burstTokens int64) *Bucket {
+	return &Bucket{rate: float64(rateTokens), burst: float64(burstTokens), level: float64(burstTokens)}
+}
+
+// Take charges the bucket at a time that must not go back, and reports whether it held enough.
+func (b *Bucket) Take(at time.Duration, charge int64) bool {
+	b.level = min(b.burst, b.level+b.rate*(at-b.at).Seconds())
+	b.at = at
+	if b.level < float64(charge) {
+		return false
+	}
+	b.level -= float64(charge)
+	return true
+}
+
+// Span is the time within which a request was admitted, with the tokens it used.
+type Span struct {
+	From   time.Duration
+	To     time.Duration
+	Tokens int64
+}
+
+// Excess returns the largest number of tokens beyond burst + rate × window over all windows. The caller of a router
+// sees only that admission happened between sending and the first byte, so a window counts the requests whose whole
+// span lies inside: an excess found is certain, and a small one may stay unseen.
+func Excess(spans []Span, rateTokens, burstTokens int64) float64 {
+	byEnd := append([]Span(nil), spans...)
+	sort.Slice(byEnd, func(i, j int) bool { return byEnd[i].To < byEnd[j].To })
+	worst := 0.0
+	for _, first := range spans {
+		sum := 0.0
+		for _, s := range byEnd {
+			if s.From < first.From {
+				continue
+			}
+			sum += float64(s.Tokens)
+			window := (s.To - first.From).Seconds()
+			worst = max(worst, sum-float64(burstTokens)-float64(rateTokens)*window)
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/lab/internal/load/judge.go
@@ -0,0 +1,237 @@
+package load
+
+import (
+	"sort"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// tally collects the figures of one customer, or of all.
+type tally struct {
+	figures  Figures
+	first    *hdrhistogram.Histogram
+	interval *hdrhistogram.Histogram
+	refusals map[Refusal]int64
+	// goodTokens and demand count output tokens in the counted part.
+	goodTokens int64
+	demand     int64
+}
+
+func newTally(customer string) *tally {
+	return &tally{
+		figures:  Figures{Customer: customer},
+		first:    NewHistogram(),
+		interval: NewHistogram(),
+		refusals: make(map[Refusal]int64),
+	}
+}
+
+func (t *tally) add(r Record, targets Targets, inside bool) {
+	f := &t.figures
+	f.Offered++
+	if inside {
+		f.InsideRate++
+		t.demand += r.OutputTokens
+	}
+	if r.First > 0 {
+		record(t.first, r.FirstToken())
+	}
+	if r.Interval > 0 {
+		record(t.interval, r.Interval)
+	}
+	switch {
+	case r.Complete && r.Correct:
+		f.Answered++
+	case r.Complete:
+		f.Wrong++
+	case r.Tokens > 0:
+		f.Cut++
+	}
+	if r.Good(targets) {
+		f.Good++
+		t.goodTokens += r.OutputTokens
+	}
+	t.addRefusal(r, inside)
+}
+
+func (t *tally) addRefusal(r Record, inside bool) {
+	if r.Complete && r.Correct {
+		return
+	}
+	t.refusals[Refusal{Status: r.Status, Code: r.Code, Outcome: string(r.Outcome)}]++
+	if r.Code == CodeNotSent {
+		t.figures.NotSent++
+	}
+	if !inside || !r.Refused() || r.Code == CodeNotSent {
+		return
+	}
+	t.figures.RefusedInside++
+	if r.Code == codeRateLimit {
+		t.figures.Wrongful++
+	}
+}
+
+func (t *tally) finish(seconds float64) (Figures, error) {
+	var err error
+	f := t.figures
+	f.Refusals = listRefusals(t.refusals)
+	f.GoodPerSecond = float64(f.Good) / seconds
+	f.GoodTokensPerSecond = float64(t.goodTokens) / seconds
+	if f.FirstToken, err = Summarize(t.first); err != nil {
+		return f, err
+	}
+	f.Interval, err = Summarize(t.interval)
+	return f, err
+}
+
+func listRefusals(counts map[Refusal]int64) []Refusal {
+	list := make([]Refusal, 0, len(counts))
+	for r, n := range counts {
+		r.Count = n
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.Count != b.Count {
+			return a.Count > b.Count
+		}
+		return a.Code+a.Outcome < b.Code+b.Outcome
+	})
+	return list
+}
+
+// Judge computes the result of a run from its records. override replaces the catalogue's latency targets if not zero.
+func Judge(s Scenario, limits *Limits, records []Record, override Targets) (Result, error) {
+	seconds := (s.Duration() - s.Warmup()).Seconds()
+	result := Result{Scenario: s.Name, Policy: s.Policy, Seed: s.Seed, LoadFraction: s.LoadFraction, CountedSeconds: seconds}
+	inside := InsideRate(s, limits, records)
+	all := newTally("")
+	tallies := make([]*tally, len(s.Mixes))
+	for i, m := range s.Mixes {
+		tallies[i] = newTally(m.Customer)
+	}
+	for i, r := range records {
+		if r.Service >= 0 || r.At < s.Warmup() {
+			continue
+		}
+		targets := override
+		if targets == (Targets{}) {
+			targets = limits.Targets(s.Mixes[r.Mix].Model)
+		}
+		tallies[r.Mix].add(r, targets, inside[i])
+		all.add(r, targets, inside[i])
+	}
+	entitled := entitlements(s, limits, tallies, seconds)
+	var err error
+	if result.Overall, err = all.finish(seconds); err != nil {
+		return result, err
+	}
+	for i, t := range tallies {
+		f, err := t.finish(seconds)
+		if err != nil {
+			return result, err
+		}
+		f.entitle(entitled[i])
+		f.ExcessTokens = excess(s, limits, records, i)
+		result.Overall.ExcessTokens = max(result.Overall.ExcessTokens, f.ExcessTokens)
+		result.Overall.EntitledTokensPerSecond += f.EntitledTokensPerSecond
+		result.Customers = append(result.Customers, f)
+	}
+	result.Overall.entitle(result.Overall.EntitledTokensPerSecond)
+	result.Worst = worst(result.Customers)
+	result.Services = callSums(s, records)
+	return result, nil
+}
+
+func (f *Figures) entitle(tokensPerSecond float64) {
+	f.EntitledTokensPerSecond = tokensPerSecond
+	if tokensPerSecond > 0 {
+		f.GoodOverEntitled = f.GoodTokensPerSecond / tokensPerSecond
+	}
+}
+
+// InsideRate replays the arrivals of model requests through one ideal bucket per customer and tells which of them the
+// bucket admits. Requests that the tool did not send are left out.
+func InsideRate(s Scenario, limits *Limits, records []Record) []bool {
+	inside := make([]bool, len(records))
+	buckets := make([]*Bucket, len(s.Mixes))
+	for i, m := range s.Mixes {
+		customer := limits.customers[m.Customer]
+		buckets[i] = NewBucket(customer.RateTokens, customer.BurstTokens)
+	}
+	for i, r := range records {
+		if r.Service < 0 && r.Code != CodeNotSent {
+			inside[i] = buckets[r.Mix].Take(r.At, r.Charge)
+		}
+	}
+	return inside
+}
+
+// entitlements divides the capacity by weighted fairness over what the ideal buckets admit.
+func entitlements(s Scenario, limits *Limits, tallies []*tally, seconds float64) []float64 {
+	demands := make([]Demand, len(tallies))
+	for i, t := range tallies {
+		weight := limits.customers[s.Mixes[i].Customer].Weight
+		demands[i] = Demand{Weight: float64(max(weight, 1)), Amount: float64(t.demand) / seconds}
+	}
+	return FairShares(s.CapacityTokens, demands)
+}
+
+func excess(s Scenario, limits *Limits, records []Record, mix int) float64 {
+	var spans []Span
+	for _, r := range records {
+		if r.Mix == mix && r.Service < 0 && r.Tokens > 0 {
+			spans = append(spans, r.span())
+		}
+	}
+	customer := limits.customers[s.Mixes[mix].Customer]
+	return Excess(spans, customer.RateTokens, customer.BurstTokens)
+}
+
+func worst(customers []Figures) WorstShare {
+	var w WorstShare
+	for _, f := range customers {
+		if f.EntitledTokensPerSecond > 0 && (w.Customer == "" || f.GoodOverEntitled < w.GoodOverEntitled) {
+			w = WorstShare{Customer: f.Customer, GoodOverEntitled: f.GoodOverEntitled}
+		}
+	}
+	return w
+}
+
+func callSums(s Scenario, records []Record) []CallSum {
+	type path struct{ method, path string }
+	sums := make(map[path]*CallSum)
+	refusals := make(map[path]map[Refusal]int64)
+	var order []path
+	for _, r := range records {
+		if r.Service < 0 {
+			continue
+		}
+		call := s.Mixes[r.Mix].Services[r.Service]
+		key := path{call.Method, call.Path}
+		if sums[key] == nil {
+			sums[key] = &CallSum{Method: call.Method, Path: call.Path}
+			refusals[key] = make(map[Refusal]int64)
+			order = append(order, key)
+		}
+		sums[key].add(r, refusals[key])
+	}
+	list := make([]CallSum, 0, len(order))
+	for _, key := range order {
+		sums[key].Refusals = listRefusals(refusals[key])
+		list = append(list, *sums[key])
+	}
+	return list
+}
+
+func (c *CallSum) add(r Record, refusals map[Refusal]int64) {
+	c.Offered++
+	if r.Replayed {
+		c.Replayed++
+	}
+	if r.Complete {
+		c.Answered++
+		return
+	}
+	refusals[Refusal{Status: r.Status, Code: r.Code, Outcome: string(r.Outcome)}]++
+}
--- /dev/null
+++ b/lab/internal/load/record.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"time"
+
+	"tanagerwood.dev/api/openai"
+)
+
+// Codes that the tool gives to requests without an answer from a router.
+const (
+	CodeNotSent    = "generator_limit"
+	CodeNoRouter   = "no_router"
+	CodeConnection = "connection_lost"
+	CodeBroken     = "broken_answer"
+	codeRateLimit  = "rate_limited"
+)
+
+// Record is what happened to one request.
+type Record struct {
+	Arrival
+	// Charge is what admission charges to the customer's rate.
+	Charge int64
+	Sent   time.Duration
+	First  time.Duration
+	End    time.Duration
+	// Interval is the mean time between output tokens.
+	Interval time.Duration
+	Status   int
+	Code     string
+	Outcome  openai.Outcome
+	Usage    openai.Usage
+	// Tokens is the number of output tokens that arrived.
+	Tokens int64
+	// Complete says that the answer ended as it should; Correct, that it is what the engine's function prescribes.
+	Complete bool
+	Correct  bool
+	Replayed bool
+}
+
+// FirstToken is the time from the planned arrival to the first output token. It counts from the plan, not from the
+// sending, so that a slow generator does not hide waiting.
+func (r Record) FirstToken() time.Duration { return r.First - r.At }
+
+// Good reports whether a model request counts as goodput.
+func (r Record) Good(t Targets) bool {
+	return r.Complete && r.Correct && r.FirstToken() <= t.FirstToken && r.Interval <= t.Interval
+}
+
+// Refused reports whether the request ended without any part of an answer.
+func (r Record) Refused() bool { return !r.Complete && r.Tokens == 0 }
+
+// judge fills in what follows from an answer and the expected text.
+func (r *Record) judge(a Answer, expected string) {
+	r.First, r.Usage, r.Tokens = a.First, a.Usage, a.Chunks
+	r.Complete = a.Done && a.Failure == nil
+	r.Correct = r.Complete && a.Text == expected
+	if a.Failure != nil {
+		r.Code, r.Outcome = a.Failure.Code, a.Failure.Outcome
+	}
+	if steps := max(a.Chunks, a.Usage.CompletionTokens) - 1; steps > 0 {
+		r.Interval = (a.Last - a.First) / time.Duration(steps)
+	}
+}
+
+// span is the time within which the request was admitted and the tokens it is known to have used.
+func (r Record) span() Span {
+	tokens := r.Usage.TotalTokens
+	if tokens == 0 {
+		tokens = r.Tokens
+	}
+	to := r.End
+	if r.First > 0 {
+		to = r.First
+	}
+	return Span{From: r.Sent, To: to, Tokens: tokens}
+}
+
+// WriteRecords stores one JSON line for each request, for a closer look at a run.
+func WriteRecords(path string, records []Record) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(file)
+	for _, r := range records {
+		if err := encoder.Encode(r); err != nil {
+			return errors.Join(err, file.Close())
+		}
+	}
+	return file.Close()
+}
--- /dev/null
+++ b/lab/internal/load/result.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+)
+
+// Result is the outcome of one run.
+type Result struct {
+	Scenario     string  `json:"scenario"`
+	Policy       string  `json:"policy,omitempty"`
+	Seed         uint64  `json:"seed"`
+	LoadFraction float64 `json:"loadFraction,omitempty"`
+	// StartedMS is the start of the run in milliseconds since the epoch.
+	StartedMS int64 `json:"startedMs"`
+	// CountedSeconds is the length of the counted part: duration without warm-up.
+	CountedSeconds float64    `json:"countedSeconds"`
+	Overall        Figures    `json:"overall"`
+	Customers      []Figures  `json:"customers"`
+	Services       []CallSum  `json:"services,omitempty"`
+	Engines        Prefill    `json:"engines"`
+	Bookings       Bookings   `json:"bookings"`
+	Worst          WorstShare `json:"worst"`
+	// Process holds figures of the processes, which scripts measure and add.
+	Process map[string]float64 `json:"process,omitempty"`
+}
+
+// Figures are the counts of one customer, or of all.
+type Figures struct {
+	Customer string `json:"customer,omitempty"`
+	// Offered requests arrived in the counted part; Answered got a whole and correct answer, Good within the targets.
+	Offered  int64 `json:"offered"`
+	Answered int64 `json:"answered"`
+	Good     int64 `json:"good"`
+	// Wrong answers ended properly with a text that the engine's function does not prescribe.
+	Wrong int64 `json:"wrong"`
+	// Cut answers began and did not end.
+	Cut int64 `json:"cut"`
+	// NotSent requests exceeded the tool's own limit of open requests.
+	NotSent  int64     `json:"notSent"`
+	Refusals []Refusal `json:"refusals,omitempty"`
+	// InsideRate requests would have been admitted by the ideal bucket. Wrongful ones of them were refused with a
+	// rate-limit code, RefusedInside with any code.
+	InsideRate    int64 `json:"insideRate"`
+	Wrongful      int64 `json:"wrongful"`
+	RefusedInside int64 `json:"refusedInside"`
+	// GoodPerSecond counts requests, GoodTokensPerSecond their output tokens.
+	GoodPerSecond       float64 `json:"goodPerSecond"`
+	GoodTokensPerSecond float64 `json:"goodTokensPerSecond"`
+	// EntitledTokensPerSecond is the customer's fair share of output tokens.
+	EntitledTokensPerSecond float64 `json:"entitledTokensPerSecond"`
+	GoodOverEntitled        float64 `json:"goodOverEntitled"`
+	// ExcessTokens is the largest certain excess over burst + rate × window.
+	ExcessTokens float64 `json:"excessTokens"`
+	FirstToken   Latency `json:"firstToken"`
+	Interval     Latency `json:"interval"`
+}
+
+// Refusal counts refusals and failures of one kind.
+type Refusal struct {
+	Status  int    `json:"status"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Count   int64  `json:"count"`
+}
+
+// CallSum counts the calls of one service path.
+type CallSum struct {
+	Method   string    `json:"method"`
+	Path     string    `json:"path"`
+	Offered  int64     `json:"offered"`
+	Answered int64     `json:"answered"`
+	Replayed int64     `json:"replayed"`
+	Refusals []Refusal `json:"refusals,omitempty"`
+}
+
+// WorstShare names the customer with the least goodput over entitlement.
+type WorstShare struct {
+	Customer         string  `json:"customer"`
+	GoodOverEntitled float64 `json:"goodOverEntitled"`
+}
+
+// WrongfulPortion is the part of the requests inside the rate that were refused with a rate-limit code.
+func (f Figures) WrongfulPortion() float64 { return portion(f.Wrongful, f.InsideRate) }
+
+func portion(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Write stores the result as a JSON file.
+func (r Result) Write(path string) error {
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(raw, '\n'), 0o644)
+}
+
+// ReadResult reads a JSON file of Write.
+func ReadResult(path string) (Result, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Result{}, err
+	}
+	var r Result
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Result{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/lab/internal/load/services.go
@@ -0,0 +1,75 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"tanagerwood.dev/api/openai"
+)
+
+// Headers of calls that must not run twice.
+const (
+	idempotencyHeader = "Idempotency-Key"
+	replayedHeader    = "Idempotency-Replayed"
+)
+
+// maxServiceAnswer bounds the part of a service's answer that is read.
+const maxServiceAnswer = 1 << 20
+
+type serviceBody struct {
+	Reference string `json:"reference"`
+	Note      string `json:"note"`
+}
+
+// CallKey is the idempotency key of a service call; it names the call in the services' own records.
+func (s Scenario) CallKey(a Arrival) string {
+	return fmt.Sprintf("%s-%d-%s-%d-%d", s.Name, s.Seed, s.Mixes[a.Mix].Customer, a.Service, a.Seq)
+}
+
+func (r *Runner) sendService(ctx context.Context, record *Record) {
+	call := r.o.Scenario.Mixes[record.Mix].Services[record.Service]
+	r.callOnce(ctx, record, call)
+	if call.Once && record.Repeat && ctx.Err() == nil {
+		repeat := Record{Arrival: record.Arrival}
+		r.callOnce(ctx, &repeat, call)
+		record.Replayed = repeat.Replayed
+	}
+}
+
+func (r *Runner) callOnce(ctx context.Context, record *Record, call ServiceCall) {
+	mix := r.o.Scenario.Mixes[record.Mix]
+	key := r.o.Scenario.CallKey(record.Arrival)
+	body, err := json.Marshal(serviceBody{Reference: key, Note: "load generator"})
+	if err != nil {
+		record.Code = CodeBroken
+		return
+	}
+	if call.Method == http.MethodGet {
+		body = nil
+	}
+	response := r.do(ctx, record, func(base string) (*http.Request, error) {
+		request, err := newRequest(ctx, call.Method, base+call.Path, mix.Key, body)
+		if err == nil && call.Once {
+			request.Header.Set(idempotencyHeader, key)
+		}
+		return request, err
+	})
+	if response == nil {
+		return
+	}
+	defer response.Body.Close()
+	record.Replayed = response.Header.Get(replayedHeader) == "true"
+	if response.StatusCode >= http.StatusBadRequest {
+		record.refuse(response)
+		return
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxServiceAnswer))
+	record.Complete = err == nil
+	record.Correct = record.Complete
+	if err != nil {
+		record.Code, record.Outcome = CodeConnection, openai.Unknown
+	}
+}
