Add the experiment plan, its files and the aggregation

Change: lab/internal/experiment parses an experiment file, lists its cells, writes catalogue, instance list, scenario, processes and faults of a cell, and aggregates results (median, least and greatest over seeds, ratios to the best baseline and to the same policy at load 1.0).

Conclusion: a script can now run the cells.

--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&loadCommand{}, "experiments")
+	subcommands.Register(&experimentCommand{}, "experiments")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/lab/internal/experiment/aggregate.go
@@ -0,0 +1,295 @@
+package experiment
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/lab/internal/load"
+)
+
+// Names of the measures of a run.
+const (
+	MeasureGoodput       = "goodputPerSecond"
+	MeasureGoodTokens    = "goodTokensPerSecond"
+	MeasureGoodPortion   = "goodPortion"
+	MeasureAnswered      = "answeredPortion"
+	MeasureWasted        = "wastedPrefill"
+	MeasureWorst         = "worstServed"
+	MeasureWrongful      = "wrongfulRefusals"
+	MeasureRefusedInside = "refusedInsideRate"
+	MeasureExcess        = "excessTokens"
+	MeasureFirstP50      = "firstTokenP50Ms"
+	MeasureFirstP95      = "firstTokenP95Ms"
+	MeasureIntervalP95   = "tokenIntervalP95Ms"
+	MeasureCut           = "cutAnswers"
+	MeasureWrong         = "wrongAnswers"
+	MeasureDoubled       = "doubledBookings"
+	MeasureRanNotRun     = "ranAlthoughNotRun"
+	MeasureEngineRefused = "engineRefusals"
+	MeasureCPU           = "routerCpuMsPerRequest"
+	MeasureCPUToken      = "routerCpuUsPerToken"
+	MeasureControl       = "controlBytesPerSecond"
+)
+
+// Keys of load.Result.Process, which scripts/experiment.sh measures.
+const (
+	processCPU     = "routerCpuMs"
+	processControl = "controlBytesPerSecondPerRouter"
+)
+
+// File names in the directory of a cell and of an experiment.
+const (
+	resultFile  = "result.json"
+	processFile = "process.json"
+	SummaryFile = "summary.json"
+)
+
+// Measures are the figures of one run, by name.
+type Measures map[string]float64
+
+// Measure takes the figures of one run that are compared.
+func Measure(r load.Result) Measures {
+	all := r.Overall
+	m := Measures{
+		MeasureGoodput:       all.GoodPerSecond,
+		MeasureGoodTokens:    all.GoodTokensPerSecond,
+		MeasureGoodPortion:   ratio(float64(all.Good), float64(all.Offered)),
+		MeasureAnswered:      ratio(float64(all.Answered), float64(all.Offered)),
+		MeasureWasted:        r.Engines.Wasted,
+		MeasureWorst:         r.Worst.GoodOverEntitled,
+		MeasureWrongful:      all.WrongfulPortion(),
+		MeasureRefusedInside: ratio(float64(all.RefusedInside), float64(all.InsideRate)),
+		MeasureExcess:        all.ExcessTokens,
+		MeasureFirstP50:      all.FirstToken.P50MS,
+		MeasureFirstP95:      all.FirstToken.P95MS,
+		MeasureIntervalP95:   all.Interval.P95MS,
+		MeasureCut:           float64(all.Cut),
+		MeasureWrong:         float64(all.Wrong),
+		MeasureDoubled:       float64(r.Bookings.Doubled),
+		MeasureRanNotRun:     float64(r.Bookings.RanNotRun),
+		MeasureEngineRefused: float64(r.Engines.EngineRefused),
+	}
+	if cpu, ok := r.Process[processCPU]; ok {
+		m[MeasureCPU] = ratio(cpu, float64(r.Requests))
+		m[MeasureCPUToken] = ratio(cpu*1000, float64(r.Tokens))
+	}
+	if control, ok := r.Process[processControl]; ok {
+		m[MeasureControl] = control
+	}
+	return m
+}
+
+func ratio(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
+// Group is the median run of one policy under one scenario.
+type Group struct {
+	Deployment string   `json:"deployment"`
+	Scenario   string   `json:"scenario"`
+	Policy     string   `json:"policy"`
+	Load       float64  `json:"load"`
+	Seeds      []uint64 `json:"seeds"`
+	// Median, Least and Greatest are over the seeds.
+	Median   Measures `json:"median"`
+	Least    Measures `json:"least"`
+	Greatest Measures `json:"greatest"`
+	// FirstToken and Interval merge the requests of all seeds.
+	FirstToken load.Latency `json:"firstToken"`
+	Interval   load.Latency `json:"interval"`
+	// GoodputOverBest is the median goodput over that of the best baseline in the same scenario; 0 without baselines.
+	GoodputOverBest float64 `json:"goodputOverBestBaseline,omitempty"`
+	BestBaseline    string  `json:"bestBaseline,omitempty"`
+	// GoodputOverFull is the goodput over the same policy's at a load of 1.0; 0 without such a run.
+	GoodputOverFull float64 `json:"goodputOverLoad1,omitempty"`
+}
+
+// Summary is the outcome of an experiment.
+type Summary struct {
+	Groups []Group `json:"groups"`
+	// Missing lists cells of the plan without a result.
+	Missing []string `json:"missing,omitempty"`
+}
+
+type groupKey struct{ deployment, scenario, policy string }
+
+// Aggregate groups results by deployment, scenario and policy.
+func Aggregate(deployment string, results []load.Result) (Summary, error) {
+	byKey := make(map[groupKey][]load.Result)
+	var order []groupKey
+	for _, r := range results {
+		key := groupKey{deployment, r.Scenario, r.Policy}
+		if len(byKey[key]) == 0 {
+			order = append(order, key)
+		}
+		byKey[key] = append(byKey[key], r)
+	}
+	var s Summary
+	for _, key := range order {
+		g, err := newGroup(key, byKey[key])
+		if err != nil {
+			return s, err
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	s.compare()
+	return s, nil
+}
+
+func newGroup(key groupKey, results []load.Result) (Group, error) {
+	g := Group{Deployment: key.deployment, Scenario: key.scenario, Policy: key.policy, Load: results[0].LoadFraction,
+		Median: Measures{}, Least: Measures{}, Greatest: Measures{}}
+	values := make(map[string][]float64)
+	var first, interval []load.Latency
+	for _, r := range results {
+		g.Seeds = append(g.Seeds, r.Seed)
+		first = append(first, r.Overall.FirstToken)
+		interval = append(interval, r.Overall.Interval)
+		for name, v := range Measure(r) {
+			values[name] = append(values[name], v)
+		}
+	}
+	for name, list := range values {
+		sort.Float64s(list)
+		g.Median[name], g.Least[name], g.Greatest[name] = Median(list), list[0], list[len(list)-1]
+	}
+	var errFirst, errInterval error
+	g.FirstToken, errFirst = load.MergeLatencies(first)
+	g.Interval, errInterval = load.MergeLatencies(interval)
+	return g, errors.Join(errFirst, errInterval)
+}
+
+// Median returns the middle of sorted values, or the mean of the two in the middle.
+func Median(sorted []float64) float64 {
+	n := len(sorted)
+	if n == 0 {
+		return 0
+	}
+	if n%2 == 1 {
+		return sorted[n/2]
+	}
+	return (sorted[n/2-1] + sorted[n/2]) / 2
+}
+
+// baseline reports whether a policy is kept only for comparison.
+func baseline(policy string) bool {
+	switch catalogue.PolicyName(policy) {
+	case catalogue.PolicyRandom, catalogue.PolicyLeastLoaded, catalogue.PolicyPrefillFirst:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Summary) compare() {
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		best := 0.0
+		for _, other := range s.Groups {
+			goodput := other.Median[MeasureGoodput]
+			if other.Deployment != g.Deployment {
+				continue
+			}
+			if other.Scenario == g.Scenario && baseline(other.Policy) && goodput > best {
+				best, g.BestBaseline = goodput, other.Policy
+			}
+			if other.Policy == g.Policy && other.Load == 1 && strings.HasPrefix(other.Scenario, "peak") {
+				g.GoodputOverFull = ratio(g.Median[MeasureGoodput], goodput)
+			}
+		}
+		g.GoodputOverBest = ratio(g.Median[MeasureGoodput], best)
+	}
+}
+
+// AggregateDir reads the results of an experiment's cells below a directory and writes the summary there.
+func AggregateDir(f File, dir string) (Summary, error) {
+	var results []load.Result
+	var missing []string
+	for _, c := range f.Plan() {
+		r, err := readCell(filepath.Join(dir, c.ID))
+		if errors.Is(err, os.ErrNotExist) {
+			missing = append(missing, c.ID)
+			continue
+		}
+		if err != nil {
+			return Summary{}, err
+		}
+		results = append(results, r)
+	}
+	s, err := Aggregate(f.Deployment, results)
+	if err != nil {
+		return s, err
+	}
+	s.Missing = missing
+	raw, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return s, err
+	}
+	return s, os.WriteFile(filepath.Join(dir, SummaryFile), append(raw, '\n'), 0o644)
+}
+
+func readCell(dir string) (load.Result, error) {
+	r, err := load.ReadResult(filepath.Join(dir, resultFile))
+	if err != nil {
+		return r, err
+	}
+	raw, err := os.ReadFile(filepath.Join(dir, processFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return r, nil
+	}
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(raw, &r.Process); err != nil {
+		return r, fmt.Errorf("%s: %w", dir, err)
+	}
+	return r, nil
+}
+
+// ReadSummary reads a summary file.
+func ReadSummary(path string) (Summary, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Summary{}, err
+	}
+	var s Summary
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// WriteMarkdown prints the medians as a Markdown table.
+func (s Summary) WriteMarkdown(w io.Writer) error {
+	fmt.Fprintln(w, "| scenario | policy | seeds | goodput/s | good | ÷ best baseline | ÷ load 1.0 | wasted prefill | worst served | "+
+		"wrongful | refused inside | excess | first p50/p95 ms | interval p95 ms | cut | CPU ms/request |")
+	_, err := fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, g := range s.Groups {
+		m := g.Median
+		_, err = fmt.Fprintf(w, "| %s | %s | %d | %.2f | %.1f%% | %s | %s | %.2f%% | %.3f | %.2f%% | %.2f%% | %.0f | %.0f/%.0f | %.1f | %.0f | %.2f |\n",
+			g.Scenario, g.Policy, len(g.Seeds), m[MeasureGoodput], 100*m[MeasureGoodPortion], figure(g.GoodputOverBest), figure(g.GoodputOverFull),
+			100*m[MeasureWasted], m[MeasureWorst], 100*m[MeasureWrongful], 100*m[MeasureRefusedInside], m[MeasureExcess],
+			m[MeasureFirstP50], m[MeasureFirstP95], m[MeasureIntervalP95], m[MeasureCut], m[MeasureCPU])
+	}
+	for _, id := range s.Missing {
+		_, err = fmt.Fprintf(w, "\nNo result: %s\n", id)
+	}
+	return err
+}
+
+func figure(v float64) string {
+	if v == 0 {
+		return "–"
+	}
+	return fmt.Sprintf("%.2f", v)
+}
--- a/lab/internal/load/counters.go
+++ b/lab/internal/load/counters.go
@@ -145,16 +145,23 @@
 	return b
 }
 
-// ReadExecutions adds up, over all services that answer, how often each idempotency key was executed.
+// serviceRuns is the answer of a service stand-in at /runs.
+type serviceRuns struct {
+	Runs map[string]struct {
+		Count int64 `json:"count"`
+	} `json:"runs"`
+}
+
+// ReadExecutions adds up, over all services that answer, how often each booking ran.
 func ReadExecutions(ctx context.Context, client *http.Client, services []string) map[string]int64 {
 	all := make(map[string]int64)
 	for _, service := range services {
-		var executions map[string]int64
-		if fetch(ctx, client, service+"/executions", &executions) != nil {
+		var list serviceRuns
+		if fetch(ctx, client, service+"/runs", &list) != nil {
 			continue
 		}
-		for key, count := range executions {
-			all[key] += count
+		for booking, run := range list.Runs {
+			all[booking] += run.Count
 		}
 	}
 	return all
--- a/lab/internal/load/judge.go
+++ b/lab/internal/load/judge.go
@@ -111,6 +111,8 @@
 		tallies[i] = newTally(m.Customer)
 	}
 	for i, r := range records {
+		result.Requests++
+		result.Tokens += r.Tokens
 		if r.Service >= 0 || r.At < s.Warmup() {
 			continue
 		}
--- a/lab/internal/load/result.go
+++ b/lab/internal/load/result.go
@@ -15,13 +15,16 @@
 	// StartedMS is the start of the run in milliseconds since the epoch.
 	StartedMS int64 `json:"startedMs"`
 	// CountedSeconds is the length of the counted part: duration without warm-up.
-	CountedSeconds float64    `json:"countedSeconds"`
-	Overall        Figures    `json:"overall"`
-	Customers      []Figures  `json:"customers"`
-	Services       []CallSum  `json:"services,omitempty"`
-	Engines        Prefill    `json:"engines"`
-	Bookings       Bookings   `json:"bookings"`
-	Worst          WorstShare `json:"worst"`
+	CountedSeconds float64 `json:"countedSeconds"`
+	// Requests counts all model requests and service calls, warm-up included; Tokens the output tokens that arrived.
+	Requests  int64      `json:"requests"`
+	Tokens    int64      `json:"tokens"`
+	Overall   Figures    `json:"overall"`
+	Customers []Figures  `json:"customers"`
+	Services  []CallSum  `json:"services,omitempty"`
+	Engines   Prefill    `json:"engines"`
+	Bookings  Bookings   `json:"bookings"`
+	Worst     WorstShare `json:"worst"`
 	// Process holds figures of the processes, which scripts measure and add.
 	Process map[string]float64 `json:"process,omitempty"`
 }
--- a/lab/internal/load/services.go
+++ b/lab/internal/load/services.go
@@ -19,9 +19,10 @@
 // maxServiceAnswer bounds the part of a service's answer that is read.
 const maxServiceAnswer = 1 << 20
 
+// serviceBody names the call in the field that the service stand-in counts runs by.
 type serviceBody struct {
-	Reference string `json:"reference"`
-	Note      string `json:"note"`
+	Booking string `json:"booking"`
+	Note    string `json:"note"`
 }
 
 // CallKey is the idempotency key of a service call; it names the call in the services' own records.
@@ -42,7 +43,7 @@
 func (r *Runner) callOnce(ctx context.Context, record *Record, call ServiceCall) {
 	mix := r.o.Scenario.Mixes[record.Mix]
 	key := r.o.Scenario.CallKey(record.Arrival)
-	body, err := json.Marshal(serviceBody{Reference: key, Note: "load generator"})
+	body, err := json.Marshal(serviceBody{Booking: key, Note: "load generator"})
 	if err != nil {
 		record.Code = CodeBroken
 		return
