Add the report page and the script that runs experiments

Cause: results of many cells need one page with plots and the goals, and a script must start the processes.

Ruled out: go-echarts, because its module does not contain the JavaScript library, so the page would load it from the network. gonum/plot draws inline SVG instead.

Change: lab/internal/report and subcommand report; scripts/experiment.sh with its functions in scripts/lab-lib.sh; experiment files for both deployments in lab/experiments. "tanagerlab load" now refuses stray arguments.

Conclusion: the page loads nothing; the script waits for the router.

--- a/lab/cmd/tanagerlab/load.go
+++ b/lab/cmd/tanagerlab/load.go
@@ -71,7 +71,11 @@
 
 // Execute implements subcommands.Command.
 func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := ff.Parse(c.flags, nil, ff.WithEnvVarPrefix("TANAGERLAB")); err != nil || f.NArg() > 0 {
+	if f.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "tanagerlab load: unknown argument:", f.Arg(0))
+		return subcommands.ExitUsageError
+	}
+	if err := ff.Parse(c.flags, nil, ff.WithEnvVarPrefix("TANAGERLAB")); err != nil {
 		fmt.Fprintln(os.Stderr, "tanagerlab load: wrong flag or environment variable:", err)
 		return subcommands.ExitUsageError
 	}
--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&loadCommand{}, "experiments")
 	subcommands.Register(&experimentCommand{}, "experiments")
+	subcommands.Register(&reportCommand{}, "experiments")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/lab/internal/report/report.go
@@ -0,0 +1,117 @@
+// Package report turns summaries of experiments into one HTML page that needs nothing else.
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"sort"
+
+	"tanagerwood.dev/lab/internal/experiment"
+)
+
+//go:embed page.html
+var page string
+
+// columns are the measures of the table, with their headings and formats.
+var columns = []struct {
+	Heading string
+	Measure string
+	Format  string
+	Scale   float64
+}{
+	{"goodput/s", experiment.MeasureGoodput, "%.2f", 1},
+	{"good", experiment.MeasureGoodPortion, "%.1f%%", 100},
+	{"answered", experiment.MeasureAnswered, "%.1f%%", 100},
+	{"wasted prefill", experiment.MeasureWasted, "%.2f%%", 100},
+	{"worst served", experiment.MeasureWorst, "%.3f", 1},
+	{"wrongful refusals", experiment.MeasureWrongful, "%.2f%%", 100},
+	{"refused inside rate", experiment.MeasureRefusedInside, "%.2f%%", 100},
+	{"excess tokens", experiment.MeasureExcess, "%.0f", 1},
+	{"first p50 ms", experiment.MeasureFirstP50, "%.0f", 1},
+	{"first p95 ms", experiment.MeasureFirstP95, "%.0f", 1},
+	{"interval p95 ms", experiment.MeasureIntervalP95, "%.1f", 1},
+	{"cut", experiment.MeasureCut, "%.0f", 1},
+	{"wrong", experiment.MeasureWrong, "%.0f", 1},
+	{"doubled", experiment.MeasureDoubled, "%.0f", 1},
+	{"CPU ms/request", experiment.MeasureCPU, "%.2f", 1},
+	{"CPU µs/token", experiment.MeasureCPUToken, "%.1f", 1},
+	{"control B/s per router", experiment.MeasureControl, "%.0f", 1},
+}
+
+// row is one line of the table of measures.
+type row struct {
+	Scenario, Policy string
+	Seeds            int
+	Cells            []cell
+}
+
+// cell is the median of a measure with its range over the seeds.
+type cell struct{ Median, Range string }
+
+type section struct {
+	Deployment string
+	Headings   []string
+	Rows       []row
+	Figures    []Figure
+}
+
+type document struct {
+	Verdicts []Verdict
+	Sections []section
+	Missing  []string
+}
+
+// Write renders the page for the summaries of one or more experiments.
+func Write(w io.Writer, summaries []experiment.Summary) error {
+	var d document
+	byDeployment := make(map[string][]experiment.Group)
+	for _, s := range summaries {
+		d.Missing = append(d.Missing, s.Missing...)
+		for _, g := range s.Groups {
+			byDeployment[g.Deployment] = append(byDeployment[g.Deployment], g)
+		}
+	}
+	for _, name := range sortedKeys(byDeployment) {
+		groups := byDeployment[name]
+		d.Verdicts = append(d.Verdicts, verdicts(groups)...)
+		s, err := newSection(name, groups)
+		if err != nil {
+			return err
+		}
+		d.Sections = append(d.Sections, s)
+	}
+	sort.Strings(d.Missing)
+	t, err := template.New("page").Parse(page)
+	if err != nil {
+		return err
+	}
+	return t.Execute(w, d)
+}
+
+func newSection(name string, groups []experiment.Group) (section, error) {
+	s := section{Deployment: name}
+	for _, c := range columns {
+		s.Headings = append(s.Headings, c.Heading)
+	}
+	for _, g := range groups {
+		r := row{Scenario: g.Scenario, Policy: g.Policy, Seeds: len(g.Seeds)}
+		for _, c := range columns {
+			r.Cells = append(r.Cells, newCell(g, c.Measure, c.Format, c.Scale))
+		}
+		s.Rows = append(s.Rows, r)
+	}
+	var err error
+	s.Figures, err = figures(groups)
+	return s, err
+}
+
+func newCell(g experiment.Group, measure, format string, scale float64) cell {
+	v, ok := g.Median[measure]
+	if !ok {
+		return cell{Median: "not measured"}
+	}
+	least, greatest := fmt.Sprintf(format, scale*g.Least[measure]), fmt.Sprintf(format, scale*g.Greatest[measure])
+	return cell{Median: fmt.Sprintf(format, scale*v), Range: least + " to " + greatest}
+}
