--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -15,6 +15,9 @@
 	subcommands.Register(&engineCommand{}, "stand-ins")
 	subcommands.Register(&serviceCommand{}, "stand-ins")
 	subcommands.Register(&platformCommand{}, "stand-ins")
+	subcommands.Register(&loadCommand{}, "experiments")
+	subcommands.Register(&experimentCommand{}, "experiments")
+	subcommands.Register(&reportCommand{}, "experiments")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
