Read answers to their end in the engine stand-in's fault test

Cause: the test expected the second call on the same connection to stay silent, but a body that is closed before its end makes the client drop the connection, so that the call went out on a fresh one in about half of the runs. Ruled out: the stand-in marking the wrong connections (its set held the right address). Change: the test reads each body to its end before closing it. Conclusion: the stand-in was right; the test now controls which connection is used.

--- a/lab/standin/engine/engine_test.go
+++ b/lab/standin/engine/engine_test.go
@@ -173,6 +173,8 @@
 			}
 			defer resp.Body.Close()
 			texts, done := tokens(resp.Body, id)
+			// The connection is used again only if the body was read to its end.
+			_, _ = io.Copy(io.Discard, resp.Body)
 			return texts, done, nil
 		}
 		texts, done, err := decode(context.Background(), "a")
