Add scheduling, reservations, the load view and the entry queue

Cause: the thin path sent each job to a random pair at once.

Change: domain packages prefix, fairqueue, reservation and scheduling; app/loads polls a bounded set of endpoints and publishes an immutable view; app/reservations keeps the tables of owned endpoints, asks other owners and falls back to estimates; app/placement queues jobs per model, tries pairs and reserves both ends. The model path asks a full decode engine again, or another one, while the exported KV cache lives. Prompts are hashed with api/engine.

Ruled out: polling every endpoint from every instance. At the target that is 620 reports an interval each; an instance uses 8 endpoints of a pool and reads at most 12 reports a second.

--- a/router/internal/adapter/callers/completion.go
+++ b/router/internal/adapter/callers/completion.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/api/engine"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/app/modelpath"
 	"tanagerwood.dev/router/internal/domain/config"
@@ -67,7 +68,7 @@
 	}
 	return &modelpath.Request{
 		Customer: customer, Model: model, Class: class,
-		PromptTokens: prompt, MaxTokens: output,
+		PromptTokens: prompt, MaxTokens: output, Blocks: engine.BlockHashes(p.prompt),
 	}, nil
 }
 
--- a/router/internal/adapter/callers/parse.go
+++ b/router/internal/adapter/callers/parse.go
@@ -8,6 +8,7 @@
 	"unicode/utf8"
 
 	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/api/engine"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -139,7 +140,7 @@
 			return fault.New(fault.BadRequest, `"prompt" is missing; send a string`)
 		}
 	}
-	text, err := promptTextOf(p.Request)
+	text, err := engine.PromptTextOf(p.Request)
 	if err != nil {
 		return fault.New(fault.BadRequest, "the prompt is not text: send strings, text parts, or a list with one string")
 	}
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -38,12 +38,12 @@
 	ManageTimeout time.Duration
 }
 
-// Defaults. The first-token and progress limits are many times the 1.4 s and 56 ms latency targets, so that a loaded
-// engine does not pass for a dead one.
+// Defaults. The limits for the first chunk and for progress are many times what a transfer and a decode step take, so
+// that a loaded engine does not pass for a dead one.
 const (
 	defaultConnectTimeout    = 500 * time.Millisecond
 	defaultPrefillTimeout    = 30 * time.Second
-	defaultFirstTokenTimeout = 10 * time.Second
+	defaultFirstTokenTimeout = 3 * time.Second
 	defaultProgressTimeout   = 3 * time.Second
 	defaultProbeAfter        = time.Second
 	defaultManageTimeout     = time.Second
@@ -267,6 +267,9 @@
 	return fault.Wrap(err, fault.EndpointFailed, outcome, "the connection to the engine failed; another endpoint is tried")
 }
 
+// kvCodePrefix begins the error codes that say that the KV cache of the prefill could not be had.
+const kvCodePrefix = "kv_"
+
 // statusError types an answer other than 200. An engine refuses before it runs anything, except for 5xx other than 503.
 func statusError(resp *http.Response, ep port.Endpoint) error {
 	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
@@ -275,12 +278,14 @@
 	if json.Unmarshal(raw, &body) == nil && body.Error.Message != "" {
 		message += ": " + body.Error.Message
 	}
-	switch resp.StatusCode {
-	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
-		return fault.New(fault.BadRequest, message)
-	case http.StatusNotFound, http.StatusGone:
+	switch {
+	case resp.StatusCode == http.StatusGone || strings.HasPrefix(body.Error.Code, kvCodePrefix):
 		return fault.New(fault.NotFound, message)
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusConflict:
+	case resp.StatusCode == http.StatusBadRequest, resp.StatusCode == http.StatusUnprocessableEntity,
+		resp.StatusCode == http.StatusRequestEntityTooLarge:
+		return fault.New(fault.BadRequest, message)
+	case resp.StatusCode == http.StatusNotFound, resp.StatusCode == http.StatusTooManyRequests,
+		resp.StatusCode == http.StatusServiceUnavailable:
 		return fault.New(fault.EndpointRefused, message)
 	default:
 		return fault.New(fault.EndpointFailed, message).WithOutcome(openai.Unknown)
--- a/router/internal/app/modelpath/attempt.go
+++ b/router/internal/app/modelpath/attempt.go
@@ -53,16 +53,18 @@
 }
 
 func (r *run) place(id string) (Placement, error) {
-	began := r.Clock.Now()
 	job := Job{Request: r.req, Attempt: id, Delivered: r.next, Exclude: r.exclude}
 	placement, err := r.Placer.Place(r.ctx, job)
-	waited := r.Clock.Now().Sub(began)
+	if err != nil {
+		return nil, err
+	}
+	waited := placement.Queued()
 	if r.next == 0 {
 		r.queued += waited
 	}
 	r.meters.queueTime.Update(waited.Milliseconds())
-	if err != nil {
-		return nil, err
+	if waited > 0 {
+		r.event(event.RequestQueued, id, port.Endpoint{}, waited.String())
 	}
 	r.event(event.RequestReserved, id, placement.Prefill(), "")
 	return placement, nil
@@ -75,6 +77,9 @@
 	r.sent = true
 	began := r.Clock.Now()
 	result, err := r.Engine.Prefill(r.ctx, ep, call)
+	if fault.Is(err, fault.NotFound) {
+		err = fault.Wrap(err, fault.EndpointRefused, openai.NotRun, "the prefill engine does not serve the model")
+	}
 	r.engineTime(began)
 	if err == nil && result.KVTransfer.RemoteRequestID != id {
 		err = fault.New(fault.EndpointFailed, "the prefill engine answered for another attempt").WithOutcome(openai.Unknown)
@@ -100,29 +105,84 @@
 		r.Canceller.Cancel(prefill, id)
 		return err
 	}
-	r.event(event.TransferStarted, id, ep, "")
 	began := r.Clock.Now()
-	stream, err := r.Engine.Decode(r.ctx, ep, r.call(id, kv))
+	ep, stream, err := r.open(id, ep, placement, kv)
 	if err != nil {
 		r.engineTime(began)
-		failed := r.failed(err, id, prefill, ep)
-		failed.kvLost = fault.Is(err, fault.NotFound) || isSilent(err)
-		return failed
+		return r.transferFailed(err, id, prefill, ep)
 	}
 	defer stream.Close()
 	r.event(event.DecodeStarted, id, ep, "")
 	before := r.next
-	err = r.relay(id, ep, stream, began)
-	if err != nil {
-		failed := r.failed(err, id, prefill, ep)
-		// No token came at all: the transfer stalled or the KV cache was gone when it began.
-		failed.kvLost = r.next == before && (isSilent(err) || fault.Is(err, fault.NotFound))
-		return failed
+	if err := r.relay(id, ep, stream, began); err != nil {
+		if r.next == before && r.finish == "" && (isSilent(err) || fault.Is(err, fault.NotFound)) {
+			return r.transferFailed(err, id, prefill, ep)
+		}
+		return r.failed(err, id, prefill, ep)
 	}
 	r.event(event.DecodeEnded, id, ep, "")
 	return nil
 }
 
+// transferFailed types a failure before the first token. If the KV cache expired or its transfer stalled, the prefill
+// may be repeated without the budget.
+func (r *run) transferFailed(err error, id string, prefill, decode port.Endpoint) error {
+	failed := r.failed(err, id, prefill, decode)
+	failed.kvLost = fault.Is(err, fault.NotFound) || isSilent(err)
+	if isSilent(err) {
+		r.avoid(decode) // its link may be what stalls
+	}
+	return failed
+}
+
+// open starts the decode. While the exported KV cache lives, an engine that is full is asked again, and one that cannot
+// be reached or refuses is replaced by another if there is one. Nothing ran in either case.
+func (r *run) open(id string, ep port.Endpoint, placement Placement, kv *engine.KVTransfer) (port.Endpoint, port.TokenStream, error) {
+	until := r.Clock.Now().Add(time.Duration(kv.ExpiresInMS) * time.Millisecond * kvUsablePercent / 100)
+	avoid := map[string]bool{}
+	for {
+		r.event(event.TransferStarted, id, ep, "")
+		stream, err := r.Engine.Decode(r.ctx, ep, r.call(id, kv))
+		if err == nil || !mayReopen(err) || r.ctx.Err() != nil || !r.Clock.Now().Before(until) {
+			return ep, stream, err
+		}
+		avoid[ep.Name] = true
+		if other, ok := r.otherDecode(placement, avoid); ok {
+			ep = other
+			continue
+		}
+		if !fault.Is(err, fault.EndpointRefused) {
+			return ep, nil, err
+		}
+		r.pause(refusedPause)
+	}
+}
+
+// mayReopen reports whether the engine has not taken the KV cache: it refused, or no connection was made.
+func mayReopen(err error) bool {
+	typed := fault.As(err)
+	return typed.Kind == fault.EndpointRefused || typed.Kind == fault.EndpointFailed && typed.Outcome == openai.NotRun
+}
+
+// otherDecode moves the decode to another endpoint, which counts as a repeated attempt.
+func (r *run) otherDecode(placement Placement, avoid map[string]bool) (port.Endpoint, bool) {
+	other, ok := placement.OtherDecode(r.ctx, avoid)
+	if !ok || !r.budget.withdraw() {
+		return port.Endpoint{}, false
+	}
+	r.meters.retries.Inc(1)
+	return other, true
+}
+
+func (r *run) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.ctx.Done():
+	}
+}
+
 // relay passes tokens on in order. A token the caller already has is dropped, and a gap fails the attempt.
 func (r *run) relay(id string, ep port.Endpoint, stream port.TokenStream, began time.Time) error {
 	first := true
@@ -137,7 +197,7 @@
 		if err != nil {
 			return err
 		}
-		if !strings.Contains(chunk.ID, id) {
+		if !isFor(chunk, id) {
 			r.meters.dropped.Inc(1)
 			continue
 		}
@@ -152,6 +212,11 @@
 	}
 }
 
+// isFor reports whether a chunk belongs to the attempt. Engines may put the type of the answer before the id.
+func isFor(chunk openai.Completion, id string) bool {
+	return chunk.ID == id || strings.HasSuffix(chunk.ID, "-"+id)
+}
+
 // chunk handles one chunk and reports whether it delivered a token.
 func (r *run) chunk(chunk openai.Completion) (bool, error) {
 	if len(chunk.Choices) == 0 || r.finish != "" {
@@ -160,7 +225,8 @@
 	choice := chunk.Choices[0]
 	text := choiceText(choice)
 	delivered := false
-	if choice.TokenIndex != nil || text != "" {
+	// A finish reason without text is an end marker and no token.
+	if text != "" || choice.TokenIndex != nil && choice.FinishReason == nil {
 		index := r.next
 		if choice.TokenIndex != nil {
 			index = *choice.TokenIndex
@@ -215,10 +281,7 @@
 		r.Canceller.Cancel(ep, id)
 	}
 	if !isSilent(err) && typed.Kind != fault.NotFound {
-		if r.exclude == nil {
-			r.exclude = map[string]bool{}
-		}
-		r.exclude[last.Name] = true
+		r.avoid(last)
 	}
 	kind := event.AttemptFailed
 	if r.ctx.Err() != nil {
@@ -229,6 +292,14 @@
 	return &attemptError{cause: err, final: final}
 }
 
+// avoid keeps later attempts of this request away from the endpoint, as long as there are others.
+func (r *run) avoid(ep port.Endpoint) {
+	if r.exclude == nil {
+		r.exclude = map[string]bool{}
+	}
+	r.exclude[ep.Name] = true
+}
+
 func (r *run) call(id string, kv *engine.KVTransfer) port.EngineCall {
 	call := port.EngineCall{
 		Path: r.req.Path, Body: r.req.Body, Stream: kv.DoRemotePrefill, MaxTokens: r.req.MaxTokens,
--- a/router/internal/app/modelpath/path.go
+++ b/router/internal/app/modelpath/path.go
@@ -22,6 +22,10 @@
 	// retryAfterFailure tells the caller of a failed request when the fleet has noticed a dead endpoint.
 	retryAfterFailure = 3 * time.Second
 	drainPoll         = 20 * time.Millisecond
+	// refusedPause is the time between two questions to a decode engine that is full: about one decode step.
+	refusedPause = 25 * time.Millisecond
+	// kvUsablePercent is the part of the exported KV cache's life in which a transfer may begin.
+	kvUsablePercent = 75
 )
 
 // Deps are the parts that a path works with.
@@ -207,7 +211,7 @@
 		r.charge.Cancel()
 	case err == nil || r.next > 0:
 		r.charge.Settle(prompt + r.next)
-	case r.ctx.Err() != nil:
+	case r.ctx.Err() != nil || fault.Is(err, fault.CallerGone):
 		r.charge.Settle(max(prompt, r.req.PromptTokens))
 	default:
 		r.charge.Settle(0)
--- a/router/internal/app/placement/random.go
+++ b/router/internal/app/placement/random.go
@@ -1,13 +1,12 @@
-// Package placement queues jobs, chooses a pair of endpoints for each and reserves it.
 package placement
 
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"tanagerwood.dev/api/platform"
 	"tanagerwood.dev/router/internal/app/modelpath"
-	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
 )
 
@@ -19,7 +18,7 @@
 	prefill, ok := r.pick(job, platform.RolePrefill)
 	decode, also := r.pick(job, platform.RoleDecode)
 	if !ok || !also {
-		return nil, fault.New(fault.NoEndpoint, "no endpoint serves the model now; come back later").WithRetryAfter(retryNoEndpoint)
+		return nil, noEndpoint()
 	}
 	return pair{prefill: prefill, decode: decode}, nil
 }
@@ -43,5 +42,9 @@
 
 func (p pair) Prefill() port.Endpoint                        { return p.prefill }
 func (p pair) Decode(context.Context) (port.Endpoint, error) { return p.decode, nil }
-func (p pair) PrefillEnded(int64)                            {}
-func (p pair) Release()                                      {}
+func (p pair) Queued() time.Duration                         { return 0 }
+func (p pair) OtherDecode(context.Context, map[string]bool) (port.Endpoint, bool) {
+	return port.Endpoint{}, false
+}
+func (p pair) PrefillEnded(int64) {}
+func (p pair) Release()           {}
--- /dev/null
+++ b/router/internal/app/placement/reserved.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/domain/scheduling"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// reserved is a placement: a pair with its reservations.
+type reserved struct {
+	placer *Placer
+	job    modelpath.Job
+	need   need
+	policy *scheduling.Scheduler
+	pair   scheduling.Pair
+	lane   *lane
+
+	prefill, decode port.Endpoint
+	queued          time.Duration
+	prefillHeld     atomic.Bool
+	decodeHeld      atomic.Bool
+}
+
+// Prefill implements modelpath.Placement.
+func (r *reserved) Prefill() port.Endpoint { return r.prefill }
+
+// reserve takes both ends of the pair, or neither and tells how long to wait.
+func (r *reserved) reserve(ctx context.Context, slack time.Duration) (time.Duration, bool) {
+	view := r.placer.Loads.View()
+	prefill, decode := view.ByName[r.pair.Prefill.Name], view.ByName[r.pair.Decode.Name]
+	if prefill == nil || decode == nil {
+		return minPause, false
+	}
+	r.prefill, r.decode = prefill.Endpoint, decode.Endpoint
+	cached := min(r.pair.Prefill.CachedTokens, r.need.job.PromptTokens)
+	within := min(prefillQueue, max(0, slack-r.pair.PrefillTime-r.pair.TransferTime))
+	begin := r.ask(ctx, r.prefill, peer.ReserveRequest{
+		Prefill: true, WithinMS: within.Milliseconds(),
+		PromptTokens: r.need.job.PromptTokens, CachedTokens: cached,
+	})
+	starts := time.Duration(begin.InMS) * time.Millisecond
+	if !begin.Granted {
+		return starts - within, false
+	}
+	r.prefillHeld.Store(true)
+	if r.policy.DecodeLater {
+		return 0, true
+	}
+	end := starts + r.pair.PrefillTime
+	slot := r.ask(ctx, r.decode, r.decodeRequest(end))
+	if slot.Granted {
+		r.decodeHeld.Store(true)
+		return 0, true
+	}
+	r.releasePrefill()
+	return time.Duration(slot.InMS)*time.Millisecond - end - decodeWithin, false
+}
+
+func (r *reserved) decodeRequest(at time.Duration) peer.ReserveRequest {
+	j := r.need.job
+	return peer.ReserveRequest{
+		InMS: at.Milliseconds(), WithinMS: decodeWithin.Milliseconds(),
+		PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, KVBytes: j.KVBytes,
+	}
+}
+
+func (r *reserved) ask(ctx context.Context, ep port.Endpoint, m peer.ReserveRequest) peer.ReserveReply {
+	m.Attempt = r.job.Attempt
+	switch r.policy.Reservation {
+	case scheduling.AtOwner:
+		return r.placer.Reservations.Reserve(ctx, ep, m)
+	case scheduling.ByEstimate:
+		return r.placer.Reservations.Estimate(ep, m)
+	default:
+		return peer.ReserveReply{Granted: true}
+	}
+}
+
+// Decode implements modelpath.Placement. The policy prefill-first chooses here, by the newest reports.
+func (r *reserved) Decode(context.Context) (port.Endpoint, error) {
+	if !r.policy.DecodeLater {
+		return r.decode, nil
+	}
+	group := r.placer.Loads.View().ByModel[r.job.Model.Name]
+	if group == nil {
+		return port.Endpoint{}, noEndpoint()
+	}
+	candidates := r.placer.candidates(group.Decode, r.job, r.need)
+	pairs := r.policy.Rank(r.placer.Rand, &r.need.job, []*scheduling.Endpoint{r.pair.Prefill}, candidates)
+	if len(pairs) == 0 {
+		return port.Endpoint{}, noEndpoint()
+	}
+	state := r.placer.Loads.View().ByName[pairs[0].Decode.Name]
+	if state == nil {
+		return port.Endpoint{}, noEndpoint()
+	}
+	r.decode = state.Endpoint
+	return r.decode, nil
+}
+
+// OtherDecode implements modelpath.Placement.
+func (r *reserved) OtherDecode(ctx context.Context, avoid map[string]bool) (port.Endpoint, bool) {
+	group := r.placer.Loads.View().ByModel[r.job.Model.Name]
+	if group == nil {
+		return port.Endpoint{}, false
+	}
+	var candidates []*scheduling.Endpoint
+	for _, c := range r.placer.candidates(group.Decode, r.job, r.need) {
+		if !avoid[c.Name] && !c.Excluded && c.Healthy {
+			candidates = append(candidates, c)
+		}
+	}
+	for _, pair := range r.policy.Rank(r.placer.Rand, &r.need.job, []*scheduling.Endpoint{r.pair.Prefill}, candidates) {
+		state := r.placer.Loads.View().ByName[pair.Decode.Name]
+		if state == nil || !r.ask(ctx, state.Endpoint, r.decodeRequest(0)).Granted {
+			continue
+		}
+		ep := state.Endpoint
+		if r.decodeHeld.Swap(true) {
+			r.placer.Reservations.Release(r.decode, r.job.Attempt)
+		}
+		r.decode = ep
+		return ep, true
+	}
+	return port.Endpoint{}, false
+}
+
+// Queued implements modelpath.Placement.
+func (r *reserved) Queued() time.Duration { return r.queued }
+
+// PrefillEnded implements modelpath.Placement. It also notes the prompt's blocks, which the endpoint now has cached.
+func (r *reserved) PrefillEnded(int64) {
+	r.releasePrefill()
+	r.placer.Index.Store(r.prefill.Name, r.job.Blocks...)
+}
+
+// Release implements modelpath.Placement.
+func (r *reserved) Release() {
+	r.releasePrefill()
+	if r.decodeHeld.CompareAndSwap(true, false) {
+		r.placer.Reservations.Release(r.decode, r.job.Attempt)
+		r.lane.freed()
+	}
+}
+
+func (r *reserved) releasePrefill() {
+	if r.prefillHeld.CompareAndSwap(true, false) {
+		r.placer.Reservations.Release(r.prefill, r.job.Attempt)
+		r.lane.freed()
+	}
+}
--- /dev/null
+++ b/router/internal/domain/prefix/prefix.go
@@ -0,0 +1,193 @@
+// Package prefix indexes which endpoints have which prompt prefixes in their cache. The index is soft state of bounded
+// size: it is built from late and incomplete cache events and from the router's own requests, and a wrong entry costs
+// only efficiency.
+package prefix
+
+import (
+	"math/bits"
+	"sync"
+)
+
+const (
+	// MaxEndpoints is the number of endpoints that one index can hold: each has a bit of an entry.
+	MaxEndpoints = 64
+	stripes      = 64
+	// DefaultBlocks bounds the entries; an entry takes about 40 bytes, so this is some 8 MB of the 128 MB per instance.
+	DefaultBlocks = 200_000
+)
+
+// Index maps hashes of prefix blocks to the endpoints that hold them. It is safe for concurrent use.
+type Index struct {
+	perStripe int
+	stripe    [stripes]stripe
+
+	mu    sync.RWMutex
+	slots map[string]int
+	free  uint64
+}
+
+type stripe struct {
+	mu      sync.RWMutex
+	holders map[uint64]uint64
+	// ring holds the blocks in the order of their arrival; the oldest is dropped when the stripe is full.
+	ring []uint64
+	next int
+}
+
+// New returns an index of at most blocks entries.
+func New(blocks int) *Index {
+	x := &Index{perStripe: max(blocks/stripes, 1), slots: map[string]int{}, free: ^uint64(0)}
+	for i := range x.stripe {
+		x.stripe[i].holders = map[uint64]uint64{}
+	}
+	return x
+}
+
+func (x *Index) at(block uint64) *stripe { return &x.stripe[block%stripes] }
+
+// slot returns the bit of the endpoint, and takes a free one if add is set.
+func (x *Index) slot(endpoint string, add bool) (uint64, bool) {
+	x.mu.RLock()
+	i, ok := x.slots[endpoint]
+	x.mu.RUnlock()
+	if ok {
+		return 1 << i, true
+	}
+	if !add {
+		return 0, false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if i, ok := x.slots[endpoint]; ok {
+		return 1 << i, true
+	}
+	if x.free == 0 {
+		return 0, false
+	}
+	i = bits.TrailingZeros64(x.free)
+	x.free &^= 1 << i
+	x.slots[endpoint] = i
+	return 1 << i, true
+}
+
+// Store notes that the endpoint holds the blocks.
+func (x *Index) Store(endpoint string, blocks ...uint64) {
+	bit, ok := x.slot(endpoint, true)
+	if !ok {
+		return
+	}
+	for _, b := range blocks {
+		x.at(b).store(b, bit, x.perStripe)
+	}
+}
+
+func (s *stripe) store(block, bit uint64, limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if mask, ok := s.holders[block]; ok {
+		s.holders[block] = mask | bit
+		return
+	}
+	if len(s.ring) < limit {
+		s.ring = append(s.ring, block)
+	} else {
+		delete(s.holders, s.ring[s.next])
+		s.ring[s.next] = block
+		s.next = (s.next + 1) % limit
+	}
+	s.holders[block] = bit
+}
+
+// Remove notes that the endpoint dropped the block. The entry stays in the ring, with no holder, until it is the oldest.
+func (x *Index) Remove(endpoint string, block uint64) {
+	bit, ok := x.slot(endpoint, false)
+	if !ok {
+		return
+	}
+	s := x.at(block)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if mask, ok := s.holders[block]; ok {
+		s.holders[block] = mask &^ bit
+	}
+}
+
+// Clear notes that the endpoint holds nothing.
+func (x *Index) Clear(endpoint string) {
+	bit, ok := x.slot(endpoint, false)
+	if !ok {
+		return
+	}
+	for i := range x.stripe {
+		s := &x.stripe[i]
+		s.mu.Lock()
+		for b, mask := range s.holders {
+			s.holders[b] = mask &^ bit
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Forget clears the endpoint and frees its place for another one.
+func (x *Index) Forget(endpoint string) {
+	x.Clear(endpoint)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if i, ok := x.slots[endpoint]; ok {
+		delete(x.slots, endpoint)
+		x.free |= 1 << i
+	}
+}
+
+// Len is the number of entries.
+func (x *Index) Len() int {
+	n := 0
+	for i := range x.stripe {
+		s := &x.stripe[i]
+		s.mu.RLock()
+		n += len(s.holders)
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+// Match tells how many leading blocks of a prompt each endpoint holds.
+type Match struct {
+	index *Index
+	// masks[i] holds the endpoints that have all blocks up to i.
+	masks []uint64
+}
+
+// Match looks the blocks of a prompt up, in order, until no endpoint holds all of them.
+func (x *Index) Match(blocks []uint64) Match {
+	m := Match{index: x}
+	mask := ^uint64(0)
+	for _, b := range blocks {
+		s := x.at(b)
+		s.mu.RLock()
+		mask &= s.holders[b]
+		s.mu.RUnlock()
+		if mask == 0 {
+			break
+		}
+		m.masks = append(m.masks, mask)
+	}
+	return m
+}
+
+// Blocks is the number of leading blocks that the endpoint holds.
+func (m Match) Blocks(endpoint string) int {
+	if len(m.masks) == 0 {
+		return 0
+	}
+	bit, ok := m.index.slot(endpoint, false)
+	if !ok {
+		return 0
+	}
+	for i, mask := range m.masks {
+		if mask&bit == 0 {
+			return i
+		}
+	}
+	return len(m.masks)
+}
--- /dev/null
+++ b/router/internal/domain/reservation/decode.go
@@ -0,0 +1,231 @@
+// Package reservation keeps what the owner of an endpoint knows of its near future: decode slots, KV cache blocks and
+// the transfer link of a decode endpoint, and the backlog of a prefill endpoint. Times are durations on the boot-time
+// clock and are passed in; the caller serialises access.
+package reservation
+
+import (
+	"slices"
+	"time"
+
+	"tanagerwood.dev/api/engine"
+)
+
+const (
+	// LapseAfter is how long after its time a reservation lapses that the engine does not show in its list.
+	LapseAfter = time.Second
+	// lapseUnseen applies while the engine's list cannot be read.
+	lapseUnseen = 3 * time.Second
+	// overrunPart is the part of its expected time that a request is expected to go on for once it has run longer than
+	// expected. A quarter keeps long-running requests from promising their slot for the next moment, again and again.
+	overrunPart = 0.25
+	// holdSmoothing is the weight of one request in the average that predicts holding times.
+	holdSmoothing = 0.05
+)
+
+// DecodeSize describes a decode endpoint.
+type DecodeSize struct {
+	Slots         int
+	Blocks        int64
+	BlockTokens   int64
+	LinkRate      float64
+	TokenInterval time.Duration
+}
+
+// Need is what an attempt wants from a decode endpoint.
+type Need struct {
+	Attempt string
+	// At is when the prefill ends; Within is how much later the slot may get free.
+	At, Within   time.Duration
+	Tokens       int64
+	OutputTokens int64
+	KVBytes      int64
+}
+
+// Decode is the table of one decode endpoint.
+type Decode struct {
+	size    DecodeSize
+	entries map[string]*decodeEntry
+	// holdRatio is the average of the time that requests hold their slot over the time for their token limit.
+	holdRatio float64
+	listedAt  time.Duration
+}
+
+type decodeEntry struct {
+	at       time.Duration
+	transfer time.Duration
+	// longest is the time for the whole token limit.
+	longest time.Duration
+	blocks  int64
+	used    bool
+	// foreign entries came from the engine's list and not from Reserve.
+	foreign bool
+}
+
+// NewDecode returns an empty table.
+func NewDecode() *Decode {
+	return &Decode{entries: map[string]*decodeEntry{}, holdRatio: 1}
+}
+
+// SetSize sets the endpoint's size, which load reports tell.
+func (t *Decode) SetSize(s DecodeSize) { t.size = s }
+
+// Len is the number of reservations.
+func (t *Decode) Len() int { return len(t.entries) }
+
+// Reserve grants a slot, blocks and link time at the earliest moment from n.At on, if that is within n.Within. It
+// returns that moment in any case.
+func (t *Decode) Reserve(now time.Duration, n Need) (at time.Duration, granted bool) {
+	t.lapse(now)
+	if e, ok := t.entries[n.Attempt]; ok {
+		return e.at, true
+	}
+	e := &decodeEntry{
+		transfer: t.transferTime(n.KVBytes),
+		longest:  time.Duration(n.OutputTokens) * t.size.TokenInterval,
+		blocks:   blocksFor(n.Tokens+n.OutputTokens, t.size.BlockTokens),
+	}
+	if e.blocks > t.size.Blocks || t.size.Slots == 0 {
+		return n.At + n.Within + time.Hour, false // it never fits
+	}
+	at = t.earliest(now, max(n.At, now), e)
+	if at > n.At+n.Within {
+		return at, false
+	}
+	e.at = at
+	t.entries[n.Attempt] = e
+	return at, true
+}
+
+func blocksFor(tokens, blockTokens int64) int64 {
+	if blockTokens <= 0 {
+		return 0
+	}
+	return (tokens + blockTokens - 1) / blockTokens
+}
+
+func (t *Decode) transferTime(bytes int64) time.Duration {
+	if t.size.LinkRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / t.size.LinkRate * float64(time.Second))
+}
+
+// earliest looks at the moments when something gets free, in order.
+func (t *Decode) earliest(now, from time.Duration, e *decodeEntry) time.Duration {
+	moments := []time.Duration{from}
+	for _, other := range t.entries {
+		for _, m := range []time.Duration{t.end(now, other), other.at + other.transfer} {
+			if m > from {
+				moments = append(moments, m)
+			}
+		}
+	}
+	slices.Sort(moments)
+	for _, m := range moments {
+		if t.fits(now, m, e) {
+			return m
+		}
+	}
+	return moments[len(moments)-1]
+}
+
+// end predicts when the entry frees its slot.
+func (t *Decode) end(now time.Duration, e *decodeEntry) time.Duration {
+	began := e.at + e.transfer
+	expected := time.Duration(t.holdRatio * float64(e.longest))
+	end := max(began+expected, now+time.Duration(overrunPart*float64(expected)))
+	return max(min(end, began+e.longest), now)
+}
+
+// fits checks slots, blocks and link from moment at on, for as long as the entry is expected to hold them.
+func (t *Decode) fits(now, at time.Duration, e *decodeEntry) bool {
+	until := at + e.transfer + time.Duration(t.holdRatio*float64(e.longest))
+	starts := []time.Duration{at}
+	for _, other := range t.entries {
+		if other.at > at && other.at < until {
+			starts = append(starts, other.at)
+		}
+		if e.transfer > 0 && other.transfer > 0 && other.at < at+e.transfer && at < other.at+other.transfer {
+			return false
+		}
+	}
+	for _, moment := range starts {
+		slots, blocks := 1, e.blocks
+		for _, other := range t.entries {
+			if other.at <= moment && t.end(now, other) > moment {
+				slots++
+				blocks += other.blocks
+			}
+		}
+		if slots > t.size.Slots || blocks > t.size.Blocks {
+			return false
+		}
+	}
+	return true
+}
+
+// Release ends a reservation.
+func (t *Decode) Release(now time.Duration, attempt string) {
+	e, ok := t.entries[attempt]
+	if !ok {
+		return
+	}
+	delete(t.entries, attempt)
+	held := now - e.at - e.transfer
+	if e.longest <= 0 || held <= 0 || e.foreign {
+		return // never used, or its beginning is a guess
+	}
+	ratio := min(float64(held)/float64(e.longest), 1)
+	t.holdRatio += holdSmoothing * (ratio - t.holdRatio)
+}
+
+// Observe takes the engine's request list: it adds what the table does not know, which rebuilds the state of a new
+// owner, and drops reservations that were used and are gone.
+func (t *Decode) Observe(now time.Duration, list []engine.Request) {
+	t.listedAt = now
+	present := make(map[string]bool, len(list))
+	for _, r := range list {
+		present[r.ID] = true
+		if e, ok := t.entries[r.ID]; ok {
+			e.used = true
+			continue
+		}
+		longest := time.Duration(max(r.MaxTokens, r.OutputTokens)) * t.size.TokenInterval
+		began := now - time.Duration(r.OutputTokens)*t.size.TokenInterval
+		t.entries[r.ID] = &decodeEntry{at: began, longest: longest, blocks: r.Blocks, used: true, foreign: true}
+	}
+	for attempt, e := range t.entries {
+		if e.used && !present[attempt] {
+			t.Release(now, attempt)
+		}
+	}
+	t.lapse(now)
+}
+
+// lapse drops reservations whose time has passed without use.
+func (t *Decode) lapse(now time.Duration) {
+	for attempt, e := range t.entries {
+		if lapsed(now, e.at, t.listedAt, e.used) {
+			delete(t.entries, attempt)
+		}
+	}
+}
+
+// lapsed requires a list that was read after the reservation's time, or the longer limit.
+func lapsed(now, at, listedAt time.Duration, used bool) bool {
+	if used || now <= at+LapseAfter {
+		return false
+	}
+	return listedAt > at+LapseAfter/2 || now > at+lapseUnseen
+}
+
+// Attempts lists the reservations that Observe has not brought in.
+func (t *Decode) Attempts() []string {
+	var own []string
+	for attempt, e := range t.entries {
+		if !e.foreign {
+			own = append(own, attempt)
+		}
+	}
+	return own
+}
