Add the operators' port and the state log

Change: adapter/operators with huma on net/http, readiness from a list of checks, Prometheus text through expfmt (labels as "name;label=value"); adapter/statelog wraps the timeline and writes one JSON line per change of state.

--- /dev/null
+++ b/router/internal/adapter/operators/status.go
@@ -0,0 +1,157 @@
+package operators
+
+import (
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/app/drain"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// Status is the answer of GET /status: what this instance has in force.
+type Status struct {
+	Instance    string `json:"instance"`
+	Incarnation uint64 `json:"incarnation"`
+	Domain      string `json:"domain"`
+	// Ready is false if NotReady has reasons.
+	Ready    bool        `json:"ready"`
+	NotReady []string    `json:"notReady,omitempty"`
+	Phase    drain.Phase `json:"phase"`
+
+	// Revision is the catalogue revision in force. Judged is the newest judged one; if it is not valid, it is greater.
+	Revision    uint64 `json:"revision"`
+	Judged      uint64 `json:"judgedRevision"`
+	JudgedValid bool   `json:"judgedValid"`
+
+	Generation uint64        `json:"rosterGeneration"`
+	Members    []peer.Member `json:"members"`
+	Alive      []peer.Member `json:"alive"`
+	// Confirmed says whether this instance may use its shares now.
+	Confirmed bool    `json:"confirmed"`
+	Shares    []Share `json:"shares"`
+
+	Endpoints    []Endpoint `json:"endpoints"`
+	OpenRequests int        `json:"openRequests"`
+}
+
+// Share is this instance's part of a customer's rate and burst.
+type Share struct {
+	Customer string  `json:"customer"`
+	Rate     float64 `json:"rateTokensPerSecond"`
+	Burst    float64 `json:"burstTokens"`
+	// Level is what the bucket holds, Lent what is outstanding in loans.
+	Level float64 `json:"levelTokens"`
+	Lent  float64 `json:"lentTokens"`
+}
+
+// Endpoint is an endpoint as this instance sees it.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Pool    string `json:"pool"`
+	Domain  string `json:"domain"`
+	Leaving bool   `json:"leaving"`
+	// Owner is the instance that owns the endpoint's soft state.
+	Owner string `json:"owner"`
+}
+
+// Judgement tells the newest judged revision; configsync.Sync implements it.
+type Judgement interface {
+	Status() (revision uint64, valid bool)
+}
+
+// Rosters tells the newest known roster.
+type Rosters interface {
+	Roster() peer.Roster
+}
+
+// Shares tells this instance's shares.
+type Shares interface {
+	Shares() []Share
+}
+
+// Requests counts the queued and open requests.
+type Requests interface {
+	Open() int
+}
+
+// Drainer is the planned stop; drain.Machine implements it.
+type Drainer interface {
+	Start()
+	Phase() drain.Phase
+}
+
+// Check is a condition of readiness. It returns the reason why the instance is not ready, or an empty text.
+type Check func() string
+
+// HasRevision is ready once a catalogue revision is in force.
+func HasRevision(c port.Config) Check {
+	return func() string {
+		if c.Current().Revision > 0 {
+			return ""
+		}
+		return "no catalogue revision is in force yet"
+	}
+}
+
+// Confirmed is ready while the instance may use its shares.
+func Confirmed(m port.Membership) Check {
+	return func() string {
+		if m.Confirmed() {
+			return ""
+		}
+		return "neither the platform nor a majority of the roster confirms this instance"
+	}
+}
+
+// NotDraining is ready until a planned stop begins.
+func NotDraining(d Drainer) Check {
+	return func() string {
+		if d.Phase() == drain.Serving {
+			return ""
+		}
+		return "a planned stop is under way: " + string(d.Phase())
+	}
+}
+
+func (s *Server) status() Status {
+	o := s.options
+	self := o.Membership.Self()
+	roster := o.Rosters.Roster()
+	judged, valid := o.Judgement.Status()
+	reasons := s.notReady()
+	return Status{
+		Instance:     self.Name,
+		Incarnation:  self.Incarnation,
+		Domain:       self.Domain,
+		Ready:        len(reasons) == 0,
+		NotReady:     reasons,
+		Phase:        o.Drain.Phase(),
+		Revision:     o.Config.Current().Revision,
+		Judged:       judged,
+		JudgedValid:  valid,
+		Generation:   roster.Generation,
+		Members:      roster.Members,
+		Alive:        o.Membership.Alive(),
+		Confirmed:    o.Membership.Confirmed(),
+		Shares:       o.Shares.Shares(),
+		Endpoints:    s.endpoints(),
+		OpenRequests: o.Requests.Open(),
+	}
+}
+
+func (s *Server) endpoints() []Endpoint {
+	list := []Endpoint{}
+	for _, e := range s.options.Config.Endpoints() {
+		owner, _ := s.options.Membership.Owner(e.Name)
+		list = append(list, Endpoint{Name: e.Name, Pool: e.Pool, Domain: e.Domain, Leaving: e.Leaving, Owner: owner.Name})
+	}
+	return list
+}
+
+func (s *Server) notReady() []string {
+	var reasons []string
+	for _, check := range s.options.Checks {
+		if reason := check(); reason != "" {
+			reasons = append(reasons, reason)
+		}
+	}
+	return reasons
+}
