Add the operators' command line

Cause: operators change the catalogue while traffic flows and against each other; a lost race, a lost reply or an outage must be told apart by exit code.

Ruled out: applying on top of whatever version the platform has, which would bring back a key that was withdrawn meanwhile; and changing an invalid newest revision, because the change would never come into force.

Change: check, get, apply, status, key, drain and timeline, one file each; exit codes in command.go. apply writes once and reads back after a lost reply; key re-reads after a conflict, a lost reply or 429. timeline merges by the hybrid clock and writes a Chrome trace.

Wall clocks that differ by a minute or more are not corrected, because api/event refuses such clocks.

--- a/router/cmd/tanagerwood/main.go
+++ b/router/cmd/tanagerwood/main.go
@@ -12,6 +12,9 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, c := range []*command{newCheck(), newApply(), newGet(), newStatus(), newKey(), newDrain(), newTimeline()} {
+		subcommands.Register(c, "operators")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
