--- /dev/null
+++ b/router/internal/domain/reservation/reservation_test.go
@@ -0,0 +1,188 @@
+package reservation_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"tanagerwood.dev/api/engine"
+	"tanagerwood.dev/router/internal/domain/reservation"
+)
+
+const ms = time.Millisecond
+
+func decode() *reservation.Decode {
+	t := reservation.NewDecode()
+	t.SetSize(reservation.DecodeSize{Slots: 2, Blocks: 10, BlockTokens: 100, LinkRate: 1000, TokenInterval: 10 * ms})
+	return t
+}
+
+// need takes a slot for 100 tokens, one second.
+func need(attempt string, at, within time.Duration) reservation.Need {
+	return reservation.Need{Attempt: attempt, At: at, Within: within, Tokens: 100, OutputTokens: 100}
+}
+
+var _ = Describe("decode table", func() {
+	It("grants a slot that is predicted free when the prefill ends", func() {
+		t := decode()
+		for _, id := range []string{"a", "b"} {
+			_, granted := t.Reserve(0, need(id, 0, 0))
+			Expect(granted).To(BeTrue())
+		}
+		at, granted := t.Reserve(100*ms, need("c", 500*ms, 0))
+		Expect(granted).To(BeFalse())
+		Expect(at).To(Equal(time.Second))
+		at, granted = t.Reserve(100*ms, need("c", 900*ms, 100*ms))
+		Expect(granted).To(BeTrue())
+		Expect(at).To(Equal(time.Second))
+		// The slot is promised once only: "d" gets the other one.
+		_, granted = t.Reserve(100*ms, need("d", 900*ms, 100*ms))
+		Expect(granted).To(BeTrue())
+		_, granted = t.Reserve(100*ms, need("e", 900*ms, 100*ms))
+		Expect(granted).To(BeFalse())
+	})
+
+	It("counts blocks, and refuses what never fits", func() {
+		t := decode()
+		big := need("big", 0, 0)
+		big.Tokens = 700
+		_, granted := t.Reserve(0, big)
+		Expect(granted).To(BeTrue())
+		_, granted = t.Reserve(0, need("small", 0, 0))
+		Expect(granted).To(BeTrue())
+		t.Release(0, "small")
+		big.Attempt = "big2"
+		_, granted = t.Reserve(0, big)
+		Expect(granted).To(BeFalse())
+		big.Tokens = 5000
+		_, granted = t.Reserve(0, big)
+		Expect(granted).To(BeFalse())
+	})
+
+	It("lets one transfer use the link after the other", func() {
+		t := decode()
+		n := need("a", 0, time.Second)
+		n.KVBytes = 300
+		at, _ := t.Reserve(0, n)
+		Expect(at).To(BeZero())
+		n.Attempt = "b"
+		at, granted := t.Reserve(0, n)
+		Expect(granted).To(BeTrue())
+		Expect(at).To(Equal(300 * ms))
+	})
+
+	// Guards against memory that is promised to attempts that died before they used it.
+	It("lapses a reservation that is not used within a second after its time", func() {
+		t := decode()
+		t.Reserve(0, need("a", 200*ms, 0))
+		t.Observe(1150*ms, nil)
+		Expect(t.Len()).To(Equal(1))
+		t.Observe(1250*ms, nil)
+		Expect(t.Len()).To(BeZero())
+	})
+
+	It("keeps a used reservation until the engine no longer lists it", func() {
+		t := decode()
+		t.Reserve(0, need("a", 0, 0))
+		t.Observe(500*ms, []engine.Request{{ID: "a", Phase: engine.PhaseDecode}})
+		t.Observe(3*time.Second, []engine.Request{{ID: "a", Phase: engine.PhaseDecode}})
+		Expect(t.Len()).To(Equal(1))
+		t.Observe(4*time.Second, nil)
+		Expect(t.Len()).To(BeZero())
+	})
+
+	It("is rebuilt from the engine's request list", func() {
+		t := decode()
+		t.Observe(0, []engine.Request{
+			{ID: "x", Phase: engine.PhaseDecode, Blocks: 2, OutputTokens: 50, MaxTokens: 100},
+			{ID: "y", Phase: engine.PhaseImport, Blocks: 2, MaxTokens: 100},
+		})
+		at, granted := t.Reserve(0, need("a", 0, 0))
+		Expect(granted).To(BeFalse())
+		Expect(at).To(Equal(500 * ms))
+	})
+
+	// Guards against promising more than the engine has, under any schedule.
+	It("never has more slots or blocks taken now than there are", func() {
+		rapid.Check(GinkgoT(), func(rt *rapid.T) {
+			t := decode()
+			now := time.Duration(0)
+			live := map[string]int64{} // blocks of granted attempts that hold from now on
+			for i := range rapid.IntRange(1, 60).Draw(rt, "steps") {
+				now += time.Duration(rapid.IntRange(0, 50).Draw(rt, "pause")) * ms
+				n := need(fmt.Sprint(i), now, 0)
+				n.Tokens = int64(rapid.IntRange(1, 900).Draw(rt, "tokens"))
+				if at, granted := t.Reserve(now, n); granted && at <= now {
+					live[n.Attempt] = (n.Tokens + 199) / 100
+				}
+				var blocks int64
+				for _, b := range live {
+					blocks += b
+				}
+				if len(live) > 2 || blocks > 10 {
+					rt.Fatalf("%d slots and %d blocks are taken", len(live), blocks)
+				}
+				if rapid.Bool().Draw(rt, "release") {
+					for id := range live {
+						t.Release(now, id)
+						delete(live, id)
+						break
+					}
+				}
+				for id := range live { // keep predictions from ending before the real release
+					if now > 900*ms {
+						t.Release(now, id)
+						delete(live, id)
+					}
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("prefill table", func() {
+	It("tracks the backlog over time", func() {
+		t := reservation.NewPrefill()
+		t.SetRate(1000)
+		work := func(id string, tokens int64) reservation.Work {
+			return reservation.Work{Attempt: id, Tokens: tokens, Within: time.Hour}
+		}
+		at, _ := t.Reserve(0, work("a", 200))
+		Expect(at).To(BeZero())
+		at, _ = t.Reserve(50*ms, work("b", 100))
+		Expect(at).To(Equal(200 * ms))
+		Expect(t.Backlog(100 * ms)).To(Equal(200 * ms))
+		t.Release(150*ms, "a") // earlier than predicted
+		Expect(t.Backlog(150 * ms)).To(Equal(100 * ms))
+		late := work("c", 100)
+		late.Within = 50 * ms
+		at, granted := t.Reserve(150*ms, late)
+		Expect(granted).To(BeFalse())
+		Expect(at).To(Equal(250 * ms))
+	})
+
+	It("is rebuilt from the engine's request list, without exported KV cache", func() {
+		t := reservation.NewPrefill()
+		t.SetRate(1000)
+		t.Observe(0, []engine.Request{
+			{ID: "x", Phase: engine.PhasePrefill, PromptTokens: 100},
+			{ID: "y", Phase: engine.PhaseExport, PromptTokens: 900},
+		})
+		Expect(t.Backlog(0)).To(Equal(100 * ms))
+		t.Observe(time.Second, nil)
+		Expect(t.Len()).To(BeZero())
+	})
+
+	It("lapses work that the engine never listed", func() {
+		t := reservation.NewPrefill()
+		t.SetRate(1000)
+		t.Reserve(0, reservation.Work{Attempt: "a", Tokens: 100})
+		t.Observe(1050*ms, nil)
+		Expect(t.Len()).To(Equal(1))
+		t.Observe(1200*ms, nil)
+		Expect(t.Len()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/router/internal/domain/scheduling/suite_test.go
@@ -0,0 +1,13 @@
+package scheduling_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "scheduling")
+}
