--- a/lab/cmd/tanagerlab/load.go
+++ b/lab/cmd/tanagerlab/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -171,8 +170,8 @@
 	if err != nil {
 		return nil, err
 	}
-	var c catalogue.Catalogue
-	if err := json.Unmarshal(raw, &c); err != nil {
+	c, err := catalogue.Parse(raw)
+	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return load.NewLimits(c), nil
--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -18,6 +18,8 @@
 	subcommands.Register(&loadCommand{}, "experiments")
 	subcommands.Register(&experimentCommand{}, "experiments")
 	subcommands.Register(&reportCommand{}, "experiments")
+	subcommands.Register(&capacityCommand{}, "experiments")
+	subcommands.Register(&endpointsCommand{}, "stand-ins")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/lab/internal/experiment/deployment.go
+++ b/lab/internal/experiment/deployment.go
@@ -146,7 +146,7 @@
 		Classes: []catalogue.Class{class},
 		Pools: []catalogue.Pool{
 			{Name: d.ModelPool + "-prefill", Owner: d.Owner, Role: catalogue.RolePrefill, Model: d.ModelPool,
-				PrefillRate: prefillRate, Blocks: prefillBlocks, BlockTokens: blockTokens, ChecksFencing: true},
+				PrefillRate: prefillRate, ChecksFencing: true},
 			{Name: d.ModelPool + "-decode", Owner: d.Owner, Role: catalogue.RoleDecode, Model: d.ModelPool,
 				Slots: slots, Blocks: blocks, BlockTokens: blockTokens, LinkRate: link, ChecksFencing: true},
 			{Name: d.ServePool, Owner: d.Owner, Role: catalogue.RoleService},
--- a/lab/internal/experiment/experiment_test.go
+++ b/lab/internal/experiment/experiment_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tanagerwood.dev/api/catalogue"
 	"tanagerwood.dev/lab/internal/experiment"
 	"tanagerwood.dev/lab/internal/load"
 )
@@ -48,6 +49,10 @@
 		Expect(processes).To(HaveLen(1 + 9 + 4 + 8))
 		Expect(lines(dir, "faults.txt")).To(ConsistOf("5000 kill prefill-2", "5000 kill decode-1", "5000 kill service-2",
 			"5000 kill router-2", "5000 kill router-6", MatchRegexp(`^6000 post decode-1 http://127.0.0.1:\d+/faults {"slow":2}$`)))
+		raw, err := os.ReadFile(filepath.Join(dir, "catalogue.json"))
+		Expect(err).NotTo(HaveOccurred())
+		_, problems := catalogue.Check(raw)
+		Expect(problems).To(BeEmpty(), "routers refuse a catalogue with problems")
 		scenario, err := load.ReadScenario(filepath.Join(dir, "scenario.json"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(scenario.Seed).To(Equal(uint64(2)))
--- a/lab/internal/experiment/prepare.go
+++ b/lab/internal/experiment/prepare.go
@@ -12,11 +12,8 @@
 	"tanagerwood.dev/api/platform"
 )
 
-// PlatformToken and PeerToken are the bearer tokens of the lab.
-const (
-	PlatformToken = "lab-platform-token"
-	PeerToken     = "lab-peer-token"
-)
+// PlatformToken is the platform's bearer token in the lab; scripts/lab-lib.sh gives the same one to routers.
+const PlatformToken = "lab-platform-token"
 
 // Kind is the type of a process of a cell.
 type Kind string
@@ -122,8 +119,9 @@
 // RouterArguments are the flags of "tanagerwood serve" for a router on loopback addresses.
 func RouterArguments(name, domain, region, platformURL, callers, operators, peers string) []string {
 	return []string{
-		"-name", name, "-domain", domain, "-region", region, "-platform", platformURL,
-		"-callers", callers, "-operators", operators, "-peers", peers,
+		"-instance", name, "-domain", domain, "-region", region, "-platform-url", platformURL,
+		"-caller-listen", callers, "-operator-listen", operators, "-peer-listen", peers, "-peer-url", "http://" + peers,
+		"-log-level", "warn",
 	}
 }
 
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -19,8 +19,6 @@
 fill_seconds=${FILL_SECONDS:-11}
 lab=${LAB_BINARY:-$ROOT/bin/tanagerlab}
 router=${ROUTER_BINARY:-$ROOT/bin/tanagerwood}
-export TANAGERWOOD_PLATFORM_TOKEN=lab-platform-token
-export TANAGERWOOD_PEER_TOKEN=lab-peer-token
 mkdir -p "$out"
 RUN=$out
 trap 'end_all' EXIT
--- a/scripts/lab-lib.sh
+++ b/scripts/lab-lib.sh
@@ -1,6 +1,9 @@
 # Functions for scripts that run the processes of an experiment on loopback addresses. Sourced, not run.
 # The process ids are in $RUN/pids/NAME, so that a script ends only processes that it started.
 
+export TANAGERWOOD_PLATFORM_TOKEN=lab-platform-token
+export TANAGERWOOD_PEER_TOKEN=lab-token-between-peers
+
 # start_process NAME COMMAND… starts a process in $RUN with its output in NAME.log.
 start_process() {
   local name=$1
