--- a/api/catalogue/catalogue.go
+++ b/api/catalogue/catalogue.go
@@ -93,6 +93,7 @@
 	// Model is what the pool serves; empty for services.
 	Model string `json:"model,omitempty"`
 	// Slots, Blocks and BlockTokens describe one decode endpoint: concurrent requests, KV cache blocks, tokens per block.
+	// Prefill pools may state Blocks and BlockTokens too.
 	Slots       int   `json:"slots,omitempty"`
 	Blocks      int64 `json:"blocks,omitempty"`
 	BlockTokens int64 `json:"blockTokens,omitempty"`
--- a/api/catalogue/validate.go
+++ b/api/catalogue/validate.go
@@ -167,8 +167,10 @@
 		case RolePrefill:
 			v.modelOf(at, p)
 			v.bounds(at+".prefillTokensPerSecond", p.PrefillRate, 1, maxRate)
-			v.absent(at, p.Role, p.Slots != 0 || p.Blocks != 0 || p.BlockTokens != 0 || p.LinkRate != 0,
-				"slots, blocks, blockTokens and linkBytesPerSecond")
+			v.bounds(at+".blocks", p.Blocks, 0, maxBlocks)
+			v.bounds(at+".blockTokens", p.BlockTokens, 0, maxBlocks)
+			v.holds(at, p, func(m Model) int64 { return m.MaxPromptTokens })
+			v.absent(at, p.Role, p.Slots != 0 || p.LinkRate != 0, "slots and linkBytesPerSecond")
 		case RoleDecode:
 			v.modelOf(at, p)
 			v.decodePool(at, p)
@@ -199,11 +201,16 @@
 	v.bounds(at+".blocks", p.Blocks, 1, maxBlocks)
 	v.bounds(at+".blockTokens", p.BlockTokens, 1, maxBlocks)
 	v.bounds(at+".linkBytesPerSecond", p.LinkRate, 1, maxBytesRate)
+	v.holds(at, p, largestRequest)
+}
+
+// holds checks that one endpoint can hold the largest request. Blocks of different requests are not shared, so the
+// request needs its blocks rounded up. A prefill pool may leave its memory out.
+func (v *validator) holds(at string, p Pool, tokens func(Model) int64) {
 	m, ok := v.models[p.Model]
-	// Blocks of different requests are not shared, so the largest request needs its blocks rounded up.
-	if ok && p.BlockTokens > 0 && (largestRequest(m)+p.BlockTokens-1)/p.BlockTokens > p.Blocks {
+	if ok && p.BlockTokens > 0 && (tokens(m)+p.BlockTokens-1)/p.BlockTokens > p.Blocks {
 		v.add(at+".blocks", "raise blocks, or lower the model's maxPromptTokens or maxOutputTokens",
-			"an endpoint cannot hold the largest request of model %s, which has %d tokens", quote(m.Name), largestRequest(m))
+			"an endpoint cannot hold the largest request of model %s, which has %d tokens there", quote(m.Name), tokens(m))
 	}
 }
 
--- a/api/catalogue/validate_test.go
+++ b/api/catalogue/validate_test.go
@@ -73,6 +73,8 @@
 		{`"role": "prefill"`, `"role": "cache"`, "pools[0].role", "not a role"},
 		{`"role": "decode", "model": "m"`, `"role": "decode", "model": "x"`, "pools[1].model", "no model"},
 		{`"blocks": 3`, `"blocks": 2`, "pools[1].blocks", "cannot hold"},
+		{`"role": "prefill"`, `"role": "prefill", "slots": 1`, "pools[0]", "do not apply"},
+		{`"role": "prefill"`, `"role": "prefill", "blocks": 9, "blockTokens": 100`, "pools[0].blocks", "cannot hold"},
 		{`"role": "service"`, `"role": "service", "slots": 1`, "pools[2]", "do not apply"},
 		{`{"name": "s"`, `{"name": "p2", "owner": "t", "role": "prefill", "model": "m", "prefillTokensPerSecond": 1}, {"name": "s"`, "models[0]", "2 prefill pools"},
 		{`"pool": "s"`, `"pool": "d"`, "routes[0].pool", "no service pool"},
