Test a planned stop under open requests with a real listener

Ruled out: nothing.

Change: TestDrainUnderOpenRequestsOverHTTP streams an answer through a stop.

Conclusion: the open answer arrives whole after the listener has closed.

--- a/router/internal/app/drain/drain_test.go
+++ b/router/internal/app/drain/drain_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -187,3 +189,52 @@
 	}
 	return list
 }
+
+// server joins a real HTTP server with the instance's other parts.
+type server struct {
+	*instance
+	*http.Server
+}
+
+func (s server) Shutdown(ctx context.Context) error { return s.Server.Shutdown(ctx) }
+func (s server) Close() error                       { return s.Server.Close() }
+
+// Guards against a stop that cuts an answer which is being streamed, with a real listener.
+func TestDrainUnderOpenRequestsOverHTTP(t *testing.T) {
+	g := NewWithT(t)
+	i, release := newInstance(), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		i.open.Add(1)
+		defer i.open.Add(-1)
+		_, _ = io.WriteString(w, "first ")
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = io.WriteString(w, "last")
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	web := server{instance: i, Server: &http.Server{Handler: handler}}
+	go func() { _ = web.Serve(listener) }()
+	url := "http://" + listener.Addr().String()
+
+	resp, err := http.Get(url)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	m := drain.New(drain.Options{Timeout: time.Hour, Announcer: i, Listener: web, Requests: i, Roster: i, Events: newLog()})
+	m.Start()
+	g.Eventually(func() error {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		if err == nil {
+			_ = connection.Close()
+		}
+		return err
+	}).WithTimeout(20 * time.Second).Should(HaveOccurred())
+	g.Expect(m.Phase()).To(Equal(drain.Finishing))
+	close(release)
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("first last"))
+	g.Eventually(m.Done()).WithTimeout(20 * time.Second).Should(BeClosed())
+	g.Expect(i.ended.Load()).To(BeZero())
+	g.Expect(i.leaves.Load()).To(BeEquivalentTo(1))
+}
