--- a/router/internal/settings/settings_test.go
+++ b/router/internal/settings/settings_test.go
@@ -72,6 +72,7 @@
 			Expect(problems).To(ContainElement(SatisfyAll(
 				HaveField("Path", ContainSubstring("TANAGERWOOD_"+name)), HaveField("Remedy", Not(BeEmpty())))), name)
 		}
+		Expect(problems.Error()).To(SatisfyAll(ContainSubstring(`"soon" cannot be read`), ContainSubstring(`"many" cannot be read`)))
 		Expect(problems.Error()).NotTo(ContainSubstring("clear-secret"))
 	})
 
