Start from a peer over the real peer port in a test

Cause: the peers' answer was only tested with a stand-in; an instance that starts during an outage depends on the real port taking a catalogue of the target's size.

--- a/router/internal/app/configsync/sync.go
+++ b/router/internal/app/configsync/sync.go
@@ -24,8 +24,8 @@
 	// DefaultInterval is the time between polls. With the platform up, a revision is in force everywhere one interval
 	// and one call later, well within the 5 s of G12.
 	DefaultInterval = time.Second
-	// peerTimeout bounds the fetch of a snapshot from a peer.
-	peerTimeout = time.Second
+	// peerTimeout bounds the fetch of a snapshot from a peer. Polls of the platform go on meanwhile.
+	peerTimeout = 2 * time.Second
 	// askedRouters bounds how many routers are asked at the start, because each answer may have 1 MB.
 	askedRouters = 4
 	// maxStatusProblems bounds the status object; a hostile catalogue may have more problems than fit into 1 MB.
@@ -144,6 +144,9 @@
 	return peer.Snapshot{Revision: s.Current().Revision, Catalogue: s.raw, Instances: list.all}
 }
 
+// ReceiveSnapshot answers the peer port.
+func (s *Sync) ReceiveSnapshot(context.Context) (peer.Snapshot, error) { return s.Snapshot(), nil }
+
 // Status is this instance's judgement of the newest revision it has judged.
 func (s *Sync) Status() (revision uint64, valid bool) {
 	s.mu.Lock()
--- a/router/internal/app/configsync/sync_test.go
+++ b/router/internal/app/configsync/sync_test.go
@@ -20,6 +20,7 @@
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/api/platform"
 	standin "tanagerwood.dev/lab/standin/platform"
+	"tanagerwood.dev/router/internal/adapter/peerhttp"
 	"tanagerwood.dev/router/internal/adapter/platformhttp"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/port"
@@ -151,6 +152,35 @@
 		Expect(read).To(BeFalse(), "a peer's list does not count as read from the platform")
 	})
 
+	// Guards against an instance that cannot start during an outage because a catalogue of the target's size does not
+	// pass the peer port.
+	It("starts from a peer over HTTP with a catalogue of 990 customers", func() {
+		start(standin.Options{})
+		large := catalogue.Catalogue{Owner: "o"}
+		for i := range 990 {
+			c := catalogue.Customer{Name: fmt.Sprintf("customer-%d", i), Owner: "o", RateTokens: 1, BurstTokens: 1}
+			for k := range 4 {
+				c.Keys = append(c.Keys, catalogue.Key{Name: fmt.Sprint(k), SHA256: fmt.Sprintf("%064x", 4*i+k)})
+			}
+			large.Customers = append(large.Customers, c)
+		}
+		text, err := catalogue.Marshal(large)
+		Expect(err).NotTo(HaveOccurred())
+		put(0, string(text))
+		running := newSync("r1")
+		running.Start(ctx)
+		peerPort := httptest.NewServer(peerhttp.NewHandler("peer-token", log, peerhttp.Services{Snapshots: running}))
+		DeferCleanup(peerPort.Close)
+		server.SetFaults(standin.Faults{Outage: &yes})
+		restarted := New(Options{
+			Instance: "r2", Seeds: []string{peerPort.URL}, Platform: client, Events: log, Metrics: metrics.NewRegistry(),
+			Peers: peerhttp.NewClient("peer-token", peerhttp.DefaultTimeouts(), log, peerhttp.NewTransport()),
+		})
+		started := func() uint64 { restarted.Start(ctx); return restarted.Current().Revision }
+		Eventually(started).WithTimeout(time.Minute).Should(Equal(running.Current().Revision))
+		Expect(restarted.Current().Catalogue).To(Equal(running.Current().Catalogue))
+	})
+
 	It("keeps everything as it is through an outage and a used-up call rate, and goes on afterwards", func() {
 		now := time.Unix(1_700_000_000, 0)
 		start(standin.Options{ReadsPerSecond: 4, WritesPerSecond: 100, Now: func() time.Time { return now },
