--- a/router/internal/adapter/enginehttp/body.go
+++ b/router/internal/adapter/enginehttp/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
@@ -21,12 +22,10 @@
 // mergeBody adds the extension, "stream" and the token limit to the caller's body and keeps every other field.
 func mergeBody(call port.EngineCall, stream bool) ([]byte, error) {
 	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(call.Body, &fields); err != nil {
+	if err := json.Unmarshal(call.Body, &fields); err != nil || fields == nil {
 		return nil, fault.New(fault.BadRequest, "the body is not a JSON object; send one")
 	}
-	for _, name := range extensionFields {
-		delete(fields, name)
-	}
+	dropOwned(fields)
 	if err := addObject(fields, call.Extension); err != nil {
 		return nil, err
 	}
@@ -46,6 +45,23 @@
 	return json.Marshal(fields)
 }
 
+// dropOwned removes the caller's values of the router's fields, and names that differ from them in case alone: engines
+// whose decoder ignores case would take those.
+func dropOwned(fields map[string]json.RawMessage) {
+	for key := range fields {
+		for _, name := range extensionFields {
+			if strings.EqualFold(key, name) {
+				delete(fields, key)
+			}
+		}
+		for _, name := range []string{fieldStream, fieldStreamOptions, fieldMaxTokens, fieldMaxCompletionTokens} {
+			if key != name && strings.EqualFold(key, name) {
+				delete(fields, key)
+			}
+		}
+	}
+}
+
 func addObject(fields map[string]json.RawMessage, v any) error {
 	raw, err := json.Marshal(v)
 	if err != nil {
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -212,8 +212,8 @@
 }
 
 // probe asks the engine whether it knows the attempt while its answer stays away. If the engine twice does not, the
-// connection lost the call or its answer: the call is cancelled, which closes the connection, and idle connections
-// are closed so that the next attempt opens a fresh one. Two looks leave room for an answer that is on its way.
+// connection lost the call or its answer, and the call is cancelled, which closes the connection. Two looks leave room
+// for an answer that is on its way.
 func (c *Client) probe(ctx context.Context, cancel context.CancelCauseFunc, answered <-chan struct{}, ep port.Endpoint, attempt string) {
 	ticker := time.NewTicker(c.opts.ProbeAfter)
 	defer ticker.Stop()
@@ -234,7 +234,6 @@
 		missing++
 		if missing == 2 {
 			cancel(&SilentError{Waited: waited})
-			c.pool.CloseIdleConnections()
 			return
 		}
 	}
@@ -249,7 +248,8 @@
 	return false
 }
 
-// transportError types an error of the connection. If no connection was obtained, nothing was sent.
+// transportError types an error of the connection. If no connection was obtained, nothing was sent. After a silent
+// connection the idle ones are closed as well, because they may be as old, and the next attempt opens a fresh one.
 func (c *Client) transportError(ctx context.Context, err error, connected bool) error {
 	cause := context.Cause(ctx)
 	var silent *SilentError
