Take a valid revision below a rejected one

Cause: an instance that started while the newest revision was invalid stayed without a configuration. It had judged the newest one, and refused the last valid one of its peers as older.

Ruled out: asking peers only before the platform, which leaves the fault open for peers that answer later.

Change: Sync keeps the set of rejected revisions instead of the greatest judged one; a revision comes into force if it is greater than the one in force, valid and not rejected. A kept status is not replaced by that of an older revision. key pauses 200 ms after a conflict, so that short stale reads do not use up its attempts.

--- a/router/cmd/tanagerwood/command.go
+++ b/router/cmd/tanagerwood/command.go
@@ -41,6 +41,8 @@
 	instanceTimeout = 5 * time.Second
 	// retryDelay is the pause before a command tries again after 429.
 	retryDelay = time.Second
+	// conflictDelay is the pause before a command tries again after a conflict.
+	conflictDelay = 200 * time.Millisecond
 	// maxAttempts bounds the attempts of a command that re-reads and tries again.
 	maxAttempts = 10
 )
--- a/router/cmd/tanagerwood/command_test.go
+++ b/router/cmd/tanagerwood/command_test.go
@@ -209,6 +209,24 @@
 		expectExit(apply(), exitConflict)
 	})
 
+	It("withdraws in spite of stale reads that end", func() {
+		create()
+		Expect(key("grant", "autumn")).To(Succeed())
+		server.SetFaults(standin.Faults{StaleWrites: &one})
+		none := 0
+		ending := &between{Platform: client}
+		ending.step = func() {
+			ending.step = func() { server.SetFaults(standin.Faults{StaleWrites: &none}) }
+		}
+		_, err := editCatalogue(ctx, ending, func(c *catalogue.Catalogue, tried bool) error {
+			return removeKey(c, "kedai", "spring", tried)
+		})
+		Expect(err).NotTo(HaveOccurred())
+		_, c := present()
+		Expect(c.Customers[0].Keys).To(HaveLen(1))
+		Expect(c.Customers[0].Keys[0].Name).To(Equal("autumn"), "the grant must not be lost to a stale read")
+	})
+
 	// Guards against a withdrawal that is written but never comes into force.
 	It("refuses to change a revision that is not valid", func() {
 		_, err := client.Create(ctx, platform.KindCatalogue, platform.MainName, []byte(`{"owner":""}`))
--- a/router/cmd/tanagerwood/key.go
+++ b/router/cmd/tanagerwood/key.go
@@ -154,6 +154,10 @@
 		last = err
 		switch {
 		case typed.Kind == fault.Conflict:
+			// A stale read leads to conflicts until the platform shows the newest version.
+			if pause(ctx, conflictDelay) != nil {
+				return 0, outcomeOf(err, tried)
+			}
 			continue
 		case typed.Kind != fault.PlatformDown:
 			return 0, err
--- a/router/internal/app/configsync/status.go
+++ b/router/internal/app/configsync/status.go
@@ -12,8 +12,11 @@
 // statusAttempts bounds the conflicts that one attempt to write the status takes; later polls try again.
 const statusAttempts = 3
 
-// report keeps the status until it is at the platform. The caller holds mu.
+// report keeps the status until it is at the platform, unless that of a newer revision is kept. The caller holds mu.
 func (s *Sync) report(status catalogue.Status) {
+	if s.status != nil && s.status.Revision > status.Revision {
+		return
+	}
 	status.JudgedBy = s.options.Instance
 	s.status = &status
 	notify(s.judged)
--- a/router/internal/app/configsync/sync.go
+++ b/router/internal/app/configsync/sync.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,10 +72,10 @@
 	mu sync.Mutex
 	// raw is the JSON of the revision in force, for peers.
 	raw json.RawMessage
-	// lastJudged is the greatest revision of the platform that was judged, valid or not.
-	lastJudged uint64
-	// peerRejected is the greatest revision that a peer sent and that was not valid. Only the platform's copy decides
-	// about a revision, so it does not count as judged.
+	// rejected holds the platform's revisions above the one in force that were not valid.
+	rejected map[uint64]bool
+	// peerRejected is the newest revision that a peer sent and that was not valid. Only the platform's copy decides
+	// about a revision, so it is not in rejected.
 	peerRejected uint64
 	// newest is the newest revision seen at a peer and not yet fetched.
 	newest peerRevision
@@ -98,7 +99,13 @@
 	if o.Interval <= 0 {
 		o.Interval = DefaultInterval
 	}
-	s := &Sync{options: o, seen: make(chan struct{}, 1), judged: make(chan struct{}, 1), counters: newCounters(o.Metrics)}
+	s := &Sync{
+		options:  o,
+		seen:     make(chan struct{}, 1),
+		judged:   make(chan struct{}, 1),
+		counters: newCounters(o.Metrics),
+		rejected: make(map[uint64]bool),
+	}
 	s.current.Store(config.New(0, catalogue.Catalogue{}))
 	s.list.Store(&instanceList{})
 	return s
@@ -151,8 +158,13 @@
 func (s *Sync) Status() (revision uint64, valid bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	inForce := s.Current().Revision
-	return max(inForce, s.lastJudged), inForce >= s.lastJudged
+	revision, valid = s.Current().Revision, true
+	for r := range s.rejected {
+		if r > revision {
+			revision, valid = r, false
+		}
+	}
+	return revision, valid
 }
 
 // SawRevision tells that the peer at the address has the revision in force. It does not block.
@@ -172,7 +184,7 @@
 func (s *Sync) known(revision uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return revision <= s.Current().Revision || revision <= s.lastJudged || revision <= s.peerRejected
+	return revision <= s.Current().Revision || s.rejected[revision] || revision == s.peerRejected
 }
 
 func (s *Sync) every(ctx context.Context, step func(context.Context)) {
@@ -259,7 +271,8 @@
 	}
 }
 
-// judge validates a revision that is newer than all judged ones, and swaps it in if it is valid.
+// judge validates a revision that is newer than the one in force, and swaps it in if it is valid. A valid revision comes
+// into force although a newer one was rejected: an instance that starts meanwhile gets it only from peers.
 func (s *Sync) judge(revision uint64, raw json.RawMessage, from source) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
@@ -281,10 +294,10 @@
 func (s *Sync) isNewer(revision uint64, from source) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from == fromPeer && revision <= s.peerRejected {
+	if from == fromPeer && revision == s.peerRejected {
 		return false
 	}
-	return revision > s.Current().Revision && revision > s.lastJudged
+	return revision > s.Current().Revision && !s.rejected[revision]
 }
 
 func (s *Sync) reject(revision uint64, problems catalogue.Problems, from source) {
@@ -297,7 +310,7 @@
 		s.peerRejected = revision
 		return
 	}
-	s.lastJudged = revision
+	s.rejected[revision] = true
 	s.report(catalogue.Status{Revision: revision, Problems: problems[:min(len(problems), maxStatusProblems)]})
 }
 
@@ -306,7 +319,7 @@
 	s.mu.Lock()
 	s.current.Store(next)
 	s.raw = raw
-	s.lastJudged = next.Revision
+	maps.DeleteFunc(s.rejected, func(r uint64, _ bool) bool { return r < next.Revision })
 	s.report(catalogue.Status{Revision: next.Revision, Valid: true})
 	s.mu.Unlock()
 	s.counters.applied.Inc(1)
--- a/router/internal/app/configsync/sync_test.go
+++ b/router/internal/app/configsync/sync_test.go
@@ -229,6 +229,34 @@
 		Expect(kinds()).To(Equal([]event.Kind{event.ConfigApplied, event.ConfigRejected, event.ConfigApplied}))
 	})
 
+	// Guards against an instance that starts while the newest revision is invalid and stays without a configuration.
+	It("takes a peer's valid revision although a newer one was rejected, and reports the newer one once", func() {
+		start(standin.Options{})
+		first := put(0, `{"owner":"first"}`)
+		running := newSync("r1")
+		running.Start(ctx)
+		peers.snapshots["http://r1"] = running.Snapshot
+		second := put(first, `{"owner":""}`)
+		third := put(second, `{"owner":""}`)
+		s := newSync("r2")
+		server.SetFaults(standin.Faults{StaleWrites: &one})
+		s.pollCatalogue(ctx) // second
+		none := 0
+		server.SetFaults(standin.Faults{StaleWrites: &none})
+		s.pollCatalogue(ctx) // third
+		server.SetFaults(standin.Faults{StaleWrites: &one})
+		s.pollCatalogue(ctx) // second again
+		server.SetFaults(standin.Faults{StaleWrites: &none})
+		Expect(s.counters.rejected.Count()).To(BeEquivalentTo(2))
+		s.SawRevision("http://r1", first)
+		s.fetchNewest(ctx)
+		Expect(s.Current().Revision).To(Equal(first))
+		Expect(s.pendingStatus().Revision).To(Equal(third))
+		revision, valid := s.Status()
+		Expect(revision).To(Equal(third))
+		Expect(valid).To(BeFalse())
+	})
+
 	It("writes the status of a revision once, by whichever instance is first, also if the reply is lost", func() {
 		start(standin.Options{})
 		put(0, `{"owner":"first"}`)
