Add token buckets with loans, settlement and shares by rendezvous hash

Ruled out: noting the peak level only before charges. A used or lapsed loan lowers the level as well, so that the peak before it was forgotten and a refund was too large; the random schedule found it (window 250ms to 423ms admitted 518.000 tokens, limit 517.300). Ruled out: fractional bursts of holders; floors would make a request as large as the burst inadmissible, so bursts are whole tokens that add up to the customer's burst. Change: quota.Bucket (Take, Hold, Commit, Refund, Owe, Lend, EndLoan, SetShare), quota.Holders and quota.ShareOf; peer.Roster gets the steps that led to it, for readers that skipped generations. Red first: the refund without its limit (window 184ms to 190ms admitted 501.000, limit 500.600, and two specs); capacity not lowered by loans (window 20ms to 20ms, 501.000 over 500.000); a lapsed loan's peak not noted (window 250ms to 793ms, 555.000 over 554.300); lender validity below the borrower's (window 250ms to 250ms, 501.000 over 500.000); peaks not raised by a refund ("counts an earlier refund against a later one").

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -42,6 +42,19 @@
 	// Generation grows by one with each change.
 	Generation uint64   `json:"generation"`
 	Members    []Member `json:"members"`
+	// Changes are the steps that led to Members, oldest first, the last one to Generation. They reach back to the oldest
+	// generation whose shares its writer could not rule out to be in use, so that a reader who skipped generations can
+	// take all of these into account.
+	Changes []RosterChange `json:"changes,omitempty"`
+}
+
+// RosterChange is the step from one generation to the next.
+type RosterChange struct {
+	Added   []Member `json:"added,omitempty"`
+	Removed []Member `json:"removed,omitempty"`
+	// Absent are those of Removed that were absent from the platform's instance list. They do not count towards the
+	// majority that must know a newer generation.
+	Absent []MemberID `json:"absent,omitempty"`
 }
 
 // HeartbeatEntry is what the fleet knows about one member.
--- /dev/null
+++ b/router/internal/domain/quota/quota_test.go
@@ -0,0 +1,226 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+const second = time.Second
+
+func full(burst, rate float64) *Bucket {
+	b := NewBucket(0)
+	b.SetShare(0, Share{Rate: rate, Burst: burst})
+	b.level = burst
+	return b
+}
+
+var _ = Describe("shares", func() {
+	It("splits the burst without losing a token, so that a request as large as the burst is admissible", func() {
+		members := []string{"a", "b", "c", "d", "e", "f", "g"}
+		holders := Holders("customer", members)
+		total := 0.0
+		for _, m := range members {
+			total += ShareOf(Limits{Rate: 10, Burst: 100}, holders, m).Burst
+		}
+		Expect(total).To(Equal(100.0))
+	})
+
+	It("moves few customers when a member is lost, so that most shares keep their tokens", func() {
+		var members []string
+		for i := range 32 {
+			members = append(members, fmt.Sprint("router-", i))
+		}
+		changed := 0
+		for i := range 1000 {
+			customer := fmt.Sprint("customer-", i)
+			lost := members[0]
+			before, after := Holders(customer, members), Holders(customer, members[1:])
+			Expect(before).To(HaveLen(MaxHolders))
+			for _, h := range before {
+				if h != lost {
+					Expect(after).To(ContainElement(h))
+				} else {
+					changed++
+				}
+			}
+		}
+		Expect(changed).To(BeNumerically("~", 250, 60))
+	})
+})
+
+var _ = Describe("Bucket", func() {
+	It("starts empty and accrues up to the burst", func() {
+		b := NewBucket(0)
+		b.SetShare(0, Share{Rate: 10, Burst: 100})
+		Expect(b.Level(0)).To(BeZero())
+		Expect(b.Level(5 * second)).To(BeEquivalentTo(50))
+		Expect(b.Level(50 * second)).To(BeEquivalentTo(100))
+	})
+
+	It("keeps a loan's capacity blocked until the loan lapses, so that the borrower and the refill cannot both count", func() {
+		b := full(100, 1000)
+		Expect(b.Lend(0, 1, "x", 60)).To(BeEquivalentTo(60))
+		Expect(b.Level(100 * time.Millisecond)).To(BeEquivalentTo(40))
+		Expect(b.Level(LenderValidity)).To(BeEquivalentTo(40))
+		Expect(b.Level(LenderValidity + 20*time.Millisecond)).To(BeEquivalentTo(60))
+	})
+
+	It("takes a returned loan back once, and only from its borrower", func() {
+		b := full(100, 0)
+		b.Lend(0, 1, "x", 60)
+		Expect(b.EndLoan(0, 1, "y", false)).To(BeFalse())
+		Expect(b.EndLoan(0, 1, "x", false)).To(BeTrue())
+		Expect(b.EndLoan(0, 1, "x", false)).To(BeFalse())
+		Expect(b.Level(0)).To(BeEquivalentTo(100))
+	})
+
+	It("does not take back a loan that has lapsed", func() {
+		b := full(100, 0)
+		b.Lend(0, 1, "x", 60)
+		Expect(b.EndLoan(LenderValidity, 1, "x", false)).To(BeFalse())
+		Expect(b.Level(LenderValidity)).To(BeEquivalentTo(40))
+	})
+
+	It("does not refund what a bucket charged with the true amount would have lost to its limit", func() {
+		b := full(100, 10)
+		c, _ := b.Take(0, 50)
+		Expect(b.Refund(3*second, c, 30)).To(BeNumerically("~", 20, 1e-6)) // 80 held, and 20 more fit
+		b = full(100, 10)
+		c, _ = b.Take(0, 50)
+		b.Take(4*second, 90)
+		Expect(b.Refund(4*second, c, 30)).To(BeNumerically("~", 10, 1e-6)) // the level was 90 before the second charge
+	})
+
+	It("does not refund a charge of a share that was lost and came back", func() {
+		b := full(100, 10)
+		c, _ := b.Take(0, 50)
+		b.SetShare(0, Share{})
+		b.SetShare(0, Share{Rate: 10, Burst: 100})
+		Expect(b.Refund(0, c, 50)).To(BeZero())
+		Expect(b.Level(0)).To(BeZero())
+	})
+
+	It("does not refund into a share that has grown what the smaller share had lost", func() {
+		b := full(10, 10)
+		c, _ := b.Take(0, 5)
+		b.Level(second)
+		b.SetShare(second, Share{Rate: 10, Burst: 20})
+		Expect(b.Refund(second, c, 5)).To(BeZero())
+	})
+
+	It("counts an earlier refund against a later one, so that two refunds cannot fill the same room", func() {
+		b := full(100, 10)
+		first, _ := b.Take(0, 50)
+		second, _ := b.Take(0, 30)
+		b.Take(5*time.Second, 60) // the level was 70 and would have been 100 with the true amounts
+		Expect(b.Refund(5*time.Second, first, 30)).To(BeNumerically("~", 30, 1e-6))
+		Expect(b.Refund(5*time.Second, second, 20)).To(BeNumerically("~", 0, 1e-6))
+	})
+
+	It("charges debt below zero", func() {
+		b := full(100, 10)
+		b.Owe(0, 130)
+		Expect(b.Level(4 * second)).To(BeEquivalentTo(10))
+	})
+})
+
+// admission is one admission of the random schedule: what was truly used, at the time of admission.
+type admission struct {
+	at   time.Duration
+	used float64
+}
+
+// TestWindowBound guards the bound of one bucket under charges, settlement in any order, loans and returns: no window
+// holds more true tokens than burst + rate x window.
+func TestWindowBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const rate, burst = 100.0, 500.0
+		b := full(burst, rate)
+		type open struct {
+			charge Charge
+			entry  int
+		}
+		type lent struct {
+			id    uint64
+			entry int
+		}
+		var now time.Duration
+		var log []admission
+		var opens []open
+		var loans []lent
+		steps := rapid.IntRange(1, 80).Draw(rt, "steps")
+		for i := range steps {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(rt, "op") {
+			case 0:
+				if c, ok := b.Take(now, int64(rapid.IntRange(1, 400).Draw(rt, "n"))); ok {
+					log = append(log, admission{now, float64(c.Tokens())})
+					opens = append(opens, open{c, len(log) - 1})
+				}
+			case 1:
+				if len(opens) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(opens)-1).Draw(rt, "which")
+				o := opens[k]
+				opens = append(opens[:k], opens[k+1:]...)
+				unused := int64(rapid.IntRange(0, int(o.charge.Tokens())).Draw(rt, "unused"))
+				b.Refund(now, o.charge, unused)
+				log[o.entry].used -= float64(unused)
+			case 2:
+				n := b.Lend(now, uint64(i), "x", int64(rapid.IntRange(1, 400).Draw(rt, "n")))
+				if n > 0 { // used at the last moment of the borrower's validity, reported never or later
+					log = append(log, admission{now + LoanValidity, float64(n)})
+					loans = append(loans, lent{uint64(i), len(log) - 1})
+				}
+			case 3:
+				if len(loans) == 0 {
+					continue
+				}
+				l := loans[len(loans)-1]
+				loans = loans[:len(loans)-1]
+				used := rapid.Bool().Draw(rt, "used")
+				if used && now < log[l.entry].at {
+					log[l.entry].at = now // used before it was reported
+				}
+				if !used && now < log[l.entry].at {
+					log[l.entry].used = 0
+				}
+				b.EndLoan(now, l.id, "x", used || log[l.entry].used > 0)
+			}
+		}
+		if err := checkWindows(log, rate, burst); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func checkWindows(log []admission, rate, burst float64) error {
+	for _, first := range log {
+		for _, last := range log {
+			if last.at < first.at {
+				continue
+			}
+			sum := 0.0
+			for _, a := range log {
+				if a.at >= first.at && a.at <= last.at {
+					sum += a.used
+				}
+			}
+			if limit := burst + rate*(last.at-first.at).Seconds(); sum > limit+1e-3 {
+				return fmt.Errorf("window %v to %v admitted %.3f tokens, limit %.3f", first.at, last.at, sum, limit)
+			}
+		}
+	}
+	return nil
+}
