Add membership, confirmation and admission with loans

Ruled out: deciding shares from the newest roster and its predecessor only. An instance that skipped generations would not count rosters in between whose members may still be confirmed; the roster object therefore carries the steps back to the oldest generation that its writer could not rule out, and an instance whose own generation is older than these starts empty. Ruled out: counting any greater incarnation as proof that the old one ended. Only the same address proves it; an old process elsewhere may be cut off and confirmed by a majority it is part of. Ruled out: replies without a number. A crossed loan reply could be used beyond the lender's validity; loan, confirmation and removal replies now repeat the request's number.

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -79,11 +79,16 @@
 // ConfirmRequest asks a peer whether the sender may go on using its shares.
 type ConfirmRequest struct {
 	From       MemberID `json:"from"`
+	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
+	// the answer to another message.
+	Request uint64 `json:"request"`
 	Generation uint64   `json:"generation"`
 }
 
 // ConfirmReply answers a ConfirmRequest.
 type ConfirmReply struct {
+	// Request is the number of the message that this answers.
+	Request uint64 `json:"request"`
 	// Platform is true if the peer read the roster from the platform after the question arrived.
 	Platform bool `json:"platform"`
 	// Named is true if the newest roster names the asking member and the peer has not agreed to its removal.
@@ -95,12 +100,17 @@
 // RemovalRequest asks a peer to agree that a member is removed from the roster.
 type RemovalRequest struct {
 	From       MemberID `json:"from"`
+	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
+	// the answer to another message.
+	Request uint64 `json:"request"`
 	Generation uint64   `json:"generation"`
 	Remove     MemberID `json:"remove"`
 }
 
 // RemovalReply answers a RemovalRequest.
 type RemovalReply struct {
+	// Request is the number of the message that this answers.
+	Request uint64 `json:"request"`
 	Agreed bool   `json:"agreed"`
 	Reason string `json:"reason,omitempty"`
 }
@@ -115,12 +125,17 @@
 // LoanRequest asks a holder for tokens of a customer.
 type LoanRequest struct {
 	From     MemberID `json:"from"`
+	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
+	// the answer to another message.
+	Request uint64 `json:"request"`
 	Customer string   `json:"customer"`
 	Tokens   int64    `json:"tokens"`
 }
 
 // LoanReply gives tokens for use in one request, within the loan's validity counted from the sending of LoanRequest.
 type LoanReply struct {
+	// Request is the number of the message that this answers.
+	Request uint64 `json:"request"`
 	LoanID uint64 `json:"loanId"`
 	Tokens int64  `json:"tokens"`
 	// Level is what the holder has left.
--- /dev/null
+++ b/router/internal/app/quotasync/lend.go
@@ -0,0 +1,87 @@
+package quotasync
+
+import (
+	"context"
+	"sync/atomic"
+
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/domain/quota"
+	"tanagerwood.dev/router/internal/fault"
+)
+
+// ReceiveLoan lends tokens to a peer. Only a confirmed holder lends; the borrower needs no confirmation.
+func (a *Admission) ReceiveLoan(_ context.Context, m peer.LoanRequest) (peer.LoanReply, error) {
+	if _, ok := a.Config.Current().Customer(m.Customer); !ok {
+		return peer.LoanReply{}, fault.New(fault.NotFound, "customer "+m.Customer+" is not in the catalogue in force here")
+	}
+	acct := a.lock(m.Customer)
+	defer acct.mu.Unlock()
+	now := a.Clock.Boot()
+	id := a.lastLoan.Add(1)
+	given := acct.bucket.Lend(now, id, m.From.Name, m.Tokens)
+	if !a.Members.Confirmed() { // checked after the tokens were taken, which is the moment of use
+		acct.bucket.EndLoan(now, id, m.From.Name, false)
+		return peer.LoanReply{}, fault.New(fault.NotConfirmed, "this holder is not confirmed; ask the next one")
+	}
+	if given > 0 {
+		a.count.loansGiven.Inc(1)
+		a.count.lentTokens.Inc(given)
+		a.Events.Record(event.Event{Kind: event.LoanGiven, Customer: m.Customer, Tokens: given, Detail: m.From.Name})
+	}
+	return peer.LoanReply{Request: m.Request, LoanID: id, Tokens: given, Level: acct.bucket.Level(now)}, nil
+}
+
+// ReceiveLoanDone ends a loan that was used or is returned.
+func (a *Admission) ReceiveLoanDone(_ context.Context, m peer.LoanDone) error {
+	if _, ok := a.accounts.Load(m.Customer); !ok {
+		return nil // nothing was lent, or it has lapsed long ago
+	}
+	acct := a.lock(m.Customer)
+	defer acct.mu.Unlock()
+	if acct.bucket.EndLoan(a.Clock.Boot(), m.LoanID, m.From.Name, m.Used) && !m.Used {
+		acct.notify()
+	}
+	return nil
+}
+
+// charge is what one request took: a local part and loans. Loans are not refunded after use.
+type charge struct {
+	admission *Admission
+	account   *account
+	local     quota.Charge
+	total     int64
+	ended     atomic.Bool
+}
+
+// Settle implements port.Charge.
+func (c *charge) Settle(used int64) {
+	if c.ended.Swap(true) {
+		return
+	}
+	c.admission.count.settled.Inc(used)
+	acct := c.account
+	acct.mu.Lock()
+	defer acct.mu.Unlock()
+	if acct.evicted {
+		return
+	}
+	now := c.admission.Clock.Boot()
+	if c.local.Tokens() > 0 {
+		c.admission.count.refunded.Inc(int64(acct.bucket.Refund(now, c.local, max(0, c.total-used))))
+	}
+	if used > c.total {
+		acct.bucket.Owe(now, used-c.total)
+		c.admission.count.debt.Inc(used - c.total)
+	}
+	acct.notify()
+}
+
+// Cancel implements port.Charge.
+func (c *charge) Cancel() { c.Settle(0) }
+
+// freeOfCharge is the charge of a request that costs no tokens.
+type freeOfCharge struct{}
+
+func (freeOfCharge) Settle(int64) {}
+func (freeOfCharge) Cancel()      {}
--- a/router/internal/domain/quota/bucket.go
+++ b/router/internal/domain/quota/bucket.go
@@ -28,6 +28,7 @@
 
 type loan struct {
 	id       uint64
+	epoch    uint64
 	borrower string
 	tokens   int64
 	expires  time.Duration
@@ -76,37 +77,58 @@
 	return whole(b.level)
 }
 
+// Held are tokens that are set aside until Commit or Release.
+type Held struct {
+	tokens int64
+	epoch  uint64
+}
+
+// Tokens is the amount held.
+func (h Held) Tokens() int64 { return h.tokens }
+
 // Take charges n tokens if the bucket has them.
 func (b *Bucket) Take(now time.Duration, n int64) (Charge, bool) {
 	if b.Level(now) < n {
 		return Charge{}, false
 	}
-	return b.Commit(now, b.Hold(now, n)), true
+	return b.Commit(now, b.Hold(now, n))
 }
 
-// Hold sets up to n tokens aside for a request that borrows the rest, and returns how many. Commit or Release ends it.
-func (b *Bucket) Hold(now time.Duration, n int64) int64 {
+// Hold sets up to n tokens aside for a request that borrows the rest.
+func (b *Bucket) Hold(now time.Duration, n int64) Held {
 	b.advance(now)
 	held := min(n, whole(b.level))
 	b.level -= float64(held)
 	b.reserved += float64(held)
-	return held
+	return Held{tokens: held, epoch: b.epoch}
 }
 
-// Release puts held tokens back.
-func (b *Bucket) Release(now time.Duration, held int64) {
+// Release puts held tokens back, unless the share was lost meanwhile.
+func (b *Bucket) Release(now time.Duration, h Held) {
 	b.advance(now)
-	b.reserved -= float64(held)
-	b.level += float64(held)
-	b.clip()
+	b.free(h.tokens, h.epoch, true)
 }
 
-// Commit charges held tokens.
-func (b *Bucket) Commit(now time.Duration, held int64) Charge {
+// Commit charges held tokens. It reports false, and charges nothing, if the share was lost meanwhile.
+func (b *Bucket) Commit(now time.Duration, h Held) (Charge, bool) {
 	b.advance(now)
+	if h.epoch != b.epoch {
+		b.free(h.tokens, h.epoch, false)
+		return Charge{}, false
+	}
 	seq := b.peaks.open(b.total())
-	b.reserved -= float64(held)
-	return Charge{tokens: held, seq: seq, epoch: b.epoch}
+	b.reserved -= float64(h.tokens)
+	return Charge{tokens: h.tokens, seq: seq, epoch: b.epoch}, true
+}
+
+// free ends a hold or a loan, and puts the tokens back if they return to the share they were taken from.
+func (b *Bucket) free(tokens int64, epoch uint64, back bool) {
+	b.peaks.mark(b.total())
+	b.reserved -= float64(tokens)
+	if back && epoch == b.epoch {
+		b.level += float64(tokens)
+		b.clip()
+	}
 }
 
 // Refund gives back x unused tokens of a charge, as far as a bucket that had charged the true amount would hold them
@@ -132,9 +154,9 @@
 
 // Lend gives up to n tokens to a borrower and returns how many.
 func (b *Bucket) Lend(now time.Duration, id uint64, borrower string, n int64) int64 {
-	given := b.Hold(now, n)
+	given := b.Hold(now, n).tokens
 	if given > 0 {
-		b.loans = append(b.loans, loan{id: id, borrower: borrower, tokens: given, expires: now + LenderValidity})
+		b.loans = append(b.loans, loan{id: id, epoch: b.epoch, borrower: borrower, tokens: given, expires: now + LenderValidity})
 	}
 	return given
 }
@@ -143,17 +165,11 @@
 func (b *Bucket) EndLoan(now time.Duration, id uint64, borrower string, used bool) bool {
 	b.advance(now)
 	for i, l := range b.loans {
-		if l.id != id || l.borrower != borrower {
-			continue
-		}
-		b.loans = append(b.loans[:i], b.loans[i+1:]...)
-		b.peaks.mark(b.total())
-		b.reserved -= float64(l.tokens)
-		if !used {
-			b.level += float64(l.tokens)
-			b.clip()
+		if l.id == id && l.borrower == borrower {
+			b.loans = append(b.loans[:i], b.loans[i+1:]...)
+			b.free(l.tokens, l.epoch, !used)
+			return true
 		}
-		return true
 	}
 	return false
 }
--- a/router/internal/domain/quota/share.go
+++ b/router/internal/domain/quota/share.go
@@ -6,7 +6,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"tanagerwood.dev/router/internal/domain/rendezvous"
 )
 
 // MaxHolders bounds the holders of a customer, so that a large fleet does not split a burst into shares that are
@@ -37,7 +37,7 @@
 func Holders(customer string, members []string) []string {
 	ranked := make([]ranking, 0, len(members))
 	for _, m := range members {
-		ranked = append(ranked, ranking{name: m, weight: Weight(customer, m)})
+		ranked = append(ranked, ranking{name: m, weight: rendezvous.Weight(customer, m)})
 	}
 	slices.SortFunc(ranked, func(a, b ranking) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
@@ -54,16 +54,6 @@
 	weight uint64
 }
 
-// Weight is the rendezvous hash of a key and a member.
-func Weight(key, member string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key) // a Digest's writes do not fail
-	_, _ = d.Write([]byte{0}) // separates "a","bc" from "ab","c"
-	_, _ = d.WriteString(member)
-	return d.Sum64()
-}
-
 // ShareOf returns the share of a member, which is zero if it is not among the holders. The bursts of all holders are
 // whole tokens and add up to the customer's burst, so that a request as large as the burst can be admitted.
 func ShareOf(l Limits, holders []string, member string) Share {
--- /dev/null
+++ b/router/internal/domain/roster/live.go
@@ -0,0 +1,43 @@
+package roster
+
+import (
+	"sync"
+	"time"
+
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/domain/rendezvous"
+)
+
+// Live is the set of live members at one time. It is safe for concurrent use.
+type Live struct {
+	// Members are in order of name.
+	Members []peer.Member
+	// Until is when the first member counts as dead if it is not heard again.
+	Until time.Duration
+
+	alive  map[peer.MemberID]bool
+	owners []peer.Member
+	cache  sync.Map // endpoint -> peer.Member
+}
+
+// IsAlive reports whether the member lives.
+func (l *Live) IsAlive(id peer.MemberID) bool { return l.alive[id] }
+
+// Owner is the live member that owns an endpoint: the highest by rendezvous hash that is not draining, or fallback if
+// all are draining.
+func (l *Live) Owner(endpoint string, fallback peer.Member) peer.Member {
+	if len(l.owners) == 0 {
+		return fallback
+	}
+	if cached, ok := l.cache.Load(endpoint); ok {
+		return cached.(peer.Member)
+	}
+	owner, highest := l.owners[0], uint64(0)
+	for _, m := range l.owners {
+		if w := rendezvous.Weight(endpoint, m.Name); w > highest {
+			owner, highest = m, w
+		}
+	}
+	l.cache.Store(endpoint, owner)
+	return owner
+}
--- /dev/null
+++ b/router/internal/domain/roster/table.go
@@ -0,0 +1,166 @@
+package roster
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"tanagerwood.dev/api/peer"
+)
+
+const (
+	// forgetAfter drops members that are gone from the table.
+	forgetAfter = 60 * time.Second
+	// gossipFor bounds how long an entry is passed on after its counter last grew, well below forgetAfter, so that a
+	// forgotten entry does not come back.
+	gossipFor = 20 * time.Second
+)
+
+// Table is the heartbeat table. It is not safe for concurrent use.
+type Table struct {
+	self string
+	rows map[string]*row
+}
+
+type row struct {
+	peer.HeartbeatEntry
+	// at is when the counter last grew, or when the member was first known.
+	at time.Duration
+	// heard is false for a member that only a roster has named.
+	heard bool
+}
+
+// NewTable returns a table with the member's own entry.
+func NewTable(now time.Duration, self peer.Member) *Table {
+	t := &Table{self: self.Name, rows: make(map[string]*row)}
+	t.rows[self.Name] = &row{HeartbeatEntry: peer.HeartbeatEntry{Member: self}, at: now, heard: true}
+	return t
+}
+
+// Beat raises the own counter and publishes what is in force here.
+func (t *Table) Beat(now time.Duration, generation, revision uint64, draining bool) {
+	own := t.rows[t.self]
+	own.Counter++
+	own.RosterGeneration, own.CatalogueRevision, own.Draining = generation, revision, draining
+	own.at = now
+}
+
+// Own is the own entry.
+func (t *Table) Own() peer.HeartbeatEntry { return t.rows[t.self].HeartbeatEntry }
+
+// Expect makes members of a roster known, so that their silence is counted from now on if they were never heard.
+func (t *Table) Expect(now time.Duration, members []peer.Member) {
+	for _, m := range members {
+		r, known := t.rows[m.Name]
+		if !known || r.Incarnation < m.Incarnation && m.Name != t.self {
+			t.rows[m.Name] = &row{HeartbeatEntry: peer.HeartbeatEntry{Member: m}, at: now}
+		}
+	}
+}
+
+// Merge takes a peer's entries. A greater incarnation replaces a lower one; within one, the greater counter wins. It
+// returns the members that are heard for the first time or again.
+func (t *Table) Merge(now time.Duration, entries []peer.HeartbeatEntry) []peer.MemberID {
+	var risen []peer.MemberID
+	for _, e := range entries {
+		if e.Name != t.self && t.merge(now, e) {
+			risen = append(risen, e.MemberID)
+		}
+	}
+	return risen
+}
+
+func (t *Table) merge(now time.Duration, e peer.HeartbeatEntry) (risen bool) {
+	r, known := t.rows[e.Name]
+	switch {
+	case !known || e.Incarnation > r.Incarnation:
+		t.rows[e.Name] = &row{HeartbeatEntry: e, at: now, heard: true}
+		return true
+	case e.Incarnation < r.Incarnation || e.Counter <= r.Counter:
+		return false
+	}
+	risen = !r.alive(now)
+	r.HeartbeatEntry, r.at, r.heard = e, now, true
+	return risen
+}
+
+// Entries are the entries to pass on.
+func (t *Table) Entries(now time.Duration) []peer.HeartbeatEntry {
+	entries := make([]peer.HeartbeatEntry, 0, len(t.rows))
+	for _, r := range t.rows {
+		if r.heard && now-r.at < gossipFor {
+			entries = append(entries, r.HeartbeatEntry)
+		}
+	}
+	return entries
+}
+
+// Forget drops members that were silent for long and that keep reports false for.
+func (t *Table) Forget(now time.Duration, keep func(peer.MemberID) bool) {
+	for name, r := range t.rows {
+		if name != t.self && now-r.at >= forgetAfter && !keep(r.MemberID) {
+			delete(t.rows, name)
+		}
+	}
+}
+
+// Silence is how long the member has not been heard. A member whose name a greater incarnation has taken counts as
+// silent for ever.
+func (t *Table) Silence(now time.Duration, id peer.MemberID) time.Duration {
+	r, known := t.rows[id.Name]
+	switch {
+	case !known:
+		return 0
+	case r.Incarnation > id.Incarnation:
+		return 1<<63 - 1
+	case r.Incarnation < id.Incarnation:
+		return 0
+	}
+	return now - r.at
+}
+
+// Knows reports whether the member is known to have the generation. A greater incarnation at the same address counts for
+// it: the address is taken, so the old process has ended. At another address the old process may be frozen or cut off,
+// and may still be confirmed by a majority of which it is a part.
+func (t *Table) Knows(m peer.Member, generation uint64) bool {
+	r, known := t.rows[m.Name]
+	if !known || r.RosterGeneration < generation {
+		return false
+	}
+	return r.Incarnation == m.Incarnation || r.Incarnation > m.Incarnation && r.Address == m.Address
+}
+
+// Live returns the live members and the time until which this holds if nothing new is heard.
+func (t *Table) Live(now time.Duration) *Live {
+	l := &Live{Until: now + AliveWindow, alive: make(map[peer.MemberID]bool)}
+	for _, r := range t.rows {
+		if r.Name != t.self && !r.alive(now) {
+			continue
+		}
+		l.alive[r.MemberID] = true
+		l.Members = append(l.Members, r.Member)
+		if !r.Draining {
+			l.owners = append(l.owners, r.Member)
+		}
+		if r.Name != t.self {
+			l.Until = min(l.Until, r.at+AliveWindow)
+		}
+	}
+	byName := func(a, b peer.Member) int { return strings.Compare(a.Name, b.Name) }
+	slices.SortFunc(l.Members, byName)
+	slices.SortFunc(l.owners, byName)
+	return l
+}
+
+func (r *row) alive(now time.Duration) bool { return r.heard && now-r.at < AliveWindow }
+
+// GenerationAt is the newest generation known at the live member with an address, or 0.
+func (t *Table) GenerationAt(address string) uint64 {
+	generation := uint64(0)
+	for _, r := range t.rows {
+		if r.Address == address && r.heard {
+			generation = max(generation, r.RosterGeneration)
+		}
+	}
+	return generation
+}
--- /dev/null
+++ b/router/internal/domain/roster/votes.go
@@ -0,0 +1,50 @@
+package roster
+
+import (
+	"time"
+
+	"tanagerwood.dev/api/peer"
+)
+
+// Votes remembers for which members this instance agreed to a removal, and for which generation.
+type Votes map[peer.MemberID]uint64
+
+// Reasons for refusing a vote.
+const (
+	ReasonGeneration = "another generation is the newest here"
+	ReasonNotMember  = "the newest roster does not name this instance"
+	ReasonHeard      = "the member was heard within the last 5 s"
+	ReasonUnknown    = "the newest roster does not name the member or the asker"
+)
+
+// Agree decides about a request to remove a member, and remembers an agreement.
+func (v Votes) Agree(now time.Duration, c *Chain, t *Table, self peer.MemberID, r peer.RemovalRequest) peer.RemovalReply {
+	switch {
+	case r.Generation != c.Generation():
+		return peer.RemovalReply{Reason: ReasonGeneration}
+	case !c.Names(self):
+		return peer.RemovalReply{Reason: ReasonNotMember}
+	case !c.Names(r.Remove) || !c.Names(r.From):
+		return peer.RemovalReply{Reason: ReasonUnknown}
+	case t.Silence(now, r.Remove) < SilenceForRemoval:
+		return peer.RemovalReply{Reason: ReasonHeard}
+	}
+	v[r.Remove] = r.Generation
+	return peer.RemovalReply{Agreed: true}
+}
+
+// Vouches reports whether this instance may tell an asker, without the platform, that it is still a member: the newest
+// roster names both, and this instance has not agreed to the asker's removal.
+func (v Votes) Vouches(c *Chain, self, asker peer.MemberID) bool {
+	agreed, voted := v[asker]
+	return c.Names(self) && c.Names(asker) && !(voted && c.Generation() <= agreed)
+}
+
+// Prune forgets votes that a newer generation has made void.
+func (v Votes) Prune(generation uint64) {
+	for id, g := range v {
+		if g < generation {
+			delete(v, id)
+		}
+	}
+}
