--- /dev/null
+++ b/router/internal/app/quotasync/borrow_test.go
@@ -0,0 +1,171 @@
+package quotasync_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/app/quotasync"
+	"tanagerwood.dev/router/internal/domain/config"
+	"tanagerwood.dev/router/internal/domain/roster"
+	"tanagerwood.dev/router/internal/fault"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// fixedMembers is a roster of two, of which this instance may be confirmed or not.
+type fixedMembers struct {
+	self      peer.Member
+	confirmed atomic.Bool
+	views     *roster.Views
+}
+
+func (m *fixedMembers) Self() peer.Member          { return m.self }
+func (m *fixedMembers) IsAlive(peer.MemberID) bool { return true }
+func (m *fixedMembers) Confirmed() bool            { return m.confirmed.Load() }
+func (m *fixedMembers) Views() *roster.Views       { return m.views }
+
+// lenderStub answers every loan in full after a delay.
+type lenderStub struct {
+	delay    time.Duration
+	mu       sync.Mutex
+	returned int
+}
+
+func (l *lenderStub) Loan(_ context.Context, _ string, m peer.LoanRequest) (peer.LoanReply, error) {
+	time.Sleep(l.delay)
+	return peer.LoanReply{Request: m.Request, LoanID: 1, Tokens: m.Tokens}, nil
+}
+
+func (l *lenderStub) LoanDone(_ context.Context, _ string, m peer.LoanDone) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !m.Used {
+		l.returned++
+	}
+	return nil
+}
+
+func inBubble(f func()) {
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		f()
+	})
+}
+
+// lonely is an admission whose only other holder is the stub.
+func lonely(lender quotasync.Lenders, confirmed bool) (*quotasync.Admission, *fixedMembers, *config.Customer) {
+	self := peer.Member{MemberID: peer.MemberID{Name: "a", Incarnation: 1}}
+	other := peer.Member{MemberID: peer.MemberID{Name: "b", Incarnation: 1}}
+	members := &fixedMembers{self: self, views: (*roster.Views)(nil).With(0, false, [][]peer.Member{{self, other}})}
+	members.confirmed.Store(confirmed)
+	c := catalogue.Catalogue{Customers: []catalogue.Customer{{Name: "x", RateTokens: 100, BurstTokens: 1000}}}
+	conf := &fakeConfig{}
+	conf.snapshot.Store(config.New(1, c))
+	a := quotasync.New(quotasync.Dependencies{Members: members, Lenders: lender, Clock: worldClock{time.Now()}, Config: conf,
+		Events: event.NewLog("a", "1", 16, time.Now), Metrics: metrics.NewRegistry()})
+	customer, _ := conf.Current().Customer("x")
+	return a, members, customer
+}
+
+var _ = Describe("borrowing", func() {
+	admit := func(a *quotasync.Admission, c *config.Customer, tokens int64, patience time.Duration) (port.Charge, error) {
+		defer a.Stop()
+		return a.Admit(context.Background(), c, tokens, patience)
+	}
+
+	It("serves from loans alone while it has no share", func() {
+		inBubble(func() {
+			a, _, c := lonely(&lenderStub{}, false)
+			_, err := admit(a, c, 300, 0)
+			Expect(err).NotTo(HaveOccurred())
+		})
+	})
+
+	It("returns a loan that arrives after its validity, counted from the sending of the request", func() {
+		inBubble(func() {
+			lender := &lenderStub{delay: 251 * time.Millisecond}
+			a, _, c := lonely(lender, false)
+			_, err := admit(a, c, 300, 0)
+			Expect(fault.Is(err, fault.RateLimited)).To(BeTrue(), "%v", err)
+			Expect(lender.returned).NotTo(BeZero())
+		})
+	})
+
+	It("uses no local tokens if the confirmation lapses while it borrows", func() {
+		inBubble(func() {
+			lender := &lenderStub{delay: 100 * time.Millisecond}
+			a, members, c := lonely(lender, true)
+			time.Sleep(2 * time.Second) // 100 tokens are in the local share
+			go func() {
+				time.Sleep(50 * time.Millisecond)
+				members.confirmed.Store(false)
+			}()
+			_, err := admit(a, c, 150, 0)
+			Expect(fault.Is(err, fault.RateLimited)).To(BeTrue(), "%v", err)
+			Expect(lender.returned).To(Equal(1))
+		})
+	})
+
+	It("lends only while it is confirmed", func() {
+		inBubble(func() {
+			a, members, _ := lonely(&lenderStub{}, true)
+			time.Sleep(5 * time.Second)
+			request := peer.LoanRequest{From: peer.MemberID{Name: "b"}, Customer: "x", Tokens: 50}
+			Expect(a.ReceiveLoan(context.Background(), request)).To(HaveField("Tokens", int64(50)))
+			members.confirmed.Store(false)
+			_, err := a.ReceiveLoan(context.Background(), request)
+			Expect(fault.Is(err, fault.NotConfirmed)).To(BeTrue())
+		})
+	})
+
+	It("starts empty after generations that it has not seen", func() {
+		inBubble(func() {
+			a, members, _ := lonely(&lenderStub{}, true)
+			time.Sleep(20 * time.Second)
+			request := peer.LoanRequest{From: peer.MemberID{Name: "b"}, Customer: "x", Tokens: 500}
+			Expect(a.ReceiveLoan(context.Background(), request)).To(HaveField("Tokens", int64(500)))
+			time.Sleep(20 * time.Second)
+			members.views = members.views.With(20*time.Second*2, true, [][]peer.Member{{members.self}})
+			Expect(a.ReceiveLoan(context.Background(), request)).To(HaveField("Tokens", int64(0)))
+		})
+	})
+
+	It("keeps the order of a customer's requests while they wait", func() {
+		inBubble(func() {
+			a, _, c := lonely(nobody{}, true)
+			var order []int64
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			for i := range int64(4) {
+				all.Go(func() {
+					_, err := a.Admit(context.Background(), c, 100-20*i, time.Minute) // the later, the smaller
+					mu.Lock()
+					defer mu.Unlock()
+					Expect(err).NotTo(HaveOccurred())
+					order = append(order, i)
+				})
+				time.Sleep(time.Millisecond)
+			}
+			all.Wait()
+			Expect(order).To(Equal([]int64{0, 1, 2, 3}))
+		})
+	})
+})
+
+// nobody is a network without lenders.
+type nobody struct{}
+
+func (nobody) Loan(context.Context, string, peer.LoanRequest) (peer.LoanReply, error) {
+	return peer.LoanReply{}, errLost
+}
+func (nobody) LoanDone(context.Context, string, peer.LoanDone) error { return errLost }
