Add the plain service path with at-most-once calls

Cause: bookings and seal orders must run at most once, and a refusal that says not_run must be true.

Ruled out: deciding from the error type whether a byte left. net/http reports the same errors before and after a write. The connection wrapper decides: the first write and the report compete for one atomic state, so a call reported as not sent cannot be written later. Also ruled out: one timeout for the send; the claim's window is checked on the boot clock at each first write.

- A refused admission of a non-repeatable call looks up the claim, because a repeat of a call that ran must not be told not_run.
- In a platform outage not_run also needs 10 minutes of watching, and every router of the last platform list alive.
- Claims pending at a peer count as sent.

--- a/lab/standin/service/service.go
+++ b/lab/standin/service/service.go
@@ -46,7 +46,7 @@
 	Lookups int            `json:"lookups"`
 }
 
-// Answer is the body of an answered booking or lookup. A lookup's answer is a function of its path.
+// Answer is the body of an answered booking or lookup. A lookup's answer is a function of its path, which includes the query.
 type Answer struct {
 	Service string `json:"service,omitempty"`
 	Booking string `json:"booking,omitempty"`
@@ -141,7 +141,7 @@
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
 		s.lookup()
 		s.pause(r, f.LateReplyMS)
-		writeJSON(w, http.StatusOK, Answer{Path: r.URL.Path})
+		writeJSON(w, http.StatusOK, Answer{Path: r.URL.RequestURI()})
 		return
 	}
 	answer := s.run(r, body)
@@ -170,7 +170,7 @@
 	run.Attempts[attempt]++
 	s.runs[booking] = run
 	s.log.Record(event.Event{Kind: event.ServiceAnswered, Request: attempt, Endpoint: s.opts.Name, Detail: booking})
-	return Answer{Service: s.opts.Name, Booking: booking, Path: r.URL.Path, Run: run.Count}
+	return Answer{Service: s.opts.Name, Booking: booking, Path: r.URL.RequestURI(), Run: run.Count}
 }
 
 func (s *Service) booking(body []byte) string {
--- /dev/null
+++ b/router/internal/app/servicepath/gate.go
@@ -0,0 +1,20 @@
+package servicepath
+
+import "context"
+
+// Gate is asked before each write of a call to its connection. First is true if no byte of the call has left yet. An
+// error stops the write.
+type Gate func(first bool) error
+
+type gateKey struct{}
+
+// WithGate returns a context whose service call asks the gate.
+func WithGate(ctx context.Context, g Gate) context.Context {
+	return context.WithValue(ctx, gateKey{}, g)
+}
+
+// GateOf returns the gate of the context, or nil.
+func GateOf(ctx context.Context) Gate {
+	g, _ := ctx.Value(gateKey{}).(Gate)
+	return g
+}
--- /dev/null
+++ b/router/internal/app/servicepath/once_test.go
@@ -0,0 +1,285 @@
+package servicepath_test
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/lab/standin/service"
+	"tanagerwood.dev/router/internal/app/servicepath"
+	"tanagerwood.dev/router/internal/domain/claim"
+	"tanagerwood.dev/router/internal/domain/config"
+	"tanagerwood.dev/router/internal/fault"
+	"tanagerwood.dev/router/internal/port"
+)
+
+const limit = 20 * time.Second
+
+func hexOf(d config.Digest) string { return hex.EncodeToString(d[:]) }
+
+// failWith matches an error of the kind and outcome.
+func failWith(kind fault.Kind, outcome openai.Outcome) types.GomegaMatcher {
+	return WithTransform(func(err error) string {
+		if err == nil {
+			return "no error"
+		}
+		return string(fault.As(err).Kind) + " " + string(fault.As(err).Outcome)
+	}, Equal(string(kind)+" "+string(outcome)))
+}
+
+func replayed(r port.ServiceResponse) bool { return r.Header.Get(servicepath.ReplayedHeader) == "true" }
+
+var _ = Describe("a call that is not repeatable", func() {
+	var (
+		w    *world
+		a, b *instance
+		s    *service.Service
+		ctx  = context.Background()
+	)
+	BeforeEach(func() {
+		w = newWorld()
+		a, b = w.instance("a"), w.instance("b")
+		s, _ = w.service("s1")
+	})
+	// watchedLongEnough lets both instances watch the fleet for longer than the memory of claims.
+	watchedLongEnough := func() {
+		for _, i := range []*instance{a, b} {
+			stopped, stop := context.WithCancel(ctx)
+			stop()
+			i.path.Run(stopped)
+		}
+		w.advance(claim.MemoryTime + time.Second)
+	}
+
+	It("runs once, and repeats through any instance get the stored answer without a charge", func() {
+		first, err := a.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		again, err := b.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Body).To(Equal(first.Body))
+		Expect([]bool{replayed(first), replayed(again)}).To(Equal([]bool{false, true}))
+		_, err = b.book(ctx, "k", "other")
+		Expect(err).To(failWith(fault.KeyReused, openai.NotRun))
+		Expect([]int{s.Count("b1"), s.Count("other")}).To(Equal([]int{1, 0}))
+		Expect(w.charged).To(Equal(int64(5)))
+	})
+
+	It("shows the endpoint no credentials", func() {
+		resp, err := a.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(resp.Body)).To(ContainSubstring(`"path":"/slots?day=2"`))
+		seen := s.Headers()[0]
+		seen.Del("X-Hlc")
+		Expect(seen).To(HaveLen(4), "%v", seen) // Accept, Connection, Content-Length, X-Request-Id
+		Expect(seen.Get("Accept")).To(Equal("a/b"))
+	})
+
+	It("needs an idempotency key", func() {
+		_, err := a.book(ctx, "", "b1")
+		Expect(err).To(failWith(fault.MissingKey, openai.NotRun))
+	})
+
+	It("does not run again when the instance was killed after the claim and before the send", func() {
+		killed, kill := context.WithCancel(ctx)
+		w.afterMake = func() { a.killed.Store(true); kill() }
+		_, err := a.book(killed, "k", "b1")
+		Expect(err).To(HaveOccurred())
+		w.afterMake = nil
+		_, err = b.book(ctx, "k", "b1")
+		Expect(err).To(failWith(fault.Conflict, openai.Unknown))
+		Expect(s.Count("b1")).To(BeZero())
+	})
+
+	It("is not sent by a claimant that was paused after the claim, and its claim is released", func() {
+		w.afterMake = func() { w.advance(claim.SendWindow + time.Millisecond) }
+		_, err := a.book(ctx, "k", "b1")
+		Expect(err).To(failWith(fault.Timeout, openai.NotRun))
+		Expect(s.Count("b1")).To(BeZero())
+		Expect(w.claims()).To(BeZero())
+		w.afterMake = nil
+		_, err = b.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Count("b1")).To(Equal(1))
+	})
+
+	It("has an unknown outcome when the service dies after running, for repeats too", func() {
+		s2, _ := w.service("s2")
+		s.SetFaults(service.Faults{DieAfterRun: true})
+		s2.SetFaults(service.Faults{DieAfterRun: true})
+		_, err := a.book(ctx, "k", "b1")
+		Expect(err).To(failWith(fault.EndpointFailed, openai.Unknown))
+		_, err = b.book(ctx, "k", "b1")
+		Expect(err).To(failWith(fault.Conflict, openai.Unknown))
+		Expect(s.Count("b1") + s2.Count("b1")).To(Equal(1))
+	})
+
+	It("has an unknown outcome when the connection is cut before the service reads the body", func() {
+		s.SetFaults(service.Faults{DropBeforeReading: 1})
+		_, err := a.book(ctx, "k", "b1")
+		Expect(err).To(failWith(fault.EndpointFailed, openai.Unknown))
+	})
+
+	It("goes to another endpoint only if the connection cannot be made, and is not_run if none can", func() {
+		s2, web := w.service("s2")
+		web.Close()
+		for n, k := range []string{"k0", "k1", "k2", "k3"} {
+			_, err := a.book(ctx, k, "b1")
+			Expect(err).NotTo(HaveOccurred(), "call %d", n)
+		}
+		Expect([]int{s.Count("b1"), s2.Count("b1")}).To(Equal([]int{4, 0}))
+		w.endpoints = w.endpoints[1:]
+		claims := w.claims()
+		_, err := a.book(ctx, "k9", "b9")
+		Expect(err).To(failWith(fault.EndpointFailed, openai.NotRun))
+		Expect(w.claims()).To(Equal(claims))
+	})
+
+	It("uses a fresh connection when the pooled ones are silent", func() {
+		_, err := a.call(ctx, true, http.MethodGet, "/balance", "", "")
+		Expect(err).NotTo(HaveOccurred())
+		s.SetFaults(service.Faults{Silent: true})
+		_, err = a.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Count("b1")).To(Equal(1))
+	})
+
+	It("runs once when the replies of the claim's create and complete are lost", func() {
+		w.loseReply["create"], w.loseReply["replace"] = 1, 1
+		_, err := a.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		again, err := b.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(replayed(again)).To(BeTrue())
+		Expect(s.Count("b1")).To(Equal(1))
+	})
+
+	It("runs once when it comes through two instances at the same time", func() {
+		s.SetFaults(service.Faults{SlowMS: 20})
+		results := make([]error, 8)
+		var wg sync.WaitGroup
+		for n := range results {
+			wg.Go(func() { _, results[n] = []*instance{a, b}[n%2].book(ctx, "k", "b1") })
+		}
+		wg.Wait()
+		Expect(s.Count("b1")).To(Equal(1))
+		Expect(results).To(ContainElement(BeNil()))
+		Expect(results).To(HaveEach(Or(BeNil(), failWith(fault.Conflict, openai.Unknown))))
+	})
+
+	It("says not_run in a platform outage only if the whole fleet remembers that nobody sent it", func() {
+		sent := func() { _, err := a.book(ctx, "k", "b1"); Expect(err).NotTo(HaveOccurred()) }
+		outage := func(i *instance, k string) error {
+			w.down = true
+			defer func() { w.down = false }()
+			_, err := i.book(ctx, k, k)
+			return err
+		}
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.Unknown), "started less than 10 minutes ago")
+		watchedLongEnough()
+		sent()
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.NotRun))
+		Expect(outage(a, "k")).To(failWith(fault.PlatformDown, openai.Unknown), "sent by itself")
+		Expect(outage(b, "k")).To(failWith(fault.PlatformDown, openai.Unknown), "sent by a peer")
+		w.advance(claim.MemoryTime - time.Second)
+		Expect(outage(b, "k")).To(failWith(fault.PlatformDown, openai.Unknown), "sent within 10 minutes")
+		members := w.alive
+		w.alive = members[1:]
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.Unknown), "a member was lost")
+		w.alive = members
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.Unknown), "a member was lost and came back")
+		w.alive = members[1:]
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.Unknown), "a member was lost again")
+		w.advance(claim.MemoryTime + time.Second)
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.Unknown), "a listed member is out of reach")
+		w.alive = members
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.NotRun))
+		w.alive = append(members[:2:2], peer.Member{MemberID: peer.MemberID{Name: "c"}, Address: "c"})
+		Expect(outage(b, "new")).To(failWith(fault.PlatformDown, openai.Unknown), "a member does not answer")
+		Expect([]int{s.Count("new"), s.Count("b1")}).To(Equal([]int{0, 1}))
+	})
+
+	It("is not told not_run by a refusal of its repeat after it ran", func() {
+		s.SetFaults(service.Faults{DieAfterRun: true})
+		_, err := a.book(ctx, "k", "b1")
+		Expect(err).To(HaveOccurred())
+		w.admitErr = fault.New(fault.RateLimited, "rate")
+		_, err = b.book(ctx, "k", "b1")
+		Expect(err).To(failWith(fault.Conflict, openai.Unknown))
+		_, err = b.book(ctx, "k2", "b2")
+		Expect(err).To(failWith(fault.RateLimited, openai.NotRun))
+		Expect([]int{s.Count("b1"), s.Count("b2")}).To(Equal([]int{1, 0}))
+	})
+
+	It("ends when its key is withdrawn: not_run while it waits, unknown once it was sent, and its answer is kept", func() {
+		w.admitWait = make(chan struct{})
+		result := make(chan error, 1)
+		book := func(k string) { _, err := a.book(ctx, k, k); result <- err }
+		go book("waits")
+		Eventually(w.admitWait, limit).Should(Receive())
+		w.apply(config.New(2, catalogueWith("other")))
+		Eventually(result, limit).Should(Receive(failWith(fault.KeyWithdrawn, openai.NotRun)))
+		w.admitWait = nil
+		w.apply(config.New(3, catalogueWith(key)))
+		s.SetFaults(service.Faults{LateReplyMS: 300})
+		go book("sent")
+		Eventually(func() int { return s.Count("sent") }, limit).Should(Equal(1))
+		w.apply(config.New(4, catalogueWith("other")))
+		Eventually(result, limit).Should(Receive(failWith(fault.KeyWithdrawn, openai.Unknown)))
+		Expect(a.path.Wait(ctx)).To(Succeed())
+		w.apply(config.New(5, catalogueWith(key)))
+		again, err := b.book(ctx, "sent", "sent")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(replayed(again)).To(BeTrue())
+		Expect([]int{s.Count("waits"), s.Count("sent")}).To(Equal([]int{0, 1}))
+	})
+
+	It("has its claim deleted after 24 hours", func() {
+		_, err := a.book(ctx, "k", "b1")
+		Expect(err).NotTo(HaveOccurred())
+		w.advance(claim.KeepTime - time.Second)
+		a.path.Sweep(ctx)
+		Expect(w.claims()).To(Equal(1))
+		w.advance(2 * time.Second)
+		a.path.Sweep(ctx)
+		Expect(w.claims()).To(BeZero())
+	})
+})
+
+var _ = Describe("a repeatable call", func() {
+	It("is answered by a fresh connection or another endpoint when one is silent, cut or dead", func() {
+		w := newWorld()
+		a := w.instance("a")
+		s1, _ := w.service("s1")
+		get := func() error {
+			_, err := a.call(context.Background(), true, http.MethodGet, "/balance", "", "")
+			return err
+		}
+		s1.SetFaults(service.Faults{SlowMS: 50})
+		var pooled sync.WaitGroup
+		for range 4 {
+			pooled.Go(func() { _ = get() })
+		}
+		pooled.Wait()
+		s1.SetFaults(service.Faults{Silent: true})
+		Expect(get()).To(Succeed())
+		s1.SetFaults(service.Faults{DropBeforeReading: 1})
+		Expect(get()).To(Succeed())
+		_, web := w.service("s2")
+		web.Close()
+		for range 4 {
+			Expect(get()).To(Succeed())
+		}
+		w.endpoints = w.endpoints[1:]
+		Expect(get()).To(failWith(fault.EndpointFailed, openai.NotRun))
+		w.endpoints = nil
+		Expect(get()).To(failWith(fault.NoEndpoint, openai.NotRun))
+	})
+})
--- /dev/null
+++ b/router/internal/domain/claim/fleet.go
@@ -0,0 +1,61 @@
+package claim
+
+import (
+	"sync"
+	"time"
+
+	"tanagerwood.dev/api/peer"
+)
+
+// Fleet watches the live members, to tell whether one that may have sent a call is out of reach. Times are on the
+// boot-time clock. It is safe for concurrent use.
+type Fleet struct {
+	mu      sync.Mutex
+	started time.Duration
+	seen    bool
+	alive   map[string]uint64
+	lostAt  time.Duration
+	lost    bool
+}
+
+// NewFleet returns a Fleet that has seen nobody.
+func NewFleet() *Fleet { return &Fleet{alive: make(map[string]uint64)} }
+
+// Observe notes the live members at now.
+func (f *Fleet) Observe(now time.Duration, members []peer.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.seen {
+		f.seen, f.started = true, now
+	}
+	next := make(map[string]uint64, len(members))
+	for _, m := range members {
+		next[m.Name] = m.Incarnation
+	}
+	for name, incarnation := range f.alive {
+		if next[name] != incarnation {
+			f.lost, f.lostAt = true, now
+		}
+	}
+	f.alive = next
+}
+
+// Complete reports whether the live members are all that may have sent a call within MemoryTime: the fleet was watched
+// for that long, nobody was lost or replaced meanwhile, and every router that the platform listed last is alive. A
+// listed router that is not alive may be cut off from here only, and go on sending.
+func (f *Fleet) Complete(now time.Duration, listed []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.seen || now-f.started <= MemoryTime {
+		return false
+	}
+	if f.lost && now-f.lostAt <= MemoryTime {
+		return false
+	}
+	for _, name := range listed {
+		if _, alive := f.alive[name]; !alive {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/router/internal/domain/claim/memory.go
@@ -0,0 +1,67 @@
+package claim
+
+import (
+	"sync"
+	"time"
+)
+
+// Memory holds the claims that this instance is working on or has sent within MemoryTime. Times are on the boot-time
+// clock. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	pending map[string]int
+	sent    map[string]time.Duration
+	sweepAt int
+}
+
+// sweepSize is the number of remembered claims from which expired ones are removed.
+const sweepSize = 1024
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory {
+	return &Memory{pending: make(map[string]int), sent: make(map[string]time.Duration), sweepAt: sweepSize}
+}
+
+// Begin notes that the claim may be sent from now on. It must come before the claim is made.
+func (m *Memory) Begin(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pending[name]++
+}
+
+// End notes that the work on the claim ended at now, and whether a byte may have left.
+func (m *Memory) End(name string, sent bool, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pending[name]--; m.pending[name] <= 0 {
+		delete(m.pending, name)
+	}
+	if sent {
+		m.sent[name] = now
+		m.sweep(now)
+	}
+}
+
+// MayHaveSent reports whether the instance has sent the call of the claim or may still send it. Own is how much work on
+// the same claim the asker does itself.
+func (m *Memory) MayHaveSent(name string, own int, now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pending[name] > own {
+		return true
+	}
+	at, ok := m.sent[name]
+	return ok && now-at <= MemoryTime
+}
+
+func (m *Memory) sweep(now time.Duration) {
+	if len(m.sent) < m.sweepAt {
+		return
+	}
+	for name, at := range m.sent {
+		if now-at > MemoryTime {
+			delete(m.sent, name)
+		}
+	}
+	m.sweepAt = max(sweepSize, 2*len(m.sent))
+}
