--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -267,8 +267,12 @@
 	return fault.Wrap(err, fault.EndpointFailed, outcome, "the connection to the engine failed; another endpoint is tried")
 }
 
-// kvCodePrefix begins the error codes that say that the KV cache of the prefill could not be had.
-const kvCodePrefix = "kv_"
+const (
+	// kvCodePrefix begins the error codes that say that the KV cache of the prefill could not be had.
+	kvCodePrefix = "kv_"
+	// codeWrongRole says that the engine's role was changed since the instance list was read. It is not the caller's fault.
+	codeWrongRole = "wrong_role"
+)
 
 // statusError types an answer other than 200. An engine refuses before it runs anything, except for 5xx other than 503.
 func statusError(resp *http.Response, ep port.Endpoint) error {
@@ -281,6 +285,8 @@
 	switch {
 	case resp.StatusCode == http.StatusGone || strings.HasPrefix(body.Error.Code, kvCodePrefix):
 		return fault.New(fault.NotFound, message)
+	case body.Error.Code == codeWrongRole:
+		return fault.New(fault.EndpointRefused, message)
 	case resp.StatusCode == http.StatusBadRequest, resp.StatusCode == http.StatusUnprocessableEntity,
 		resp.StatusCode == http.StatusRequestEntityTooLarge:
 		return fault.New(fault.BadRequest, message)
--- a/router/internal/adapter/enginehttp/enginehttp_test.go
+++ b/router/internal/adapter/enginehttp/enginehttp_test.go
@@ -229,6 +229,7 @@
 			Expect(fault.As(err).Outcome).To(Equal(outcome))
 		},
 		Entry("wrong request", 400, "", fault.BadRequest, openai.NotRun),
+		Entry("changed role", 400, `{"error":{"message":"x","code":"wrong_role"}}`, fault.EndpointRefused, openai.NotRun),
 		Entry("full", 429, "", fault.EndpointRefused, openai.NotRun),
 		Entry("stopping", 503, "", fault.EndpointRefused, openai.NotRun),
 		Entry("expired KV cache", 410, "", fault.NotFound, openai.NotRun),
--- a/router/internal/app/modelpath/attempt.go
+++ b/router/internal/app/modelpath/attempt.go
@@ -25,6 +25,15 @@
 func (e *attemptError) Error() string { return e.cause.Error() }
 func (e *attemptError) Unwrap() error { return e.cause }
 
+// forCaller is the error as callers see it: a bad gateway or a timeout, without the names of engines.
+func (e *attemptError) forCaller() *fault.Error {
+	kind := fault.EndpointFailed
+	if fault.Is(e.cause, fault.Timeout) {
+		kind = fault.Timeout
+	}
+	return fault.Wrap(e.cause, kind, openai.Unknown, "the model's engines failed and no further attempt is allowed; repeat the request after Retry-After")
+}
+
 // silent is implemented by errors of connections that went silent while the endpoint may be well.
 type silent interface{ SilentConnection() bool }
 
--- a/router/internal/app/modelpath/path.go
+++ b/router/internal/app/modelpath/path.go
@@ -231,18 +231,22 @@
 		return typed.WithOutcome(r.cutOutcome())
 	}
 	typed := fault.As(err)
+	var failed *attemptError
 	switch {
 	case typed.Kind == fault.CallerGone:
 		return typed.WithOutcome(r.cutOutcome())
-	case r.next > 0:
+	case typed.Kind == fault.BadRequest && r.next == 0:
+		return typed.WithOutcome(openai.Unknown) // the engine read it
+	case errors.As(err, &failed):
+		typed = failed.forCaller()
+	}
+	if r.next > 0 {
 		return typed.WithOutcome(openai.Partial)
-	case typed.Kind == fault.BadRequest:
-		return typed
-	case r.sent:
-		return typed.WithOutcome(openai.Unknown).WithRetryAfter(retryAfterFailure)
-	default:
-		return typed
 	}
+	if r.sent {
+		return typed.WithOutcome(openai.Unknown).WithRetryAfter(max(typed.RetryAfter, retryAfterFailure))
+	}
+	return typed
 }
 
 func (r *run) cutOutcome() openai.Outcome {
--- a/router/internal/app/modelpath/path_test.go
+++ b/router/internal/app/modelpath/path_test.go
@@ -192,6 +192,7 @@
 			w.engine.prefills = []behaviour{{refuse: fault.New(fault.BadRequest, "too long")}}
 			_, err := w.serve(context.Background())
 			Expect(fault.As(err).Kind).To(Equal(fault.BadRequest))
+			Expect(fault.As(err).Outcome).To(Equal(openai.Unknown)) // a byte reached an endpoint
 			Expect(w.count(modelpath.MetricAttempts)).To(Equal(int64(1)))
 		})
 	})
--- a/router/internal/app/placement/random.go
+++ b/router/internal/app/placement/random.go
@@ -23,14 +23,23 @@
 	return pair{prefill: prefill, decode: decode}, nil
 }
 
+// pick avoids excluded endpoints as long as there are others.
 func (r Random) pick(job modelpath.Job, role platform.InstanceRole) (port.Endpoint, bool) {
-	var candidates []port.Endpoint
+	var candidates, excluded []port.Endpoint
 	for _, ep := range r.Config.Endpoints() {
 		pool, ok := r.Config.Current().Pool(ep.Pool)
-		if ok && ep.Role == role && pool.Model == job.Model.Name && !ep.Leaving && !job.Exclude[ep.Name] {
+		if !ok || ep.Role != role || pool.Model != job.Model.Name || ep.Leaving {
+			continue
+		}
+		if job.Exclude[ep.Name] {
+			excluded = append(excluded, ep)
+		} else {
 			candidates = append(candidates, ep)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = excluded
+	}
 	if len(candidates) == 0 {
 		return port.Endpoint{}, false
 	}
