Run the whole path as separate processes

Cause: the parts existed side by side; nothing connected them, so no request could be served. Ruled out: the drain machine and the callers' server providing each other lazily per request (samber/do reports a circular dependency at the first request); one shared call type in the adapter (the application would import it).

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -78,11 +78,11 @@
 
 // ConfirmRequest asks a peer whether the sender may go on using its shares.
 type ConfirmRequest struct {
-	From       MemberID `json:"from"`
+	From MemberID `json:"from"`
 	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
 	// the answer to another message.
-	Request uint64 `json:"request"`
-	Generation uint64   `json:"generation"`
+	Request    uint64 `json:"request"`
+	Generation uint64 `json:"generation"`
 }
 
 // ConfirmReply answers a ConfirmRequest.
@@ -99,10 +99,10 @@
 
 // RemovalRequest asks a peer to agree that a member is removed from the roster.
 type RemovalRequest struct {
-	From       MemberID `json:"from"`
+	From MemberID `json:"from"`
 	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
 	// the answer to another message.
-	Request uint64 `json:"request"`
+	Request    uint64   `json:"request"`
 	Generation uint64   `json:"generation"`
 	Remove     MemberID `json:"remove"`
 }
@@ -111,8 +111,8 @@
 type RemovalReply struct {
 	// Request is the number of the message that this answers.
 	Request uint64 `json:"request"`
-	Agreed bool   `json:"agreed"`
-	Reason string `json:"reason,omitempty"`
+	Agreed  bool   `json:"agreed"`
+	Reason  string `json:"reason,omitempty"`
 }
 
 // Snapshot is the newest configuration a peer has, for instances that cannot read it from the platform.
@@ -124,20 +124,20 @@
 
 // LoanRequest asks a holder for tokens of a customer.
 type LoanRequest struct {
-	From     MemberID `json:"from"`
+	From MemberID `json:"from"`
 	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
 	// the answer to another message.
-	Request uint64 `json:"request"`
-	Customer string   `json:"customer"`
-	Tokens   int64    `json:"tokens"`
+	Request  uint64 `json:"request"`
+	Customer string `json:"customer"`
+	Tokens   int64  `json:"tokens"`
 }
 
 // LoanReply gives tokens for use in one request, within the loan's validity counted from the sending of LoanRequest.
 type LoanReply struct {
 	// Request is the number of the message that this answers.
 	Request uint64 `json:"request"`
-	LoanID uint64 `json:"loanId"`
-	Tokens int64  `json:"tokens"`
+	LoanID  uint64 `json:"loanId"`
+	Tokens  int64  `json:"tokens"`
 	// Level is what the holder has left.
 	Level int64 `json:"level"`
 }
--- a/router/internal/adapter/callers/callers_test.go
+++ b/router/internal/adapter/callers/callers_test.go
@@ -23,6 +23,7 @@
 	"tanagerwood.dev/router/internal/adapter/callers"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
@@ -101,9 +102,9 @@
 	return modelpath.Result{Usage: openai.Usage{PromptTokens: 7, CompletionTokens: n, TotalTokens: 7 + n}, FinishReason: "stop"}, nil
 }
 
-type fakeService struct{ seen *callers.Call }
+type fakeService struct{ seen *servicepath.Call }
 
-func (s *fakeService) Handle(_ context.Context, call callers.Call) (port.ServiceResponse, error) {
+func (s *fakeService) Handle(_ context.Context, call servicepath.Call) (port.ServiceResponse, error) {
 	s.seen = &call
 	return port.ServiceResponse{Status: http.StatusCreated, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("booked")}, nil
 }
--- a/router/internal/adapter/callers/handler.go
+++ b/router/internal/adapter/callers/handler.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"tanagerwood.dev/api/catalogue"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
@@ -40,25 +40,9 @@
 	Serve(ctx context.Context, req *modelpath.Request, sink modelpath.Sink) (modelpath.Result, error)
 }
 
-// Call is one call of a plain service.
-type Call struct {
-	Route *catalogue.Route
-	// Customer is nil on open routes.
-	Customer  *config.Customer
-	KeyDigest config.Digest
-	Method    string
-	// Path includes the query without credentials.
-	Path string
-	// Header holds the caller's headers without credentials.
-	Header         http.Header
-	Body           []byte
-	IdempotencyKey string
-	RequestID      string
-}
-
 // ServicePath serves calls of plain services.
 type ServicePath interface {
-	Handle(ctx context.Context, call Call) (port.ServiceResponse, error)
+	Handle(ctx context.Context, call servicepath.Call) (port.ServiceResponse, error)
 }
 
 // Deps are the parts that a handler works with.
--- a/router/internal/adapter/callers/other.go
+++ b/router/internal/adapter/callers/other.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -55,7 +56,7 @@
 	if !ok || h.Service == nil {
 		return fault.New(fault.NotFound, "no route matches the path; see the catalogue's routes")
 	}
-	call := Call{Route: route, Method: r.Method, RequestID: id, IdempotencyKey: r.Header.Get(headerIdempotencyKey)}
+	call := servicepath.Call{Route: route, Method: r.Method, RequestID: id, IdempotencyKey: r.Header.Get(headerIdempotencyKey)}
 	if !route.Open {
 		var err error
 		if call.Customer, call.KeyDigest, err = authenticate(r, s); err != nil {
--- /dev/null
+++ b/router/internal/app/quotasync/shares.go
@@ -0,0 +1,39 @@
+package quotasync
+
+import (
+	"cmp"
+	"slices"
+
+	"tanagerwood.dev/router/internal/domain/quota"
+)
+
+// Holding is what this instance holds of one customer.
+type Holding struct {
+	Customer string
+	Share    quota.Share
+	// Level is the number of tokens that can be taken now, Reserved what is lent or set aside.
+	Level    int64
+	Reserved int64
+}
+
+// Holdings lists the customers that were seen lately, in order of name.
+func (a *Admission) Holdings() []Holding {
+	var list []Holding
+	a.accounts.Range(func(_, value any) bool {
+		acct := value.(*account)
+		acct.mu.Lock()
+		defer acct.mu.Unlock()
+		if acct.bucket == nil || acct.evicted {
+			return true
+		}
+		list = append(list, Holding{
+			Customer: acct.name,
+			Share:    acct.bucket.Share(),
+			Level:    acct.bucket.Level(a.Clock.Boot()),
+			Reserved: acct.bucket.Reserved(),
+		})
+		return true
+	})
+	slices.SortFunc(list, func(a, b Holding) int { return cmp.Compare(a.Customer, b.Customer) })
+	return list
+}
--- a/router/internal/app/servicepath/open.go
+++ b/router/internal/app/servicepath/open.go
@@ -14,6 +14,9 @@
 // errWithdrawn is the cause of a context that ended because the caller's key was withdrawn.
 var errWithdrawn = errors.New("the key was withdrawn")
 
+// errCutOff is the cause of a context that ended because a planned stop reached its time limit.
+var errCutOff = errors.New("the instance stops and the call did not finish in time")
+
 // openCalls knows the calls that are being carried, to end those whose key is withdrawn.
 type openCalls struct {
 	mu    sync.Mutex
@@ -21,6 +24,8 @@
 }
 
 type openCall struct {
+	// keyless calls came on open routes, where no key can be withdrawn.
+	keyless  bool
 	digest   config.Digest
 	customer string
 	cancel   context.CancelCauseFunc
@@ -28,13 +33,10 @@
 
 func newOpenCalls() *openCalls { return &openCalls{calls: make(map[*openCall]struct{})} }
 
-// enter registers the call until done is called. Calls on open routes are not registered.
+// enter registers the call until done is called.
 func (o *openCalls) enter(ctx context.Context, c *Call, cfg port.Config) (_ context.Context, done func()) {
-	if c.Customer == nil {
-		return ctx, func() {}
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	entry := &openCall{digest: c.KeyDigest, customer: c.Customer.Name, cancel: cancel}
+	entry := &openCall{keyless: c.Customer == nil, digest: c.KeyDigest, customer: c.customerName(), cancel: cancel}
 	o.mu.Lock()
 	o.calls[entry] = struct{}{}
 	o.mu.Unlock()
@@ -56,7 +58,24 @@
 	}
 }
 
+func (o *openCalls) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.calls)
+}
+
+func (o *openCalls) cutOff() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for entry := range o.calls {
+		entry.cancel(errCutOff)
+	}
+}
+
 func (c *openCall) check(s *config.Snapshot) {
+	if c.keyless {
+		return
+	}
 	if customer, ok := s.CustomerByKey(c.digest); !ok || customer.Name != c.customer {
 		c.cancel(errWithdrawn)
 	}
@@ -74,5 +93,8 @@
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		return fault.Wrap(err, fault.KeyWithdrawn, outcome, "the key was withdrawn; use another key of the customer")
 	}
+	if errors.Is(context.Cause(ctx), errCutOff) {
+		return fault.Wrap(err, fault.Draining, outcome, "the instance stops and the call did not finish in time; ask another instance")
+	}
 	return fault.Wrap(err, fault.CallerGone, outcome, "the caller ended the call")
 }
--- a/router/internal/app/servicepath/path.go
+++ b/router/internal/app/servicepath/path.go
@@ -194,6 +194,13 @@
 	return peer.ClaimsReply{Sent: p.memory.MayHaveSent(m.Claim, 0, p.Clock.Boot())}
 }
 
+// Open is the number of calls that are being carried for callers.
+func (p *Path) Open() int { return p.open.count() }
+
+// CutOff ends the calls that are being carried. A call that was sent and is not repeatable goes on without its caller
+// until its claim is completed; Wait waits for these.
+func (p *Path) CutOff() { p.open.cutOff() }
+
 // Wait returns when calls that go on after their callers are gone have ended, or when ctx ends.
 func (p *Path) Wait(ctx context.Context) error {
 	done := make(chan struct{})
--- /dev/null
+++ b/router/internal/instance/adapters.go
@@ -0,0 +1,83 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/adapter/operators"
+	"tanagerwood.dev/router/internal/app/membership"
+	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/quotasync"
+	"tanagerwood.dev/router/internal/app/reservations"
+	"tanagerwood.dev/router/internal/app/servicepath"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// openRequests counts and ends the requests of both paths.
+type openRequests struct {
+	models   *modelpath.Registry
+	services *servicepath.Path
+}
+
+// Open implements drain.Requests and operators.Requests.
+func (o *openRequests) Open() int { return int(o.models.Open()) + o.services.Open() }
+
+// EndAll implements drain.Requests.
+func (o *openRequests) EndAll() {
+	o.models.CutOff()
+	o.services.CutOff()
+}
+
+// Wait waits for calls that go on without their callers.
+func (o *openRequests) Wait(ctx context.Context) error { return o.services.Wait(ctx) }
+
+// announcer makes the heartbeats of a planned stop say so.
+type announcer struct{ *membership.Service }
+
+// AnnounceDraining implements drain.Announcer.
+func (a announcer) AnnounceDraining() { a.Drain() }
+
+// shares shows the shares that this instance holds.
+type shares struct{ *quotasync.Admission }
+
+// Shares implements operators.Shares.
+func (s shares) Shares() []operators.Share {
+	return lo.Map(s.Holdings(), func(h quotasync.Holding, _ int) operators.Share {
+		return operators.Share{
+			Customer: h.Customer, Rate: h.Share.Rate, Burst: h.Share.Burst,
+			Level: float64(h.Level), Lent: float64(h.Reserved),
+		}
+	})
+}
+
+// peerReservations answers peers' messages about reservations.
+type peerReservations struct{ *reservations.Service }
+
+// ReceiveReserve implements peerhttp.Reservations.
+func (r peerReservations) ReceiveReserve(ctx context.Context, m peer.ReserveRequest) (peer.ReserveReply, error) {
+	return r.HandleReserve(ctx, m), nil
+}
+
+// ReceiveRelease implements peerhttp.Reservations.
+func (r peerReservations) ReceiveRelease(_ context.Context, m peer.ReleaseRequest) error {
+	r.HandleRelease(m)
+	return nil
+}
+
+// peerClaims answers peers' questions about claims.
+type peerClaims struct{ *servicepath.Path }
+
+// ReceiveClaims implements peerhttp.Claims.
+func (c peerClaims) ReceiveClaims(_ context.Context, m peer.ClaimsRequest) (peer.ClaimsReply, error) {
+	return c.Claims(m), nil
+}
+
+// canceller cancels attempts in the background.
+type canceller struct{ engine port.Engine }
+
+// Cancel implements modelpath.Canceller.
+func (c canceller) Cancel(ep port.Endpoint, attempt string) {
+	go func() { _ = c.engine.Cancel(context.Background(), ep, attempt) }()
+}
--- /dev/null
+++ b/router/internal/instance/providers.go
@@ -0,0 +1,192 @@
+package instance
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/do/v2"
+
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/router/internal/adapter/clock"
+	"tanagerwood.dev/router/internal/adapter/enginehttp"
+	"tanagerwood.dev/router/internal/adapter/peerhttp"
+	"tanagerwood.dev/router/internal/adapter/platformhttp"
+	"tanagerwood.dev/router/internal/adapter/servicehttp"
+	"tanagerwood.dev/router/internal/adapter/statelog"
+	"tanagerwood.dev/router/internal/app/configsync"
+	"tanagerwood.dev/router/internal/app/loads"
+	"tanagerwood.dev/router/internal/app/membership"
+	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/placement"
+	"tanagerwood.dev/router/internal/app/quotasync"
+	"tanagerwood.dev/router/internal/app/reservations"
+	"tanagerwood.dev/router/internal/app/servicepath"
+	"tanagerwood.dev/router/internal/domain/prefix"
+	"tanagerwood.dev/router/internal/port"
+	"tanagerwood.dev/router/internal/settings"
+)
+
+// prefixBlocks bounds the prefix index: at 1 KiB of prompt a block it covers 64 MiB of distinct prompt text.
+const prefixBlocks = 1 << 16
+
+func newInjector(o Options) do.Injector {
+	injector := do.New()
+	do.ProvideValue(injector, o)
+	do.ProvideValue(injector, o.Settings)
+	do.ProvideValue(injector, metrics.NewRegistry())
+	do.ProvideValue[port.Clock](injector, clock.System{})
+	do.ProvideValue(injector, newSelf(o.Settings, time.Now()))
+	provideAdapters(injector)
+	provideShared(injector)
+	providePaths(injector)
+	provideServers(injector)
+	return injector
+}
+
+// newSelf names this life of the instance. A restarted process has a greater incarnation as long as the wall clock does
+// not go back by more than the time between the starts.
+func newSelf(s *settings.Settings, now time.Time) peer.Member {
+	return peer.Member{
+		MemberID: peer.MemberID{Name: s.Instance, Incarnation: uint64(now.UnixNano())},
+		Address:  s.PeerURL,
+		Domain:   s.Domain,
+	}
+}
+
+func provideAdapters(injector do.Injector) {
+	do.Provide(injector, func(i do.Injector) (*event.Log, error) {
+		s, self := do.MustInvoke[*settings.Settings](i), do.MustInvoke[peer.Member](i)
+		incarnation := strconv.FormatUint(self.Incarnation, 10)
+		return event.NewLog(self.Name, incarnation, s.EventCapacity, time.Now), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*statelog.Recorder, error) {
+		return statelog.NewRecorder(do.MustInvoke[*event.Log](i), do.MustInvoke[Options](i).Logger), nil
+	})
+	do.Provide(injector, func(i do.Injector) (port.EventLog, error) { return do.MustInvoke[*statelog.Recorder](i), nil })
+	do.Provide(injector, func(i do.Injector) (port.Platform, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		return platformhttp.New(platformhttp.Options{
+			BaseURL: s.PlatformURL, Token: s.PlatformToken, Events: do.MustInvoke[*event.Log](i),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*peerhttp.Client, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		timeouts := peerhttp.DefaultTimeouts()
+		return peerhttp.NewClient(s.PeerToken, timeouts, do.MustInvoke[*event.Log](i), peerhttp.NewTransport()), nil
+	})
+	do.Provide(injector, func(i do.Injector) (port.Peers, error) { return do.MustInvoke[*peerhttp.Client](i), nil })
+	do.Provide(injector, func(i do.Injector) (port.Engine, error) {
+		return enginehttp.New(enginehttp.Options{}, do.MustInvoke[*event.Log](i)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*servicehttp.Client, error) {
+		return servicehttp.New(do.MustInvoke[*event.Log](i)), nil
+	})
+}
+
+// provideShared provides what the request paths share: configuration, membership, admission, loads and reservations.
+func provideShared(injector do.Injector) {
+	do.Provide(injector, func(i do.Injector) (*configsync.Sync, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		return configsync.New(configsync.Options{
+			Instance: s.Instance,
+			Seeds:    s.Seeds,
+			Self:     s.PeerURL,
+			Platform: do.MustInvoke[port.Platform](i),
+			Peers:    do.MustInvoke[port.Peers](i),
+			Events:   do.MustInvoke[port.EventLog](i),
+			Metrics:  do.MustInvoke[metrics.Registry](i),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (port.Config, error) { return do.MustInvoke[*configsync.Sync](i), nil })
+	do.Provide(injector, func(i do.Injector) (*membership.Service, error) {
+		self, s := do.MustInvoke[peer.Member](i), do.MustInvoke[*settings.Settings](i)
+		return membership.New(membership.Settings{Self: self, Seeds: s.Seeds, RandomSeed: self.Incarnation}, membership.Dependencies{
+			Platform: do.MustInvoke[port.Platform](i),
+			Peers:    do.MustInvoke[port.Peers](i),
+			Clock:    do.MustInvoke[port.Clock](i),
+			Config:   do.MustInvoke[port.Config](i),
+			Events:   do.MustInvoke[port.EventLog](i),
+			Metrics:  do.MustInvoke[metrics.Registry](i),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (port.Membership, error) { return do.MustInvoke[*membership.Service](i), nil })
+	do.Provide(injector, func(i do.Injector) (*quotasync.Admission, error) {
+		return quotasync.New(quotasync.Dependencies{
+			Members: do.MustInvoke[*membership.Service](i),
+			Lenders: do.MustInvoke[port.Peers](i),
+			Clock:   do.MustInvoke[port.Clock](i),
+			Config:  do.MustInvoke[port.Config](i),
+			Events:  do.MustInvoke[port.EventLog](i),
+			Metrics: do.MustInvoke[metrics.Registry](i),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (port.Admission, error) { return do.MustInvoke[*quotasync.Admission](i), nil })
+	do.Provide(injector, func(do.Injector) (*prefix.Index, error) { return prefix.New(prefixBlocks), nil })
+	do.Provide(injector, func(i do.Injector) (*loads.Poller, error) {
+		self := do.MustInvoke[peer.Member](i)
+		return loads.New(loads.Deps{
+			Config: do.MustInvoke[port.Config](i),
+			Engine: do.MustInvoke[port.Engine](i),
+			Clock:  do.MustInvoke[port.Clock](i),
+			Log:    do.MustInvoke[port.EventLog](i),
+			Index:  do.MustInvoke[*prefix.Index](i),
+			Self:   self.Name,
+			Domain: self.Domain,
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*reservations.Service, error) {
+		return reservations.New(reservations.Deps{
+			Membership: do.MustInvoke[port.Membership](i),
+			Peers:      do.MustInvoke[port.Peers](i),
+			Engine:     do.MustInvoke[port.Engine](i),
+			Loads:      do.MustInvoke[*loads.Poller](i),
+			Config:     do.MustInvoke[port.Config](i),
+			Clock:      do.MustInvoke[port.Clock](i),
+			Metrics:    do.MustInvoke[metrics.Registry](i),
+		}), nil
+	})
+}
+
+func providePaths(injector do.Injector) {
+	do.Provide(injector, func(do.Injector) (*modelpath.Registry, error) { return modelpath.NewRegistry(), nil })
+	do.Provide(injector, func(i do.Injector) (*modelpath.IDs, error) {
+		return modelpath.NewIDs(do.MustInvoke[peer.Member](i).MemberID), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*placement.Placer, error) {
+		return placement.New(placement.Deps{
+			Config:       do.MustInvoke[port.Config](i),
+			Loads:        do.MustInvoke[*loads.Poller](i),
+			Index:        do.MustInvoke[*prefix.Index](i),
+			Reservations: do.MustInvoke[*reservations.Service](i),
+			Clock:        do.MustInvoke[port.Clock](i),
+			Domain:       do.MustInvoke[peer.Member](i).Domain,
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*modelpath.Path, error) {
+		return modelpath.New(modelpath.Deps{
+			Config:    do.MustInvoke[port.Config](i),
+			Admission: do.MustInvoke[port.Admission](i),
+			Placer:    do.MustInvoke[*placement.Placer](i),
+			Engine:    do.MustInvoke[port.Engine](i),
+			Canceller: canceller{do.MustInvoke[port.Engine](i)},
+			Clock:     do.MustInvoke[port.Clock](i),
+			Log:       do.MustInvoke[port.EventLog](i),
+			Metrics:   do.MustInvoke[metrics.Registry](i),
+			Registry:  do.MustInvoke[*modelpath.Registry](i),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*servicepath.Path, error) {
+		return servicepath.New(servicepath.Deps{
+			Clock:      do.MustInvoke[port.Clock](i),
+			Config:     do.MustInvoke[port.Config](i),
+			Platform:   do.MustInvoke[port.Platform](i),
+			Peers:      do.MustInvoke[port.Peers](i),
+			Membership: do.MustInvoke[port.Membership](i),
+			Admission:  do.MustInvoke[port.Admission](i),
+			Service:    do.MustInvoke[*servicehttp.Client](i),
+			Events:     do.MustInvoke[port.EventLog](i),
+		}), nil
+	})
+}
--- /dev/null
+++ b/router/internal/instance/servers.go
@@ -0,0 +1,90 @@
+package instance
+
+import (
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/do/v2"
+
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/router/internal/adapter/callers"
+	"tanagerwood.dev/router/internal/adapter/operators"
+	"tanagerwood.dev/router/internal/adapter/peerhttp"
+	"tanagerwood.dev/router/internal/app/configsync"
+	"tanagerwood.dev/router/internal/app/drain"
+	"tanagerwood.dev/router/internal/app/membership"
+	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/quotasync"
+	"tanagerwood.dev/router/internal/app/reservations"
+	"tanagerwood.dev/router/internal/app/servicepath"
+	"tanagerwood.dev/router/internal/port"
+	"tanagerwood.dev/router/internal/settings"
+)
+
+// The three servers have types of their own, so that the injector tells them apart.
+type (
+	callerServer   struct{ *http.Server }
+	peerServer     struct{ *http.Server }
+	operatorServer struct{ *http.Server }
+)
+
+func provideServers(injector do.Injector) {
+	do.Provide(injector, func(i do.Injector) (*openRequests, error) {
+		return &openRequests{models: do.MustInvoke[*modelpath.Registry](i), services: do.MustInvoke[*servicepath.Path](i)}, nil
+	})
+	do.Provide(injector, func(i do.Injector) (*callerServer, error) {
+		handler := callers.New(callers.Deps{
+			Config:  do.MustInvoke[port.Config](i),
+			Models:  do.MustInvoke[*modelpath.Path](i),
+			Service: do.MustInvoke[*servicepath.Path](i),
+			IDs:     do.MustInvoke[*modelpath.IDs](i),
+			Clock:   do.MustInvoke[port.Clock](i),
+		})
+		return &callerServer{newServer(handler)}, nil
+	})
+	do.Provide(injector, func(i do.Injector) (*drain.Machine, error) {
+		s, server := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*callerServer](i)
+		machine := drain.New(drain.Options{
+			Notice:    s.DrainNotice,
+			Timeout:   s.DrainTimeout,
+			Announcer: announcer{do.MustInvoke[*membership.Service](i)},
+			Listener:  server,
+			Requests:  do.MustInvoke[*openRequests](i),
+			Roster:    do.MustInvoke[*membership.Service](i),
+			Events:    do.MustInvoke[port.EventLog](i),
+		})
+		server.Handler = machine.CloseConnections(server.Handler)
+		return machine, nil
+	})
+	do.Provide(injector, func(i do.Injector) (*peerServer, error) {
+		s, members := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*membership.Service](i)
+		handler := peerhttp.NewHandler(s.PeerToken, do.MustInvoke[*event.Log](i), peerhttp.Services{
+			Heartbeats:    members,
+			Confirmations: members,
+			Removals:      members,
+			Snapshots:     do.MustInvoke[*configsync.Sync](i),
+			Loans:         do.MustInvoke[*quotasync.Admission](i),
+			Reservations:  peerReservations{do.MustInvoke[*reservations.Service](i)},
+			Claims:        peerClaims{do.MustInvoke[*servicepath.Path](i)},
+		})
+		return &peerServer{newServer(handler)}, nil
+	})
+	do.Provide(injector, func(i do.Injector) (*operatorServer, error) {
+		members, config := do.MustInvoke[*membership.Service](i), do.MustInvoke[*configsync.Sync](i)
+		machine := do.MustInvoke[*drain.Machine](i)
+		handler := operators.New(operators.Options{
+			Version:    do.MustInvoke[Options](i).Version,
+			Config:     config,
+			Judgement:  config,
+			Membership: members,
+			Rosters:    members,
+			Shares:     shares{do.MustInvoke[*quotasync.Admission](i)},
+			Requests:   do.MustInvoke[*openRequests](i),
+			Drain:      machine,
+			Checks:     []operators.Check{operators.NotDraining(machine), operators.HasRevision(config), operators.Confirmed(members)},
+			Events:     do.MustInvoke[*event.Log](i),
+			Metrics:    do.MustInvoke[metrics.Registry](i),
+		})
+		return &operatorServer{newServer(handler)}, nil
+	})
+}
