Send counters as bytes and full entries only where tables differ

Cause: a heartbeat with the whole table and the roster grows by about 200 bytes a member; at 340 members that is far above 8 KB/s. Ruled out: sending what changed since the last exchange with that peer. All counters change in each period, and a pair of 340 members meets about once a minute, so that this saves little and needs state for every pair. Change: a heartbeat carries one byte (counter modulo 255) and one bit (has the generation) for each roster member, 16 sums over names, addresses and drain states, and the own entry; the answer adds full entries of the groups whose sums differ. The roster travels only to a peer with an older generation. A member silent for 20 s is left out of the bytes, so an old counter is never taken for a new one.

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -68,21 +68,38 @@
 	Draining          bool   `json:"draining,omitempty"`
 }
 
-// Heartbeat carries the sender's table; the answer is a Heartbeat with the receiver's table.
+// Heartbeat tells what the sender knows; the answer is a Heartbeat of the receiver. Counters of roster members travel in
+// Beats, one byte each; full entries travel only where the tables differ, which Digests show.
 type Heartbeat struct {
-	From    MemberID         `json:"from"`
+	From MemberID `json:"from"`
+	// Entries are the sender's own entry and, in an answer, those of the groups whose digests differ.
 	Entries []HeartbeatEntry `json:"entries"`
-	// Roster is the newest roster the sender knows.
+	// Roster is the newest roster the sender knows, without members if the receiver is believed to have it.
 	Roster Roster `json:"roster"`
+	// Beats holds the counter of each member of the roster, in its order, modulo BeatModulus, or BeatSilent if the sender
+	// has not heard the member lately. It means something only to a receiver with the same roster generation.
+	Beats []byte `json:"beats,omitempty"`
+	// Informed has a bit for each member of the roster, in its order, which is set if the member is known to have it.
+	Informed []byte `json:"informed,omitempty"`
+	// Digests are DigestGroups sums over what the sender knows of live members, grouped by name.
+	Digests []byte `json:"digests,omitempty"`
 }
 
+// Encoding of Heartbeat.
+const (
+	BeatModulus  = 255
+	BeatSilent   = 255
+	DigestGroups = 16
+	DigestBytes  = 4
+)
+
 // ConfirmRequest asks a peer whether the sender may go on using its shares.
 type ConfirmRequest struct {
-	From       MemberID `json:"from"`
+	From MemberID `json:"from"`
 	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
 	// the answer to another message.
-	Request uint64 `json:"request"`
-	Generation uint64   `json:"generation"`
+	Request    uint64 `json:"request"`
+	Generation uint64 `json:"generation"`
 }
 
 // ConfirmReply answers a ConfirmRequest.
@@ -99,10 +116,10 @@
 
 // RemovalRequest asks a peer to agree that a member is removed from the roster.
 type RemovalRequest struct {
-	From       MemberID `json:"from"`
+	From MemberID `json:"from"`
 	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
 	// the answer to another message.
-	Request uint64 `json:"request"`
+	Request    uint64   `json:"request"`
 	Generation uint64   `json:"generation"`
 	Remove     MemberID `json:"remove"`
 }
@@ -111,8 +128,8 @@
 type RemovalReply struct {
 	// Request is the number of the message that this answers.
 	Request uint64 `json:"request"`
-	Agreed bool   `json:"agreed"`
-	Reason string `json:"reason,omitempty"`
+	Agreed  bool   `json:"agreed"`
+	Reason  string `json:"reason,omitempty"`
 }
 
 // Snapshot is the newest configuration a peer has, for instances that cannot read it from the platform.
@@ -124,20 +141,20 @@
 
 // LoanRequest asks a holder for tokens of a customer.
 type LoanRequest struct {
-	From     MemberID `json:"from"`
+	From MemberID `json:"from"`
 	// Request numbers the messages of the sender; the reply repeats it, so that a crossed or late reply is not taken for
 	// the answer to another message.
-	Request uint64 `json:"request"`
-	Customer string   `json:"customer"`
-	Tokens   int64    `json:"tokens"`
+	Request  uint64 `json:"request"`
+	Customer string `json:"customer"`
+	Tokens   int64  `json:"tokens"`
 }
 
 // LoanReply gives tokens for use in one request, within the loan's validity counted from the sending of LoanRequest.
 type LoanReply struct {
 	// Request is the number of the message that this answers.
 	Request uint64 `json:"request"`
-	LoanID uint64 `json:"loanId"`
-	Tokens int64  `json:"tokens"`
+	LoanID  uint64 `json:"loanId"`
+	Tokens  int64  `json:"tokens"`
 	// Level is what the holder has left.
 	Level int64 `json:"level"`
 }
--- a/router/internal/app/membership/heartbeat.go
+++ b/router/internal/app/membership/heartbeat.go
@@ -126,11 +126,20 @@
 func (s *Service) heartbeat(address string) peer.Heartbeat {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Clock.Boot()
+	m := s.message(s.table.GenerationAt(address))
+	m.Digests = s.table.Digests(s.Clock.Boot())
+	return m
+}
+
+// message is a heartbeat for a peer that has a generation. The caller holds mu.
+func (s *Service) message(generation uint64) peer.Heartbeat {
+	members := s.chain.Members()
 	return peer.Heartbeat{
-		From:    s.settings.Self.MemberID,
-		Entries: s.table.Entries(now),
-		Roster:  s.rosterFor(s.table.GenerationAt(address)),
+		From:     s.settings.Self.MemberID,
+		Entries:  []peer.HeartbeatEntry{s.table.Own()},
+		Roster:   s.rosterFor(generation),
+		Beats:    s.table.Beats(s.Clock.Boot(), members),
+		Informed: s.table.Informed(members, s.chain.Generation()),
 	}
 }
 
@@ -147,11 +156,21 @@
 func (s *Service) merge(m peer.Heartbeat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.Clock.Boot()
 	s.adoptFromPeer(m.Roster)
-	for _, id := range s.table.Merge(s.Clock.Boot(), m.Entries) {
-		s.Events.Record(event.Event{Kind: event.MemberAlive, Detail: id.Name})
+	changed := s.table.Merge(now, m.Entries)
+	if m.Roster.Generation == s.chain.Generation() {
+		members := s.chain.Members()
+		changed = append(changed, s.table.MergeBeats(now, members, m.Beats)...)
+		s.table.MergeInformed(members, m.Roster.Generation, m.Informed)
 	}
 	s.progress()
+	if len(changed) == 0 {
+		return
+	}
+	for _, id := range changed {
+		s.Events.Record(event.Event{Kind: event.MemberAlive, Detail: id.Name})
+	}
 	s.refreshLive()
 }
 
@@ -167,9 +186,7 @@
 	s.merge(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return peer.Heartbeat{
-		From:    s.settings.Self.MemberID,
-		Entries: s.table.Entries(s.Clock.Boot()),
-		Roster:  s.rosterFor(m.Roster.Generation),
-	}, nil
+	reply := s.message(m.Roster.Generation)
+	reply.Entries = append(reply.Entries, s.table.Differing(s.Clock.Boot(), m.Digests)...)
+	return reply, nil
 }
--- a/router/internal/app/quotasync/faults_test.go
+++ b/router/internal/app/quotasync/faults_test.go
@@ -235,6 +235,31 @@
 		})
 	})
 
+	It("does not reuse the share of a removed member that may still be confirmed", func() {
+		inWorld(suite, 1, 7, map[string]quota.Limits{"x": {Rate: 7000, Burst: 7000}}, func(w *world) {
+			time.Sleep(warmUp) // all shares are full
+			n := w.nodes["router-7"]
+			w.net.isolate(n.name, true) // its peers do not hear it any more, but it still reads the platform
+			for len(w.platform.roster().Members) == 7 {
+				time.Sleep(time.Millisecond)
+			}
+			w.platform.set(func(p *fakePlatform) { p.cutOff[n.name] = true })
+			Expect(n.members.Confirmed()).To(BeTrue())
+			until := w.now() + 6*time.Second
+			for _, n := range w.all {
+				w.load.Go(func() {
+					for w.now() < until {
+						_ = w.ask(n, "x", 20)
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
+			}
+			w.load.Wait()
+			Expect(n.members.Confirmed()).To(BeFalse())
+			Expect(w.violation()).To(Succeed())
+		})
+	})
+
 	It("keeps lower limits once they are in force everywhere", func() {
 		inWorld(suite, 1, 7, steadyLimits(), func(w *world) {
 			time.Sleep(10 * time.Second)
--- a/router/internal/domain/roster/roster_test.go
+++ b/router/internal/domain/roster/roster_test.go
@@ -134,6 +134,54 @@
 	})
 })
 
+var _ = Describe("compact heartbeats", func() {
+	members := []peer.Member{a, b, c}
+	var t, other *Table
+	BeforeEach(func() {
+		t, other = NewTable(0, a), NewTable(0, c)
+		t.Merge(0, []peer.HeartbeatEntry{entry(b, 250, 1)})
+		other.Merge(0, []peer.HeartbeatEntry{entry(b, 260, 1)})
+	})
+
+	It("carries a counter past the modulus", func() {
+		t.MergeBeats(second, members, other.Beats(second, members))
+		Expect(t.rows["b"].Counter).To(BeEquivalentTo(260))
+		Expect(t.Silence(second, b.MemberID)).To(BeZero())
+	})
+
+	It("never takes an old counter for a new one, or a dead member would live for ever", func() {
+		Expect(other.MergeBeats(second, members, t.Beats(second, members))).To(BeEmpty())
+		Expect(other.rows["b"].Counter).To(BeEquivalentTo(260))
+		t.MergeBeats(gossipFor, members, other.Beats(gossipFor, members))
+		Expect(t.rows["b"].Counter).To(BeEquivalentTo(250), "a member that was silent for long is left out")
+	})
+
+	It("tells who has a generation", func() {
+		other.Merge(second, []peer.HeartbeatEntry{entry(b, 261, 7)})
+		t.MergeInformed(members, 7, other.Informed(members, 7))
+		Expect(t.Knows(b, 7)).To(BeTrue())
+		Expect(t.Knows(c, 7)).To(BeFalse())
+	})
+
+	It("sends full entries only of groups that differ", func() {
+		Expect(other.Differing(0, t.Digests(0))).To(ConsistOf(HaveField("Name", "b")), "the tables differ in a and c")
+		t.Merge(0, []peer.HeartbeatEntry{entry(c, 1, 1)})
+		other.Merge(0, []peer.HeartbeatEntry{entry(a, 1, 1)})
+		Expect(other.Differing(0, t.Digests(0))).To(BeEmpty())
+		draining := entry(b, 1, 1)
+		draining.Draining = true
+		other.Merge(0, []peer.HeartbeatEntry{draining})
+		Expect(other.Differing(0, t.Digests(0))).To(ContainElement(HaveField("Draining", true)))
+		Expect(other.Differing(0, nil)).To(HaveLen(2))
+	})
+
+	It("ignores beats and bits of another roster's size", func() {
+		Expect(t.MergeBeats(0, members, []byte{1})).To(BeEmpty())
+		t.MergeInformed(members, 9, nil)
+		Expect(t.Knows(b, 9)).To(BeFalse())
+	})
+})
+
 var _ = Describe("Live", func() {
 	It("moves only the endpoints of a member that drains", func() {
 		t := NewTable(0, a)
--- a/router/internal/domain/roster/table.go
+++ b/router/internal/domain/roster/table.go
@@ -28,21 +28,27 @@
 	at time.Duration
 	// heard is false for a member that only a roster has named.
 	heard bool
+	// digest sums up what a full entry tells, but for the counter, the generation and the revision.
+	digest uint32
 }
 
 // NewTable returns a table with the member's own entry.
 func NewTable(now time.Duration, self peer.Member) *Table {
 	t := &Table{self: self.Name, rows: make(map[string]*row)}
-	t.rows[self.Name] = &row{HeartbeatEntry: peer.HeartbeatEntry{Member: self}, at: now, heard: true}
+	t.rows[self.Name] = newRow(now, peer.HeartbeatEntry{Member: self}, true)
 	return t
 }
 
+func newRow(now time.Duration, e peer.HeartbeatEntry, heard bool) *row {
+	return &row{HeartbeatEntry: e, at: now, heard: heard, digest: digest(e)}
+}
+
 // Beat raises the own counter and publishes what is in force here.
 func (t *Table) Beat(now time.Duration, generation, revision uint64, draining bool) {
 	own := t.rows[t.self]
 	own.Counter++
 	own.RosterGeneration, own.CatalogueRevision, own.Draining = generation, revision, draining
-	own.at = now
+	own.at, own.digest = now, digest(own.HeartbeatEntry)
 }
 
 // Own is the own entry.
@@ -53,42 +59,51 @@
 	for _, m := range members {
 		r, known := t.rows[m.Name]
 		if !known || r.Incarnation < m.Incarnation && m.Name != t.self {
-			t.rows[m.Name] = &row{HeartbeatEntry: peer.HeartbeatEntry{Member: m}, at: now}
+			t.rows[m.Name] = newRow(now, peer.HeartbeatEntry{Member: m}, false)
 		}
 	}
 }
 
 // Merge takes a peer's entries. A greater incarnation replaces a lower one; within one, the greater counter wins. It
-// returns the members that are heard for the first time or again.
+// returns the members that are heard for the first time or again, or that began or ceased to drain.
 func (t *Table) Merge(now time.Duration, entries []peer.HeartbeatEntry) []peer.MemberID {
-	var risen []peer.MemberID
+	var changed []peer.MemberID
 	for _, e := range entries {
 		if e.Name != t.self && t.merge(now, e) {
-			risen = append(risen, e.MemberID)
+			changed = append(changed, e.MemberID)
 		}
 	}
-	return risen
+	return changed
 }
 
-func (t *Table) merge(now time.Duration, e peer.HeartbeatEntry) (risen bool) {
+func (t *Table) merge(now time.Duration, e peer.HeartbeatEntry) (changed bool) {
 	r, known := t.rows[e.Name]
 	switch {
 	case !known || e.Incarnation > r.Incarnation:
-		t.rows[e.Name] = &row{HeartbeatEntry: e, at: now, heard: true}
+		t.rows[e.Name] = newRow(now, e, true)
 		return true
-	case e.Incarnation < r.Incarnation || e.Counter <= r.Counter:
+	case e.Incarnation < r.Incarnation:
 		return false
 	}
-	risen = !r.alive(now)
-	r.HeartbeatEntry, r.at, r.heard = e, now, true
-	return risen
+	// Beats may have brought a newer counter than this entry, but within an incarnation the rest only grows.
+	e.RosterGeneration = max(r.RosterGeneration, e.RosterGeneration)
+	e.CatalogueRevision = max(r.CatalogueRevision, e.CatalogueRevision)
+	e.Draining = r.Draining || e.Draining
+	changed = r.Draining != e.Draining
+	if e.Counter > r.Counter {
+		changed = changed || !r.alive(now)
+		r.at, r.heard = now, true
+	}
+	e.Counter = max(r.Counter, e.Counter)
+	r.HeartbeatEntry, r.digest = e, digest(e)
+	return changed
 }
 
 // Entries are the entries to pass on.
 func (t *Table) Entries(now time.Duration) []peer.HeartbeatEntry {
 	entries := make([]peer.HeartbeatEntry, 0, len(t.rows))
 	for _, r := range t.rows {
-		if r.heard && now-r.at < gossipFor {
+		if r.fresh(now) {
 			entries = append(entries, r.HeartbeatEntry)
 		}
 	}
@@ -152,6 +167,9 @@
 	return l
 }
 
+// fresh reports whether the row is passed on.
+func (r *row) fresh(now time.Duration) bool { return r.heard && now-r.at < gossipFor }
+
 func (r *row) alive(now time.Duration) bool { return r.heard && now-r.at < AliveWindow }
 
 // GenerationAt is the newest generation known at the live member with an address, or 0.
