--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -68,14 +68,31 @@
 	Draining          bool   `json:"draining,omitempty"`
 }
 
-// Heartbeat carries the sender's table; the answer is a Heartbeat with the receiver's table.
+// Heartbeat tells what the sender knows; the answer is a Heartbeat of the receiver. Counters of roster members travel in
+// Beats, one byte each; full entries travel only where the tables differ, which Digests show.
 type Heartbeat struct {
-	From    MemberID         `json:"from"`
+	From MemberID `json:"from"`
+	// Entries are the sender's own entry and, in an answer, those of the groups whose digests differ.
 	Entries []HeartbeatEntry `json:"entries"`
-	// Roster is the newest roster the sender knows.
+	// Roster is the newest roster the sender knows, without members if the receiver is believed to have it.
 	Roster Roster `json:"roster"`
+	// Beats holds the counter of each member of the roster, in its order, modulo BeatModulus, or BeatSilent if the sender
+	// has not heard the member lately. It means something only to a receiver with the same roster generation.
+	Beats []byte `json:"beats,omitempty"`
+	// Informed has a bit for each member of the roster, in its order, which is set if the member is known to have it.
+	Informed []byte `json:"informed,omitempty"`
+	// Digests are DigestGroups sums over what the sender knows of live members, grouped by name.
+	Digests []byte `json:"digests,omitempty"`
 }
 
+// Encoding of Heartbeat.
+const (
+	BeatModulus  = 255
+	BeatSilent   = 255
+	DigestGroups = 16
+	DigestBytes  = 4
+)
+
 // ConfirmRequest asks a peer whether the sender may go on using its shares.
 type ConfirmRequest struct {
 	From MemberID `json:"from"`
