--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -44,6 +44,7 @@
 func New(clock HLC) *Client {
 	c := &Client{pooled: newTransport(), fresh: newTransport()}
 	c.fresh.DisableKeepAlives = true
+	c.fresh.DialContext = discarding(c.fresh.DialContext)
 	c.pooledTrip, c.freshTrip = c.pooled, c.fresh
 	if clock != nil {
 		c.pooledTrip, c.freshTrip = clock.Transport(c.pooled), clock.Transport(c.fresh)
@@ -80,6 +81,21 @@
 	}
 }
 
+// discarding makes closing a connection discard what the kernel has not delivered yet. Otherwise a call that was given up
+// during a network outage could arrive minutes later.
+func discarding(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := c.(*conn).Conn.(*net.TCPConn); ok {
+			err = tcp.SetLinger(0)
+		}
+		return c, err
+	}
+}
+
 // Call implements port.Service. A gate in the context is asked before each write.
 func (c *Client) Call(ctx context.Context, ep port.Endpoint, call port.ServiceCall) (port.ServiceResponse, error) {
 	state := &sendState{gate: servicepath.GateOf(ctx)}
--- /dev/null
+++ b/router/internal/app/orders/orders_test.go
@@ -0,0 +1,212 @@
+package orders_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/api/engine"
+	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/api/peer"
+	"tanagerwood.dev/api/platform"
+	standin "tanagerwood.dev/lab/standin/engine"
+	"tanagerwood.dev/router/internal/adapter/servicehttp"
+	"tanagerwood.dev/router/internal/app/orders"
+	"tanagerwood.dev/router/internal/domain/config"
+	"tanagerwood.dev/router/internal/domain/lifecycle"
+	"tanagerwood.dev/router/internal/fault"
+	"tanagerwood.dev/router/internal/port"
+)
+
+func TestOrders(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "orders")
+}
+
+const limit = 20 * time.Second
+
+// world is the clock, the platform and the configuration.
+type world struct {
+	port.Config
+	port.Platform
+	mu        sync.Mutex
+	boot      time.Duration
+	object    platform.Object
+	loseReply int
+	checks    bool
+}
+
+func (w *world) Now() time.Time          { return time.Now() }
+func (w *world) Boot() time.Duration     { w.mu.Lock(); defer w.mu.Unlock(); return w.boot }
+func (w *world) advance(d time.Duration) { w.mu.Lock(); defer w.mu.Unlock(); w.boot += d }
+func (w *world) Record(event.Event)      {}
+func (w *world) Current() *config.Snapshot {
+	return config.New(1, catalogue.Catalogue{Pools: []catalogue.Pool{{Name: "tulis", ChecksFencing: w.checks}}})
+}
+
+func (w *world) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.object.Version == 0 {
+		return w.object, fault.New(fault.NotFound, "no object")
+	}
+	return w.object, nil
+}
+
+func (w *world) Create(ctx context.Context, k platform.Kind, name string, value json.RawMessage) (uint64, error) {
+	return w.Replace(ctx, k, name, 0, value)
+}
+
+func (w *world) Replace(_ context.Context, _ platform.Kind, _ string, version uint64, value json.RawMessage) (uint64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.object.Version != version {
+		return 0, fault.New(fault.Conflict, "version")
+	}
+	w.object = platform.Object{Version: version + 1, Value: value}
+	if w.loseReply > 0 {
+		w.loseReply--
+		return 0, fault.Wrap(errors.New("EOF"), fault.PlatformDown, openai.Unknown, "reply lost")
+	}
+	return w.object.Version, nil
+}
+
+// instance is one router; its pause runs between the lease check and the send.
+type instance struct {
+	port.Membership
+	port.Service
+	name  string
+	pause func()
+	*orders.Manager
+}
+
+func (i *instance) Self() peer.Member {
+	return peer.Member{MemberID: peer.MemberID{Name: i.name, Incarnation: 1}}
+}
+
+func (i *instance) Call(ctx context.Context, ep port.Endpoint, c port.ServiceCall) (port.ServiceResponse, error) {
+	if i.pause != nil {
+		i.pause()
+	}
+	return i.Service.Call(ctx, ep, c)
+}
+
+var _ = Describe("orders", func() {
+	var (
+		ctx  = context.Background()
+		w    *world
+		a, b *instance
+		e    *standin.Engine
+		ep   port.Endpoint
+	)
+	newInstance := func(name string) *instance {
+		client := servicehttp.New(nil)
+		DeferCleanup(client.Close)
+		i := &instance{Service: client, name: name}
+		i.Manager = orders.New(orders.Deps{Clock: w, Config: w, Platform: w, Membership: i, Service: i, Events: w})
+		return i
+	}
+	setUp := func(checksFencing bool) {
+		w = &world{checks: checksFencing, boot: time.Hour}
+		a, b = newInstance("a"), newInstance("b")
+		e = standin.New(standin.Options{ChecksFencing: checksFencing})
+		web := httptest.NewServer(e.Handler())
+		DeferCleanup(web.Close)
+		DeferCleanup(e.Close)
+		ep = port.Endpoint{Name: "tulis-1", Pool: "tulis", URL: web.URL}
+	}
+	load := func(i *instance, model string) error {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		_, err := i.Order(ctx, ep, engine.OrderLoadModel, model)
+		return err
+	}
+	// taken lists model and fencing number of the orders that the engine took.
+	taken := func() (list []engine.Order) { return e.Orders() }
+	order := func(model string, fencing uint64) engine.Order {
+		return engine.Order{Kind: engine.OrderLoadModel, Argument: model, Fencing: fencing}
+	}
+
+	It("keep the fencing number of a holder and raise it with each change", func() {
+		setUp(false)
+		Expect(load(a, "m1")).To(Succeed())
+		w.advance(lifecycle.LeaseLength + time.Minute)
+		Expect(load(a, "m2")).To(Succeed())
+		a.Close(ctx)
+		Expect(load(b, "m3")).To(Succeed())
+		Expect(taken()).To(Equal([]engine.Order{order("m1", 1), order("m2", 1), order("m3", 2)}))
+	})
+
+	It("go on when the replies of lease writes are lost", func() {
+		setUp(true)
+		w.loseReply = 1
+		Expect(load(a, "m1")).To(Succeed())
+		w.advance(lifecycle.LeaseLength)
+		w.loseReply = 1
+		Expect(load(a, "m2")).To(Succeed())
+		Expect(taken()).To(Equal([]engine.Order{order("m1", 1), order("m2", 1)}))
+	})
+
+	It("of a new holder wait until the lease lapses, and longer for engines that ignore the number", func() {
+		for _, checks := range []bool{true, false} {
+			setUp(checks)
+			Expect(load(a, "m1")).To(Succeed())
+			begun := w.Boot()
+			var sentAt time.Duration
+			b.pause = func() { sentAt = w.Boot() }
+			result := make(chan error, 1)
+			go func() { result <- load(b, "m2") }()
+			Eventually(func() chan error {
+				w.advance(250 * time.Millisecond)
+				return result
+			}, limit).Should(Receive(BeNil()))
+			wait := lifecycle.LeaseLength
+			if !checks {
+				wait += lifecycle.LeaseLength + lifecycle.SendTimeout
+			}
+			Expect(sentAt-begun).To(BeNumerically(">", wait), "checks the number: %v", checks)
+			Expect(taken()).To(Equal([]engine.Order{order("m1", 1), order("m2", 2)}))
+		}
+	})
+
+	It("of a holder that was paused past its lease are not sent, whether or not the engine checks the number", func() {
+		for _, checks := range []bool{true, false} {
+			setUp(checks)
+			a.pause = func() { w.advance(lifecycle.LeaseLength - lifecycle.SendTimeout) }
+			err := load(a, "stale")
+			Expect(fault.Is(err, fault.NotConfirmed)).To(BeTrue(), "%v", err)
+			Expect(fault.As(err).Outcome).To(Equal(openai.NotRun))
+			Expect(taken()).To(BeEmpty())
+		}
+	})
+
+	It("with an old number are refused by an engine that checks it, and the holder gives the lease up", func() {
+		setUp(true)
+		Expect(load(a, "m1")).To(Succeed())
+		raw, err := json.Marshal(order("newer", 7))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = b.Service.Call(ctx, ep, port.ServiceCall{Method: "POST", Path: "/orders", Body: raw})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fault.Is(load(a, "m2"), fault.Conflict)).To(BeTrue())
+		Expect(taken()).To(Equal([]engine.Order{order("m1", 1), order("newer", 7)}))
+	})
+
+	It("end with not_run when the lease is not free in time", func() {
+		setUp(true)
+		Expect(load(a, "m1")).To(Succeed())
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := b.Order(short, ep, engine.OrderSetRole, "decode")
+		Expect(fault.As(err).Outcome).To(Equal(openai.NotRun))
+		Expect(taken()).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/router/internal/domain/lifecycle/lease.go
@@ -0,0 +1,95 @@
+// Package lifecycle decides about order leases: when a holder may send, when another instance may take over, and how
+// long a new holder waits for endpoints that ignore fencing numbers. Times are on the boot-time clock.
+package lifecycle
+
+import (
+	"time"
+
+	"tanagerwood.dev/api/peer"
+)
+
+const (
+	// LeaseLength is how long a lease lasts from the moment its write began.
+	LeaseLength = 15 * time.Second
+	// SendTimeout bounds one order, from its first byte to its answer.
+	SendTimeout = 5 * time.Second
+	// driftPercent and driftMargin cover clocks of instances that run at different speeds.
+	driftPercent = 1
+	driftMargin  = 10 * time.Millisecond
+)
+
+// Record is an order lease as the platform keeps it. It is never deleted, so that fencing numbers only grow.
+type Record struct {
+	Holder  peer.MemberID `json:"holder"`
+	Fencing uint64        `json:"fencing"`
+	// LengthMS is the lease's length in milliseconds.
+	LengthMS int64 `json:"lengthMs"`
+	// Renewal makes each renewal a new version with a new content.
+	Renewal uint64 `json:"renewal"`
+	// Released says that the holder has given the lease up with no order under way.
+	Released bool `json:"released,omitempty"`
+}
+
+// Length is the lease's length.
+func (r Record) Length() time.Duration { return time.Duration(r.LengthMS) * time.Millisecond }
+
+// Next is the record of a new holder.
+func (r Record) Next(holder peer.MemberID) Record {
+	return Record{Holder: holder, Fencing: r.Fencing + 1, LengthMS: LeaseLength.Milliseconds()}
+}
+
+// Renewed is the record of a holder that goes on.
+func (r Record) Renewed() Record {
+	r.Renewal++
+	return r
+}
+
+// Lease is a lease that this instance holds.
+type Lease struct {
+	Record  Record
+	Version uint64
+	// Begun is when the write that made or renewed the lease began.
+	Begun time.Duration
+	// NotBefore is when the first order may be sent.
+	NotBefore time.Duration
+}
+
+// MaySend reports whether an order may begin at now: the lease must outlast the order.
+func (l Lease) MaySend(now time.Duration) bool {
+	return now >= l.NotBefore && l.Begun+l.Record.Length()-now > SendTimeout
+}
+
+// NeedsRenewal reports whether the lease is to be renewed at now. A holder that waits for its predecessor keeps it too.
+func (l Lease) NeedsRenewal(now time.Duration) bool {
+	left := l.Begun + l.Record.Length() - now
+	return left <= SendTimeout
+}
+
+// MayRelease reports whether the next holder may send at once: it may not while this one still waits for its predecessor.
+func (l Lease) MayRelease(now time.Duration) bool { return now >= l.NotBefore }
+
+// FirstOrderAfter is how long a new holder waits before its first order. The predecessor's orders end with its lease;
+// for an endpoint that does not refuse old numbers, one that was held up gets as long again and one send timeout.
+func FirstOrderAfter(old Record, checksFencing bool) time.Duration {
+	if checksFencing || old.Released || old.Fencing == 0 {
+		return 0
+	}
+	return withDrift(old.Length()) + SendTimeout
+}
+
+// Watch tells when a lease of another holder has lapsed, without comparing clocks: the holder's lease began before its
+// version could be read, so it has lapsed when the version stays unchanged for the lease's length.
+type Watch struct {
+	version uint64
+	since   time.Duration
+}
+
+// Lapsed notes that the version was read by now, and reports whether the lease has lapsed.
+func (w *Watch) Lapsed(version uint64, now, length time.Duration) bool {
+	if w.version != version {
+		w.version, w.since = version, now
+	}
+	return now-w.since > withDrift(length)
+}
+
+func withDrift(d time.Duration) time.Duration { return d + d*driftPercent/100 + driftMargin }
