--- a/router/internal/app/placement/lane.go
+++ b/router/internal/app/placement/lane.go
@@ -14,7 +14,6 @@
 type lane struct {
 	placer  *Placer
 	waiting atomic.Int64
-	wake    chan struct{}
 
 	mu      sync.Mutex
 	queue   *fairqueue.Queue[*waiter]
@@ -39,7 +38,7 @@
 }
 
 func newLane(p *Placer) *lane {
-	return &lane{placer: p, queue: fairqueue.New[*waiter](), wake: make(chan struct{}, 1)}
+	return &lane{placer: p, queue: fairqueue.New[*waiter]()}
 }
 
 // wait queues the job until it is placed, refused or given up by its caller.
@@ -164,25 +163,10 @@
 	item.Value.answer <- a
 }
 
-// sleep waits until something may have got free.
+// sleep pauses for about d. The pause is random so that instances that wait for the same endpoint have equal chances
+// for the next slot. For the same reason an instance is not woken by its own releases: it would always be the first.
 func (l *lane) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-l.wake:
-	}
-}
-
-// freed wakes the lane after a release of this instance.
-func (l *lane) freed() {
-	if l.waiting.Load() == 0 {
-		return
-	}
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	time.Sleep(d/2 + time.Duration(l.placer.Rand.IntN(int(d))))
 }
 
 // maxHint bounds a Retry-After that rests on one owner's prediction.
--- a/router/internal/app/placement/placer.go
+++ b/router/internal/app/placement/placer.go
@@ -23,16 +23,19 @@
 	retryNoEndpoint = 2 * time.Second
 	// minRetry keeps a Retry-After from being rounded to nothing.
 	minRetry = 100 * time.Millisecond
-	// minPause and maxPause bound the pause between two tries of the head of a queue. Slots also get free at other
-	// instances, which do not wake this one.
+	// minPause and maxPause bound the pause between two tries of the head of a queue. A slot that gets free stays idle for
+	// about half of it, which is little next to the seconds that an answer takes.
 	minPause = 2 * time.Millisecond
-	maxPause = 25 * time.Millisecond
+	maxPause = 20 * time.Millisecond
 	// prefillQueue is how long a job may wait in a prefill engine's own queue. Longer waits stay in the entry queue, where
 	// the order is fair and a refusal costs nothing; shorter ones would leave engines idle between two jobs.
 	prefillQueue = 100 * time.Millisecond
 	// decodeWithin is how much later than the prefill's end the decode slot may get free. An exported KV cache lives
 	// under a second.
-	decodeWithin = 200 * time.Millisecond
+	decodeWithin = 100 * time.Millisecond
+	// marginPart of the first-token target is kept free before the deadline. Slots get free some decode steps before or
+	// after the prediction, and a job may lose its slot to the next one and wait for that one's.
+	marginPart = 10
 	// continuationTime is what a lost stream has to be placed again.
 	continuationTime = 10 * time.Second
 	// defaultPatience applies to classes without limits.
@@ -149,7 +152,7 @@
 	if unloaded > target {
 		return job.Accepted.Add(unloaded + min(patience, target))
 	}
-	return job.Accepted.Add(target)
+	return job.Accepted.Add(max(target-target/marginPart, unloaded))
 }
 
 // unloaded is the least time to first token that any pair could reach.
@@ -158,13 +161,18 @@
 		return 0
 	}
 	var rate, link float64
+	step := time.Hour
 	for _, s := range group.Prefill {
 		rate = max(rate, s.PrefillRate())
 	}
 	for _, s := range group.Decode {
 		link = max(link, s.LinkRate())
+		step = min(step, s.TokenInterval())
 	}
 	var d time.Duration
+	if len(group.Decode) > 0 {
+		d = step
+	}
 	if rate > 0 {
 		d += time.Duration(float64(j.PromptTokens) / rate * float64(time.Second))
 	}
@@ -193,7 +201,7 @@
 	slack := n.deadline.Sub(p.Clock.Now())
 	pause := maxHint
 	for _, pair := range pairs {
-		r := &reserved{placer: p, job: job, need: n, policy: policy, pair: pair, lane: p.lane(job.Model.Name)}
+		r := &reserved{placer: p, job: job, need: n, policy: policy, pair: pair}
 		wait, ok := r.reserve(ctx, slack)
 		if ok {
 			return r, 0, nil
--- a/router/internal/app/placement/reserved.go
+++ b/router/internal/app/placement/reserved.go
@@ -18,7 +18,6 @@
 	need   need
 	policy *scheduling.Scheduler
 	pair   scheduling.Pair
-	lane   *lane
 
 	prefill, decode port.Endpoint
 	queued          time.Duration
@@ -29,7 +28,8 @@
 // Prefill implements modelpath.Placement.
 func (r *reserved) Prefill() port.Endpoint { return r.prefill }
 
-// reserve takes both ends of the pair, or neither and tells how long to wait.
+// reserve takes both ends of the pair, or neither and tells how long to wait. The decode endpoint comes first, because
+// its slots are what is scarce: a refusal there costs one message and leaves no trace at the prefill endpoint.
 func (r *reserved) reserve(ctx context.Context, slack time.Duration) (time.Duration, bool) {
 	view := r.placer.Loads.View()
 	prefill, decode := view.ByName[r.pair.Prefill.Name], view.ByName[r.pair.Decode.Name]
@@ -37,34 +37,44 @@
 		return minPause, false
 	}
 	r.prefill, r.decode = prefill.Endpoint, decode.Endpoint
-	cached := min(r.pair.Prefill.CachedTokens, r.need.job.PromptTokens)
-	within := min(prefillQueue, max(0, slack-r.pair.PrefillTime-r.pair.TransferTime))
+	// left is the time to the deadline that waiting may use up; a job that is late already is placed only if that needs
+	// no waiting.
+	left := max(0, slack-r.pair.PrefillTime-r.pair.TransferTime-r.pair.Decode.TokenInterval)
+	if !r.policy.DecodeLater {
+		if wait, ok := r.reserveDecode(ctx, left); !ok {
+			return wait, false
+		}
+	}
+	return r.reservePrefill(ctx, left)
+}
+
+// reserveDecode asks for a slot at the time at which the prefill would end by the latest report.
+func (r *reserved) reserveDecode(ctx context.Context, left time.Duration) (time.Duration, bool) {
+	begin := min(r.pair.Prefill.Backlog, prefillQueue)
+	end := begin + r.pair.PrefillTime
+	within := min(decodeWithin, max(0, left-begin))
+	slot := r.ask(ctx, r.decode, r.decodeRequest(end, within))
+	r.decodeHeld.Store(slot.Granted)
+	return time.Duration(slot.InMS)*time.Millisecond - end - within, slot.Granted
+}
+
+func (r *reserved) reservePrefill(ctx context.Context, left time.Duration) (time.Duration, bool) {
+	within := min(prefillQueue, left)
 	begin := r.ask(ctx, r.prefill, peer.ReserveRequest{
-		Prefill: true, WithinMS: within.Milliseconds(),
-		PromptTokens: r.need.job.PromptTokens, CachedTokens: cached,
+		Prefill: true, WithinMS: within.Milliseconds(), PromptTokens: r.need.job.PromptTokens,
+		CachedTokens: min(r.pair.Prefill.CachedTokens, r.need.job.PromptTokens),
 	})
-	starts := time.Duration(begin.InMS) * time.Millisecond
+	r.prefillHeld.Store(begin.Granted)
 	if !begin.Granted {
-		return starts - within, false
-	}
-	r.prefillHeld.Store(true)
-	if r.policy.DecodeLater {
-		return 0, true
+		r.Release()
 	}
-	end := starts + r.pair.PrefillTime
-	slot := r.ask(ctx, r.decode, r.decodeRequest(end))
-	if slot.Granted {
-		r.decodeHeld.Store(true)
-		return 0, true
-	}
-	r.releasePrefill()
-	return time.Duration(slot.InMS)*time.Millisecond - end - decodeWithin, false
+	return time.Duration(begin.InMS)*time.Millisecond - within, begin.Granted
 }
 
-func (r *reserved) decodeRequest(at time.Duration) peer.ReserveRequest {
+func (r *reserved) decodeRequest(at, within time.Duration) peer.ReserveRequest {
 	j := r.need.job
 	return peer.ReserveRequest{
-		InMS: at.Milliseconds(), WithinMS: decodeWithin.Milliseconds(),
+		InMS: at.Milliseconds(), WithinMS: within.Milliseconds(),
 		PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, KVBytes: j.KVBytes,
 	}
 }
@@ -117,7 +127,7 @@
 	}
 	for _, pair := range r.policy.Rank(r.placer.Rand, &r.need.job, []*scheduling.Endpoint{r.pair.Prefill}, candidates) {
 		state := r.placer.Loads.View().ByName[pair.Decode.Name]
-		if state == nil || !r.ask(ctx, state.Endpoint, r.decodeRequest(0)).Granted {
+		if state == nil || !r.ask(ctx, state.Endpoint, r.decodeRequest(0, 0)).Granted {
 			continue
 		}
 		ep := state.Endpoint
@@ -144,13 +154,11 @@
 	r.releasePrefill()
 	if r.decodeHeld.CompareAndSwap(true, false) {
 		r.placer.Reservations.Release(r.decode, r.job.Attempt)
-		r.lane.freed()
 	}
 }
 
 func (r *reserved) releasePrefill() {
 	if r.prefillHeld.CompareAndSwap(true, false) {
 		r.placer.Reservations.Release(r.prefill, r.job.Attempt)
-		r.lane.freed()
 	}
 }
--- a/router/internal/domain/reservation/decode.go
+++ b/router/internal/domain/reservation/decode.go
@@ -4,6 +4,7 @@
 package reservation
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	// overrunPart is the part of its expected time that a request is expected to go on for once it has run longer than
 	// expected. A quarter keeps long-running requests from promising their slot for the next moment, again and again.
 	overrunPart = 0.25
+	// releaseGrace is the least time for which a reservation that was not released is taken to go on.
+	releaseGrace = 20 * time.Millisecond
 	// holdSmoothing is the weight of one request in the average that predicts holding times.
 	holdSmoothing = 0.05
 )
@@ -34,6 +37,8 @@
 // Need is what an attempt wants from a decode endpoint.
 type Need struct {
 	Attempt string
+	// From is the instance that asks.
+	From string
 	// At is when the prefill ends; Within is how much later the slot may get free.
 	At, Within   time.Duration
 	Tokens       int64
@@ -48,10 +53,12 @@
 	// holdRatio is the average of the time that requests hold their slot over the time for their token limit.
 	holdRatio float64
 	listedAt  time.Duration
+	waiters   waiters
 }
 
 type decodeEntry struct {
-	at       time.Duration
+	// due is the time that was granted; at is when the slot is taken, which is later if the slot gets free late.
+	due, at  time.Duration
 	transfer time.Duration
 	// longest is the time for the whole token limit.
 	longest time.Duration
@@ -63,7 +70,7 @@
 
 // NewDecode returns an empty table.
 func NewDecode() *Decode {
-	return &Decode{entries: map[string]*decodeEntry{}, holdRatio: 1}
+	return &Decode{entries: map[string]*decodeEntry{}, holdRatio: 1, waiters: waiters{}}
 }
 
 // SetSize sets the endpoint's size, which load reports tell.
@@ -76,6 +83,7 @@
 // returns that moment in any case.
 func (t *Decode) Reserve(now time.Duration, n Need) (at time.Duration, granted bool) {
 	t.lapse(now)
+	t.shift(now)
 	if e, ok := t.entries[n.Attempt]; ok {
 		return e.at, true
 	}
@@ -87,15 +95,52 @@
 	if e.blocks > t.size.Blocks || t.size.Slots == 0 {
 		return n.At + n.Within + time.Hour, false // it never fits
 	}
-	at = t.earliest(now, max(n.At, now), e)
+	at = t.earliest(now, max(n.At, now), e, 1+t.ahead(now, n.From, e.blocks))
 	if at > n.At+n.Within {
+		t.waiters.refused(now, n.From)
 		return at, false
 	}
-	e.at = at
+	t.waiters.granted(n.From)
+	e.due, e.at = at, at
 	t.entries[n.Attempt] = e
 	return at, true
 }
 
+// ahead is how many slots are kept for instances that wait longer, as far as they fit.
+func (t *Decode) ahead(now time.Duration, from string, blocks int64) int {
+	n := min(t.waiters.ahead(now, from), t.size.Slots-1)
+	if blocks > 0 {
+		n = min(n, int(t.size.Blocks/blocks)-1)
+	}
+	return n
+}
+
+// shift moves entries that cannot have their slot yet, because more are due than there are slots: they begin now at the
+// earliest. Without this a late beginning would make the prediction of its end too early, and so on along a chain.
+func (t *Decode) shift(now time.Duration) {
+	var due []*decodeEntry
+	for _, e := range t.entries {
+		if e.at <= now {
+			due = append(due, e)
+		}
+	}
+	if len(due) <= t.size.Slots {
+		return
+	}
+	slices.SortFunc(due, func(a, b *decodeEntry) int {
+		if a.used != b.used {
+			if a.used {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.at, b.at)
+	})
+	for _, e := range due[t.size.Slots:] {
+		e.at = now
+	}
+}
+
 func blocksFor(tokens, blockTokens int64) int64 {
 	if blockTokens <= 0 {
 		return 0
@@ -110,8 +155,8 @@
 	return time.Duration(float64(bytes) / t.size.LinkRate * float64(time.Second))
 }
 
-// earliest looks at the moments when something gets free, in order.
-func (t *Decode) earliest(now, from time.Duration, e *decodeEntry) time.Duration {
+// earliest looks at the moments when something gets free, in order, for one at which count such entries fit.
+func (t *Decode) earliest(now, from time.Duration, e *decodeEntry, count int) time.Duration {
 	moments := []time.Duration{from}
 	for _, other := range t.entries {
 		for _, m := range []time.Duration{t.end(now, other), other.at + other.transfer} {
@@ -122,7 +167,7 @@
 	}
 	slices.Sort(moments)
 	for _, m := range moments {
-		if t.fits(now, m, e) {
+		if t.fits(now, m, e, count) {
 			return m
 		}
 	}
@@ -134,11 +179,12 @@
 	began := e.at + e.transfer
 	expected := time.Duration(t.holdRatio * float64(e.longest))
 	end := max(began+expected, now+time.Duration(overrunPart*float64(expected)))
-	return max(min(end, began+e.longest), now)
+	// What is not released holds its slot now, even if it began later than planned.
+	return max(min(end, began+e.longest), now+releaseGrace)
 }
 
 // fits checks slots, blocks and link from moment at on, for as long as the entry is expected to hold them.
-func (t *Decode) fits(now, at time.Duration, e *decodeEntry) bool {
+func (t *Decode) fits(now, at time.Duration, e *decodeEntry, count int) bool {
 	until := at + e.transfer + time.Duration(t.holdRatio*float64(e.longest))
 	starts := []time.Duration{at}
 	for _, other := range t.entries {
@@ -150,7 +196,7 @@
 		}
 	}
 	for _, moment := range starts {
-		slots, blocks := 1, e.blocks
+		slots, blocks := count, int64(count)*e.blocks
 		for _, other := range t.entries {
 			if other.at <= moment && t.end(now, other) > moment {
 				slots++
@@ -170,10 +216,12 @@
 	if !ok {
 		return
 	}
+	t.shift(now)
 	delete(t.entries, attempt)
+	t.shift(now)
 	held := now - e.at - e.transfer
-	if e.longest <= 0 || held <= 0 || e.foreign {
-		return // never used, or its beginning is a guess
+	if e.longest <= 0 || held <= 0 || e.foreign || !e.used {
+		return // its beginning is a guess, or it was given back unused
 	}
 	ratio := min(float64(held)/float64(e.longest), 1)
 	t.holdRatio += holdSmoothing * (ratio - t.holdRatio)
@@ -187,12 +235,12 @@
 	for _, r := range list {
 		present[r.ID] = true
 		if e, ok := t.entries[r.ID]; ok {
-			e.used = true
+			e.use(now, r, t.size.TokenInterval)
 			continue
 		}
 		longest := time.Duration(max(r.MaxTokens, r.OutputTokens)) * t.size.TokenInterval
 		began := now - time.Duration(r.OutputTokens)*t.size.TokenInterval
-		t.entries[r.ID] = &decodeEntry{at: began, longest: longest, blocks: r.Blocks, used: true, foreign: true}
+		t.entries[r.ID] = &decodeEntry{due: began, at: began, longest: longest, blocks: r.Blocks, used: true, foreign: true}
 	}
 	for attempt, e := range t.entries {
 		if e.used && !present[attempt] {
@@ -202,10 +250,18 @@
 	t.lapse(now)
 }
 
+// use notes that the engine lists the attempt. One that decodes began so long ago as its output took.
+func (e *decodeEntry) use(now time.Duration, r engine.Request, interval time.Duration) {
+	e.used = true
+	if r.Phase == engine.PhaseDecode && r.OutputTokens > 0 {
+		e.at = now - time.Duration(r.OutputTokens)*interval - e.transfer
+	}
+}
+
 // lapse drops reservations whose time has passed without use.
 func (t *Decode) lapse(now time.Duration) {
 	for attempt, e := range t.entries {
-		if lapsed(now, e.at, t.listedAt, e.used) {
+		if lapsed(now, e.due, t.listedAt, e.used) {
 			delete(t.entries, attempt)
 		}
 	}
--- a/router/internal/domain/reservation/reservation_test.go
+++ b/router/internal/domain/reservation/reservation_test.go
@@ -105,6 +105,40 @@
 		Expect(at).To(Equal(500 * ms))
 	})
 
+	// Guards against an instance that always comes a little later than another and never gets a slot.
+	It("keeps the next slot for the instance that waits longest", func() {
+		t := decode()
+		ask := func(now time.Duration, from, attempt string) bool {
+			n := need(attempt, now, 0)
+			n.From = from
+			_, granted := t.Reserve(now, n)
+			return granted
+		}
+		Expect(ask(0, "r1", "a")).To(BeTrue())
+		Expect(ask(0, "r1", "b")).To(BeTrue())
+		Expect(ask(100*ms, "r2", "c")).To(BeFalse())
+		Expect(ask(101*ms, "r1", "d")).To(BeFalse())
+		t.Release(110*ms, "a")
+		Expect(ask(111*ms, "r1", "d")).To(BeFalse())
+		Expect(ask(120*ms, "r2", "c")).To(BeTrue())
+		t.Release(300*ms, "b") // r1 has not asked for long and does not count as waiting
+		Expect(ask(301*ms, "r3", "e")).To(BeTrue())
+	})
+
+	It("predicts the end of a request that began late", func() {
+		t := decode()
+		for _, id := range []string{"a", "b"} {
+			t.Reserve(0, need(id, 0, 0))
+		}
+		t.Reserve(0, need("c", time.Second, 0)) // promised for the predicted end of a
+		t.Release(1500*ms, "a")                 // which is late
+		t.Release(1500*ms, "b")
+		t.Reserve(1500*ms, need("d", 1500*ms, 0))
+		at, granted := t.Reserve(1600*ms, need("e", 1600*ms, 0))
+		Expect(granted).To(BeFalse())
+		Expect(at).To(Equal(2500 * ms))
+	})
+
 	// Guards against promising more than the engine has, under any schedule.
 	It("never has more slots or blocks taken now than there are", func() {
 		rapid.Check(GinkgoT(), func(rt *rapid.T) {
