Cancel until acknowledged, reap orphans and reconcile engines with their pools

Cause: cancels were sent once, requests of dead instances stayed in the engines, and nothing sent the orders that a changed pool asks for. Ruled out: a command that sends orders by hand; the catalogue already says which model and role each pool has.

--- a/router/internal/instance/adapters.go
+++ b/router/internal/instance/adapters.go
@@ -7,6 +7,7 @@
 
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/router/internal/adapter/operators"
+	"tanagerwood.dev/router/internal/app/cleanup"
 	"tanagerwood.dev/router/internal/app/membership"
 	"tanagerwood.dev/router/internal/app/modelpath"
 	"tanagerwood.dev/router/internal/app/quotasync"
@@ -74,10 +75,10 @@
 	return c.Claims(m), nil
 }
 
-// canceller cancels attempts in the background.
-type canceller struct{ engine port.Engine }
+// peerAttempts answers peers' questions about attempts in flight.
+type peerAttempts struct{ port.Inflight }
 
-// Cancel implements modelpath.Canceller.
-func (c canceller) Cancel(ep port.Endpoint, attempt string) {
-	go func() { _ = c.engine.Cancel(context.Background(), ep, attempt) }()
+// ReceiveInflight implements peerhttp.Attempts.
+func (a peerAttempts) ReceiveInflight(_ context.Context, m peer.InflightRequest) (peer.InflightReply, error) {
+	return cleanup.AnswerInflight(a.Inflight, m), nil
 }
--- a/router/internal/instance/instance.go
+++ b/router/internal/instance/instance.go
@@ -17,10 +17,12 @@
 	"tanagerwood.dev/router/internal/adapter/peerhttp"
 	"tanagerwood.dev/router/internal/adapter/servicehttp"
 	"tanagerwood.dev/router/internal/adapter/statelog"
+	"tanagerwood.dev/router/internal/app/cleanup"
 	"tanagerwood.dev/router/internal/app/configsync"
 	"tanagerwood.dev/router/internal/app/drain"
 	"tanagerwood.dev/router/internal/app/loads"
 	"tanagerwood.dev/router/internal/app/membership"
+	"tanagerwood.dev/router/internal/app/orders"
 	"tanagerwood.dev/router/internal/app/quotasync"
 	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/app/servicepath"
@@ -34,6 +36,10 @@
 	maxHeader     = 64 << 10
 )
 
+// finishTimeout bounds the work that a stopping instance still does without callers. Endpoints' owners take over the
+// cancels that remain.
+const finishTimeout = 15 * time.Second
+
 // Options configures an Instance.
 type Options struct {
 	Settings *settings.Settings
@@ -110,12 +116,20 @@
 		return nil
 	case <-do.MustInvoke[*drain.Machine](i.injector).Done():
 		events.Record(event.Event{Kind: event.ProcessStopping})
-		return do.MustInvoke[*openRequests](i.injector).Wait(ctx)
+		return i.finish(ctx)
 	case err := <-failed:
 		return err
 	}
 }
 
+// finish waits for the work that goes on without callers: claims to complete and cancels to be acknowledged.
+func (i *Instance) finish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	err := do.MustInvoke[*openRequests](i.injector).Wait(ctx)
+	return errors.Join(err, do.MustInvoke[*cleanup.Canceller](i.injector).Wait(ctx))
+}
+
 func (i *Instance) serve(failed chan<- error, server *http.Server, l net.Listener) {
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -134,6 +148,8 @@
 	i.loop(func() { do.MustInvoke[*loads.Poller](i.injector).Run(ctx) })
 	i.loop(func() { do.MustInvoke[*reservations.Service](i.injector).Run(ctx) })
 	i.loop(func() { do.MustInvoke[*servicepath.Path](i.injector).Run(ctx) })
+	i.loop(func() { do.MustInvoke[*cleanup.Reaper](i.injector).Run(ctx) })
+	i.loop(func() { do.MustInvoke[*orders.Reconciler](i.injector).Run(ctx) })
 }
 
 // followRevisions tells the configuration loop of newer revisions that heartbeats have shown.
@@ -167,6 +183,7 @@
 	_ = do.MustInvoke[*callerServer](i.injector).Close()
 	do.MustInvoke[*membership.Service](i.injector).Stop()
 	do.MustInvoke[*quotasync.Admission](i.injector).Stop()
+	do.MustInvoke[*cleanup.Canceller](i.injector).Close()
 	i.loops.Wait()
 	_ = do.MustInvoke[*peerServer](i.injector).Close()
 	_ = do.MustInvoke[*operatorServer](i.injector).Close()
--- a/router/internal/instance/providers.go
+++ b/router/internal/instance/providers.go
@@ -15,10 +15,12 @@
 	"tanagerwood.dev/router/internal/adapter/platformhttp"
 	"tanagerwood.dev/router/internal/adapter/servicehttp"
 	"tanagerwood.dev/router/internal/adapter/statelog"
+	"tanagerwood.dev/router/internal/app/cleanup"
 	"tanagerwood.dev/router/internal/app/configsync"
 	"tanagerwood.dev/router/internal/app/loads"
 	"tanagerwood.dev/router/internal/app/membership"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/orders"
 	"tanagerwood.dev/router/internal/app/placement"
 	"tanagerwood.dev/router/internal/app/quotasync"
 	"tanagerwood.dev/router/internal/app/reservations"
@@ -154,6 +156,31 @@
 	do.Provide(injector, func(i do.Injector) (*modelpath.IDs, error) {
 		return modelpath.NewIDs(do.MustInvoke[peer.Member](i).MemberID), nil
 	})
+	do.Provide(injector, func(i do.Injector) (*cleanup.Canceller, error) {
+		return cleanup.NewCanceller(do.MustInvoke[port.Engine](i), do.MustInvoke[port.Config](i), do.MustInvoke[port.EventLog](i)), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*cleanup.Reaper, error) {
+		return cleanup.NewReaper(cleanup.Deps{
+			Config:     do.MustInvoke[port.Config](i),
+			Membership: do.MustInvoke[port.Membership](i),
+			Engine:     do.MustInvoke[port.Engine](i),
+			Peers:      do.MustInvoke[port.Peers](i),
+			Inflight:   do.MustInvoke[*modelpath.Registry](i),
+			Events:     do.MustInvoke[port.EventLog](i),
+			Canceller:  do.MustInvoke[*cleanup.Canceller](i),
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*orders.Reconciler, error) {
+		manager := orders.New(orders.Deps{
+			Clock:      do.MustInvoke[port.Clock](i),
+			Config:     do.MustInvoke[port.Config](i),
+			Platform:   do.MustInvoke[port.Platform](i),
+			Membership: do.MustInvoke[port.Membership](i),
+			Service:    do.MustInvoke[*servicehttp.Client](i),
+			Events:     do.MustInvoke[port.EventLog](i),
+		})
+		return orders.NewReconciler(manager, do.MustInvoke[port.Engine](i)), nil
+	})
 	do.Provide(injector, func(i do.Injector) (*placement.Placer, error) {
 		return placement.New(placement.Deps{
 			Config:       do.MustInvoke[port.Config](i),
@@ -170,7 +197,7 @@
 			Admission: do.MustInvoke[port.Admission](i),
 			Placer:    do.MustInvoke[*placement.Placer](i),
 			Engine:    do.MustInvoke[port.Engine](i),
-			Canceller: canceller{do.MustInvoke[port.Engine](i)},
+			Canceller: do.MustInvoke[*cleanup.Canceller](i),
 			Clock:     do.MustInvoke[port.Clock](i),
 			Log:       do.MustInvoke[port.EventLog](i),
 			Metrics:   do.MustInvoke[metrics.Registry](i),
--- a/router/internal/instance/servers.go
+++ b/router/internal/instance/servers.go
@@ -65,6 +65,7 @@
 			Snapshots:     do.MustInvoke[*configsync.Sync](i),
 			Loans:         do.MustInvoke[*quotasync.Admission](i),
 			Reservations:  peerReservations{do.MustInvoke[*reservations.Service](i)},
+			Attempts:      peerAttempts{do.MustInvoke[*modelpath.Registry](i)},
 			Claims:        peerClaims{do.MustInvoke[*servicepath.Path](i)},
 		})
 		return &peerServer{newServer(handler)}, nil
