Add process-level failure tests

Cause: the mechanisms were proved one by one with fakes; nothing showed that the real processes keep the promises when they are killed, frozen or stopped. Ruled out: in-process instances for this (an ended context still sends cancels, which a killed process does not).

--- /dev/null
+++ b/lab/e2e/rate_test.go
@@ -0,0 +1,73 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("rate and burst across processes", func() {
+	It("admits no more than burst and rate allow while a router is frozen and woken", func() {
+		const rate, burst = 300, 4000
+		s := start(3)
+		s.catalogue.Customers[0].RateTokens, s.catalogue.Customers[0].BurstTokens = rate, burst
+		m := &s.catalogue.Models[0]
+		m.MaxPromptTokens, m.MaxOutputTokens, m.DefaultOutputTokens = 1000, 1000, 100
+		s.apply()
+		ctx, cancel := withTimeout()
+		defer cancel()
+		Eventually(s.inForce).WithTimeout(patience).Should(BeTrue())
+		began := time.Now()
+		limit, stop := context.WithTimeout(ctx, 14*time.Second)
+		defer stop()
+		var load sync.WaitGroup
+		for worker := range 9 {
+			load.Go(func() { flood(limit, s.routers[worker%3].url, worker) })
+		}
+		time.AfterFunc(3*time.Second, func() { s.routers[2].signal(syscall.SIGSTOP) })
+		time.AfterFunc(10*time.Second, func() { s.routers[2].signal(syscall.SIGCONT) })
+		load.Wait()
+		var admitted int64
+		for _, r := range s.routers {
+			for _, e := range s.events(r) {
+				if e.Kind == "request.settled" && e.Customer == s.catalogue.Customers[0].Name {
+					admitted += e.Tokens
+				}
+			}
+		}
+		allowed := burst + int64(rate*time.Since(began).Seconds())
+		Expect(admitted).To(BeNumerically("<=", allowed))
+		Expect(admitted).To(BeNumerically(">", allowed/4), "the limit was reached, not just far away")
+	})
+})
+
+// inForce reports whether every router has the newest catalogue version in force.
+func (s *system) inForce() bool {
+	for _, r := range s.routers {
+		status := get[struct {
+			Revision uint64 `json:"revision"`
+		}](r.operators + "/status")
+		if status.Revision != s.version {
+			return false
+		}
+	}
+	return true
+}
+
+// flood sends short requests one after the other until the context ends.
+func flood(ctx context.Context, router string, worker int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		a := complete(ctx, router, key, fmt.Sprint("flood ", worker, " ", i), 20, nil)
+		if a.status != 200 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+}
