Test bookings and orders against the platform stand-in, with random schedules

Cause: the tests used an in-memory platform, which lost replies and failed only where the test author expected it.

Change: servicepath and orders tests go through platformhttp to the platform stand-in. Repairs of claims start after 50 ms and back off to 1 s; before, the first one waited 1 s. notAdmitted asks this instance's memory too, because a stale read can miss a claim.

A stale read of the platform by an instance that did not send can still turn a rate-limited repeat into not_run; reads of claims need to be current for that.

--- a/router/internal/app/orders/orders_test.go
+++ b/router/internal/app/orders/orders_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -17,8 +16,9 @@
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/peer"
-	"tanagerwood.dev/api/platform"
 	standin "tanagerwood.dev/lab/standin/engine"
+	standplatform "tanagerwood.dev/lab/standin/platform"
+	"tanagerwood.dev/router/internal/adapter/platformhttp"
 	"tanagerwood.dev/router/internal/adapter/servicehttp"
 	"tanagerwood.dev/router/internal/app/orders"
 	"tanagerwood.dev/router/internal/domain/config"
@@ -38,11 +38,10 @@
 type world struct {
 	port.Config
 	port.Platform
-	mu        sync.Mutex
-	boot      time.Duration
-	object    platform.Object
-	loseReply int
-	checks    bool
+	server *standplatform.Server
+	mu     sync.Mutex
+	boot   time.Duration
+	checks bool
 }
 
 func (w *world) Now() time.Time          { return time.Now() }
@@ -53,31 +52,10 @@
 	return config.New(1, catalogue.Catalogue{Pools: []catalogue.Pool{{Name: "tulis", ChecksFencing: w.checks}}})
 }
 
-func (w *world) Get(context.Context, platform.Kind, string) (platform.Object, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.object.Version == 0 {
-		return w.object, fault.New(fault.NotFound, "no object")
-	}
-	return w.object, nil
-}
-
-func (w *world) Create(ctx context.Context, k platform.Kind, name string, value json.RawMessage) (uint64, error) {
-	return w.Replace(ctx, k, name, 0, value)
-}
-
-func (w *world) Replace(_ context.Context, _ platform.Kind, _ string, version uint64, value json.RawMessage) (uint64, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.object.Version != version {
-		return 0, fault.New(fault.Conflict, "version")
-	}
-	w.object = platform.Object{Version: version + 1, Value: value}
-	if w.loseReply > 0 {
-		w.loseReply--
-		return 0, fault.Wrap(errors.New("EOF"), fault.PlatformDown, openai.Unknown, "reply lost")
-	}
-	return w.object.Version, nil
+// loseReply makes the reply of the next write get lost.
+func (w *world) loseReply() {
+	n := 1
+	w.server.SetFaults(standplatform.Faults{LoseReplies: &n})
 }
 
 // instance is one router; its pause runs between the lease check and the send.
@@ -116,7 +94,10 @@
 		return i
 	}
 	setUp := func(checksFencing bool) {
-		w = &world{checks: checksFencing, boot: time.Hour}
+		w = &world{checks: checksFencing, boot: time.Hour, server: standplatform.New(standplatform.Options{})}
+		objects := httptest.NewServer(w.server)
+		DeferCleanup(objects.Close)
+		w.Platform = platformhttp.New(platformhttp.Options{BaseURL: objects.URL})
 		a, b = newInstance("a"), newInstance("b")
 		e = standin.New(standin.Options{ChecksFencing: checksFencing})
 		web := httptest.NewServer(e.Handler())
@@ -148,10 +129,10 @@
 
 	It("go on when the replies of lease writes are lost", func() {
 		setUp(true)
-		w.loseReply = 1
+		w.loseReply()
 		Expect(load(a, "m1")).To(Succeed())
 		w.advance(lifecycle.LeaseLength)
-		w.loseReply = 1
+		w.loseReply()
 		Expect(load(a, "m2")).To(Succeed())
 		Expect(taken()).To(Equal([]engine.Order{order("m1", 1), order("m2", 1)}))
 	})
--- a/router/internal/app/servicepath/claims.go
+++ b/router/internal/app/servicepath/claims.go
@@ -18,8 +18,9 @@
 	// claimTries bounds how often the claim of one call is tried, claimPause is between two tries.
 	claimTries = 3
 	claimPause = 50 * time.Millisecond
-	// repairPause is between tries to release or complete a claim after its caller has the answer.
-	repairPause = time.Second
+	// firstRepairPause and maxRepairPause are between tries to release or complete a claim after its caller has the answer.
+	firstRepairPause = 50 * time.Millisecond
+	maxRepairPause   = time.Second
 )
 
 // keptHeaders are stored with the answer of a done call.
@@ -201,8 +202,8 @@
 // repair repeats f until it returns true or repeats of the call are no longer expected.
 func (p *Path) repair(f func() bool) {
 	end := p.Clock.Boot() + claim.MemoryTime
-	for p.Clock.Boot() < end {
-		pause(context.Background(), repairPause)
+	for backoff := firstRepairPause; p.Clock.Boot() < end; backoff = min(2*backoff, maxRepairPause) {
+		pause(context.Background(), backoff)
 		if f() {
 			return
 		}
--- a/router/internal/app/servicepath/fakes_test.go
+++ b/router/internal/app/servicepath/fakes_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,7 +21,9 @@
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/api/platform"
+	standplatform "tanagerwood.dev/lab/standin/platform"
 	"tanagerwood.dev/lab/standin/service"
+	"tanagerwood.dev/router/internal/adapter/platformhttp"
 	"tanagerwood.dev/router/internal/adapter/servicehttp"
 	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/domain/config"
@@ -36,12 +40,11 @@
 
 // world is everything outside the instances under test: clock, platform, configuration, endpoints and peers.
 type world struct {
+	port.Platform
+	server    *standplatform.Server
 	mu        sync.Mutex
 	boot      time.Duration
-	objects   map[string]platform.Object
-	version   uint64
-	down      bool
-	loseReply map[string]int // by call: create, replace
+	requests  int
 	afterMake func()
 	snapshot  *config.Snapshot
 	watchers  []func(*config.Snapshot)
@@ -61,23 +64,49 @@
 	killed atomic.Bool
 }
 
+var errKilled = fault.Wrap(errors.New("killed"), fault.PlatformDown, openai.NotRun, "killed")
+
+func (i *instance) Create(ctx context.Context, k platform.Kind, name string, v json.RawMessage) (uint64, error) {
+	version, err := i.world.Create(ctx, k, name, v)
+	if i.afterMake != nil {
+		i.afterMake()
+	}
+	return version, err
+}
+
 func (i *instance) Replace(ctx context.Context, k platform.Kind, name string, version uint64, v json.RawMessage) (uint64, error) {
 	if i.killed.Load() {
-		return 0, errDown
+		return 0, errKilled
 	}
 	return i.world.Replace(ctx, k, name, version, v)
 }
 
 func (i *instance) Delete(ctx context.Context, k platform.Kind, name string, version uint64) error {
 	if i.killed.Load() {
-		return errDown
+		return errKilled
 	}
 	return i.world.Delete(ctx, k, name, version)
 }
 
 func newWorld() *world {
-	return &world{objects: map[string]platform.Object{}, loseReply: map[string]int{}, instances: map[string]*instance{},
+	w := &world{server: standplatform.New(standplatform.Options{}), instances: map[string]*instance{},
 		snapshot: config.New(1, catalogueWith(key))}
+	web := httptest.NewServer(w.server)
+	DeferCleanup(web.Close)
+	w.Platform = platformhttp.New(platformhttp.Options{BaseURL: web.URL})
+	return w
+}
+
+// setDown begins or ends a platform outage.
+func (w *world) setDown(down bool) { w.server.SetFaults(standplatform.Faults{Outage: &down}) }
+
+// loseReplies makes the replies of the next writes get lost.
+func (w *world) loseReplies(n int) { w.server.SetFaults(standplatform.Faults{LoseReplies: &n}) }
+
+func (w *world) claims() int {
+	list, err := w.List(context.Background(), platform.KindClaim)
+	Expect(err).NotTo(HaveOccurred())
+	return len(list.Objects)
 }
 
 func catalogueWith(keys ...string) catalogue.Catalogue {
@@ -121,82 +150,10 @@
 func (w *world) Now() time.Time      { return time.UnixMilli(1e12).Add(w.Boot()) }
 func (w *world) Boot() time.Duration { defer w.lock()(); return w.boot }
 
-// Platform.
-var errDown = fault.Wrap(errors.New("503"), fault.PlatformDown, openai.NotRun, "down")
-
-func (w *world) isDown() bool { defer w.lock()(); return w.down }
-
-func (w *world) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
-	if w.isDown() {
-		return platform.Object{}, errDown
-	}
-	defer w.lock()()
-	o, ok := w.objects[name]
-	if !ok {
-		return o, fault.New(fault.NotFound, "no object")
-	}
-	return o, nil
-}
-
-func (w *world) write(call, name string, match uint64, value json.RawMessage) (uint64, error) {
-	if w.isDown() {
-		return 0, errDown
-	}
-	defer w.lock()()
-	if w.objects[name].Version != match {
-		return 0, fault.New(fault.Conflict, "version")
-	}
-	w.version++
-	w.objects[name] = platform.Object{Name: name, Version: w.version, Value: value}
-	if w.loseReply[call] > 0 {
-		w.loseReply[call]--
-		return 0, fault.Wrap(errors.New("EOF"), fault.PlatformDown, openai.Unknown, "reply lost")
-	}
-	return w.version, nil
-}
-
-func (w *world) Create(_ context.Context, _ platform.Kind, name string, value json.RawMessage) (uint64, error) {
-	v, err := w.write("create", name, 0, value)
-	if w.afterMake != nil {
-		w.afterMake()
-	}
-	return v, err
-}
-
-func (w *world) Replace(_ context.Context, _ platform.Kind, name string, version uint64, value json.RawMessage) (uint64, error) {
-	return w.write("replace", name, version, value)
-}
-
-func (w *world) Delete(_ context.Context, _ platform.Kind, name string, version uint64) error {
-	if w.isDown() {
-		return errDown
-	}
-	defer w.lock()()
-	if w.objects[name].Version == version {
-		delete(w.objects, name)
-	}
-	return nil
-}
-
-func (w *world) claims() int { defer w.lock()(); return len(w.objects) }
-
-func (w *world) GetNewer(context.Context, platform.Kind, string, uint64) (o platform.Object, c bool, err error) {
-	return o, false, errDown
-}
-
-func (w *world) List(context.Context, platform.Kind) (l platform.List, err error) {
-	defer w.lock()()
-	for _, o := range w.objects {
-		l.Objects = append(l.Objects, o)
-	}
-	return l, nil
-}
-func (w *world) Instances(context.Context) ([]platform.Instance, error) { return nil, errDown }
-
 // Config.
 func (w *world) Current() *config.Snapshot          { defer w.lock()(); return w.snapshot }
 func (w *world) Subscribe(f func(*config.Snapshot)) { w.watchers = append(w.watchers, f) }
-func (w *world) Endpoints() []port.Endpoint         { return w.endpoints }
+func (w *world) Endpoints() []port.Endpoint         { defer w.lock()(); return w.endpoints }
 func (w *world) Routers() (list []platform.Instance, read bool) {
 	for name := range w.instances {
 		list = append(list, platform.Instance{Name: name})
@@ -204,6 +161,8 @@
 	return list, true
 }
 
+func (w *world) setEndpoints(list []port.Endpoint) { defer w.lock()(); w.endpoints = list }
+
 func (w *world) apply(s *config.Snapshot) {
 	unlock := w.lock()
 	w.snapshot = s
@@ -258,19 +217,45 @@
 
 // book makes a booking call under the idempotency key.
 func (i *instance) book(ctx context.Context, idempotencyKey, booking string) (port.ServiceResponse, error) {
-	return i.call(ctx, false, http.MethodPost, "/slots?api_key=x&day=2", idempotencyKey, `{"booking":"`+booking+`"}`)
+	_, resp, err := i.request(ctx, idempotencyKey, booking)
+	return resp, err
+}
+
+// request is book that also returns the request id.
+func (i *instance) request(ctx context.Context, idempotencyKey, booking string) (string, port.ServiceResponse, error) {
+	return i.send(ctx, false, http.MethodPost, "/slots?api_key=x&day=2", idempotencyKey, `{"booking":"`+booking+`"}`)
 }
 
 func (i *instance) call(ctx context.Context, repeatable bool, method, path, idempotencyKey, body string) (port.ServiceResponse, error) {
+	_, resp, err := i.send(ctx, repeatable, method, path, idempotencyKey, body)
+	return resp, err
+}
+
+func (i *instance) send(ctx context.Context, repeatable bool, method, path, idempotencyKey, body string) (string, port.ServiceResponse, error) {
 	customer, _ := i.Current().Customer("asahan")
 	unlock := i.lock()
-	i.version++ // request ids only need to differ
-	id := i.self.Name + ".1." + time.Duration(i.version).String()
+	i.requests++
+	id := i.self.Name + ".1." + strconv.Itoa(i.requests)
 	unlock()
-	return i.path.Handle(ctx, servicepath.Call{
+	resp, err := i.path.Handle(ctx, servicepath.Call{
 		Route:    &catalogue.Route{Name: "slots", Pool: "kaunter", Repeatable: repeatable, TimeoutMS: 4000, CostTokens: 5},
 		Customer: customer, KeyDigest: config.DigestKey(key), Method: method, Path: path, Body: []byte(body),
 		Header:         http.Header{"Authorization": {"Bearer " + key}, "Cookie": {"c"}, "X-Api-Key": {key}, "Accept": {"a/b"}},
 		IdempotencyKey: idempotencyKey, RequestID: id,
 	})
+	return id, resp, err
+}
+
+// runsOf counts the runs that the attempts of one request caused at the services.
+func runsOf(request string, services ...*service.Service) (runs int) {
+	for _, s := range services {
+		for _, run := range s.Runs().Runs {
+			for attempt, n := range run.Attempts {
+				if strings.HasPrefix(attempt, request+".") {
+					runs += n
+				}
+			}
+		}
+	}
+	return runs
 }
--- a/router/internal/app/servicepath/once_test.go
+++ b/router/internal/app/servicepath/once_test.go
@@ -152,7 +152,7 @@
 	})
 
 	It("runs once when the replies of the claim's create and complete are lost", func() {
-		w.loseReply["create"], w.loseReply["replace"] = 1, 1
+		w.loseReplies(2)
 		_, err := a.book(ctx, "k", "b1")
 		Expect(err).NotTo(HaveOccurred())
 		again, err := b.book(ctx, "k", "b1")
@@ -177,8 +177,8 @@
 	It("says not_run in a platform outage only if the whole fleet remembers that nobody sent it", func() {
 		sent := func() { _, err := a.book(ctx, "k", "b1"); Expect(err).NotTo(HaveOccurred()) }
 		outage := func(i *instance, k string) error {
-			w.down = true
-			defer func() { w.down = false }()
+			w.setDown(true)
+			defer w.setDown(false)
 			_, err := i.book(ctx, k, k)
 			return err
 		}
--- a/router/internal/app/servicepath/path.go
+++ b/router/internal/app/servicepath/path.go
@@ -169,7 +169,7 @@
 	defer cancel()
 	record, _, getErr := p.readClaim(lookup, name)
 	switch {
-	case fault.Is(getErr, fault.NotFound):
+	case fault.Is(getErr, fault.NotFound) && !p.memory.MayHaveSent(name, 0, p.Clock.Boot()):
 		return port.ServiceResponse{}, err
 	case getErr != nil:
 		return port.ServiceResponse{}, fault.As(err).WithOutcome(p.outcomeWithoutPlatform(ctx, name, 0))
