--- a/lab/standin/engine/completion.go
+++ b/lab/standin/engine/completion.go
@@ -227,10 +227,10 @@
 	e.decoding--
 	if completed {
 		e.stats.AnswersCompleted++
-	} else {
-		e.stats.AnswersCut++
-		e.stats.CutPromptTokens += en.prompt
 	}
 	e.mu.Unlock()
+	if !completed {
+		e.countCut(en)
+	}
 	e.record(event.DecodeEnded, en, "")
 }
--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -24,7 +24,8 @@
 	ExportsExpired int64 `json:"exports_expired"`
 	ImportedBytes  int64 `json:"imported_bytes"`
 	OutputTokens   int64 `json:"output_tokens"`
-	// AnswersCompleted were sent whole; AnswersCut ended early after their prompts of CutPromptTokens were decoded.
+	// AnswersCompleted were sent whole; AnswersCut ended early after their prompts of CutPromptTokens were fetched or
+	// prefilled here.
 	AnswersCompleted int64 `json:"answers_completed"`
 	AnswersCut       int64 `json:"answers_cut"`
 	CutPromptTokens  int64 `json:"cut_prompt_tokens"`
--- a/lab/standin/engine/engine_test.go
+++ b/lab/standin/engine/engine_test.go
@@ -193,6 +193,7 @@
 		cancel()
 		Eventually(stalled, limit).Should(Receive(HaveOccurred()))
 		Eventually(func() int { return d.Stats().Requests + p.Stats().Requests }, limit).Should(BeZero())
+		Expect([]int64{d.Stats().AnswersCut, d.Stats().AnswersCompleted}).To(Equal([]int64{2, 0}))
 
 		d.SetFaults(engine.Faults{})
 		_, done, err = decode(context.Background(), "c")
--- a/lab/standin/engine/kv.go
+++ b/lab/standin/engine/kv.go
@@ -102,6 +102,7 @@
 		return refusal(http.StatusGone, "kv_expired", "the prefill engine no longer has the KV cache; repeat the prefill")
 	}
 	if resp.Header.Get(headerKVPrompt) != strconv.FormatUint(en.kvKey, 16) {
+		e.countCut(en)
 		return refusal(http.StatusConflict, "kv_mismatch", "the KV cache belongs to another prompt; repeat the prefill")
 	}
 	bytes, _ := strconv.ParseInt(resp.Header.Get(headerKVBytes), 10, 64)
@@ -112,6 +113,7 @@
 		lost()
 	}()
 	if !e.carry(ctx, bytes) {
+		e.countCut(en)
 		return refusal(http.StatusBadGateway, "kv_lost", "the transfer was cut; repeat the prefill")
 	}
 	e.mu.Lock()
@@ -121,6 +123,14 @@
 	return nil
 }
 
+// countCut counts a prompt that was prefilled and fetched and whose answer will not be completed here.
+func (e *Engine) countCut(en *entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.AnswersCut++
+	e.stats.CutPromptTokens += en.prompt
+}
+
 // carry occupies the link for the time that the bytes take, in simulated time.
 func (e *Engine) carry(ctx context.Context, bytes int64) bool {
 	select {
--- a/router/internal/app/servicepath/claims.go
+++ b/router/internal/app/servicepath/claims.go
@@ -78,7 +78,7 @@
 		pause(ctx, claimPause)
 	}
 	if mayExist {
-		o.path.work.Go(func() { o.path.keepReleasing(o.call, heldClaim{name: o.name, record: record}) })
+		o.path.work.start(func() { o.path.keepReleasing(o.call, heldClaim{name: o.name, record: record}) })
 	}
 	return nil, resp, o.notClaimed(ctx, err)
 }
--- a/router/internal/app/servicepath/once.go
+++ b/router/internal/app/servicepath/once.go
@@ -50,7 +50,7 @@
 	o.claim = *held
 	work, stop := context.WithTimeout(context.WithoutCancel(ctx), c.timeout())
 	result := make(chan onceResult, 1)
-	p.work.Go(func() {
+	p.work.start(func() {
 		defer stop()
 		o.run(work, result)
 	})
--- a/router/internal/app/servicepath/path.go
+++ b/router/internal/app/servicepath/path.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"tanagerwood.dev/api/catalogue"
@@ -88,8 +87,8 @@
 	fleet     *claim.Fleet
 	endpoints *endpoints
 	open      *openCalls
-	// work counts calls that are not repeatable and go on after their callers are gone.
-	work sync.WaitGroup
+	// work holds calls that are not repeatable, which go on after their callers are gone, and repairs of claims.
+	work tasks
 }
 
 // New returns a Path and subscribes it to the configuration. Run must be started too.
@@ -202,16 +201,4 @@
 func (p *Path) CutOff() { p.open.cutOff() }
 
 // Wait returns when calls that go on after their callers are gone have ended, or when ctx ends.
-func (p *Path) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		p.work.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (p *Path) Wait(ctx context.Context) error { return p.work.wait(ctx) }
