Recover from silent platform connections; end slow writes in the stand-in

Cause: after pooled connections to the platform go silent, each of them cost one timeout. A new test of a slow platform also hung for 600 s: the stand-in delayed a PUT before it read the body, and net/http notices a client that gave up only after the body was read. The spec of a refused connection could take a pooled connection that was just closed, which counts as unknown, so it was flaky: one failure was seen.

Ruled out: a shorter idle timeout, which does not help within a burst of calls. The refused write now uses a new client; its expectation is the same.

Change: platformhttp closes idle connections after a call without answer and keeps up to 32; the stand-in reads bodies before it delays.

Shown red by breaking the code: - CloseIdleConnections removed: "uses a new connection" fails - no timeout in call: the slow platform's spec does not end (15 s limit) - body not read ahead in the stand-in: the same spec does not end (15 s limit)

--- a/lab/standin/platform/server.go
+++ b/lab/standin/platform/server.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -125,6 +126,7 @@
 			kind = kindInstances
 		}
 		s.counters.call()
+		readBody(w, r)
 		outage, delay := s.faults.down()
 		if !wait(r, delay) {
 			return
@@ -145,6 +147,21 @@
 	})
 }
 
+// readBody reads the body ahead: net/http notices a client that gave up during a delay only after that. An error comes
+// at the end of the replaced body.
+func readBody(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	if err == nil {
+		err = io.EOF
+	}
+	r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), failing{err}))
+}
+
+// failing is a reader that only fails.
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
 func wait(r *http.Request, delay time.Duration) bool {
 	if delay <= 0 {
 		return true
@@ -224,7 +241,7 @@
 		problem(w, http.StatusPreconditionRequired, err.Error(), 0)
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(r.Body)
 	if err != nil {
 		problem(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("values may have at most %d bytes", platform.MaxValueBytes), 0)
 		return
--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -32,6 +32,8 @@
 	maxAnswerBytes = 64 << 20
 	// idleTimeout closes idle connections, which may have gone silent without either end knowing.
 	idleTimeout = 20 * time.Second
+	// maxIdleConnections keeps connections for bursts of claims; net/http keeps two by default.
+	maxIdleConnections = 32
 	// limitedRetryAfter is how long a rate-limited caller should wait; the platform counts calls per second.
 	limitedRetryAfter = time.Second
 )
@@ -59,9 +61,10 @@
 
 // Client implements port.Platform.
 type Client struct {
-	base    string
+	url     string
 	token   string
 	timeout time.Duration
+	base    *http.Transport
 	http    *http.Client
 }
 
@@ -74,15 +77,17 @@
 	}
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.IdleConnTimeout = idleTimeout
+	base.MaxIdleConnsPerHost = maxIdleConnections
 	base.Proxy = nil // the platform is reached directly; proxy variables of the environment do not apply
 	var transport http.RoundTripper = base
 	if o.Events != nil {
 		transport = o.Events.Transport(base)
 	}
 	return &Client{
-		base:    strings.TrimSuffix(o.BaseURL, "/"),
+		url:     strings.TrimSuffix(o.BaseURL, "/"),
 		token:   o.Token,
 		timeout: o.Timeout,
+		base:    base,
 		http:    &http.Client{Transport: transport, CheckRedirect: keepRedirect},
 	}
 }
@@ -165,13 +170,15 @@
 	// Set from the transport's goroutine. A write before a connection was obtained cannot have taken effect.
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	out, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
+	out, err := http.NewRequestWithContext(ctx, r.method, c.url+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return 0, fault.Wrap(err, fault.InvalidSettings, openai.NotRun, "the platform's URL is not valid; set TANAGERWOOD_PLATFORM_URL")
 	}
 	c.setHeader(out.Header, r)
 	resp, err := c.http.Do(out)
 	if err != nil {
+		// If one pooled connection has gone silent, the others may have too; the next call opens a new one.
+		c.base.CloseIdleConnections()
 		return 0, unreachable(err, r, connected.Load())
 	}
 	defer resp.Body.Close()
--- a/router/internal/adapter/platformhttp/client_test.go
+++ b/router/internal/adapter/platformhttp/client_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,6 +109,8 @@
 		_, err = client.Get(ctx, platform.KindClaim, "a")
 		expectFault(err, fault.PlatformDown, openai.NotRun)
 		web.Close()
+		// A new client, because a pooled connection may be found closed only after it was taken, which counts as unknown.
+		client = platformhttp.New(platformhttp.Options{BaseURL: web.URL, Token: "secret"})
 		_, err = client.Create(ctx, platform.KindClaim, "a", []byte(`1`))
 		expectFault(err, fault.PlatformDown, openai.NotRun) // connection refused
 	})
@@ -122,6 +126,34 @@
 		expectFault(err, fault.PlatformDown, openai.Unknown)
 	})
 
+	It("gives up on a slow platform", func() {
+		start(standin.Options{})
+		hour := time.Hour.Milliseconds()
+		server.SetFaults(standin.Faults{DelayMS: &hour})
+		client = platformhttp.New(platformhttp.Options{BaseURL: web.URL, Token: "secret", Timeout: 50 * time.Millisecond})
+		_, err := client.Get(ctx, platform.KindRoster, "main")
+		expectFault(err, fault.PlatformDown, openai.NotRun)
+		_, err = client.Create(ctx, platform.KindRoster, "main", []byte(`1`))
+		expectFault(err, fault.PlatformDown, openai.Unknown)
+	})
+
+	// Guards against a pool of silent connections that costs one timeout for each of them.
+	It("uses a new connection after an open one has gone silent", func() {
+		start(standin.Options{})
+		relay := newRelay(web.Listener.Addr().String())
+		client = platformhttp.New(platformhttp.Options{BaseURL: relay.url, Token: "secret", Timeout: 3 * time.Second})
+		var open sync.WaitGroup
+		for range 4 {
+			open.Go(func() { _, _ = client.Instances(ctx) })
+		}
+		open.Wait()
+		relay.silence()
+		_, err := client.Instances(ctx)
+		expectFault(err, fault.PlatformDown, openai.NotRun)
+		_, err = client.Instances(ctx)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("names the setting to correct when the token is wrong", func() {
 		start(standin.Options{})
 		wrong := platformhttp.New(platformhttp.Options{BaseURL: web.URL, Token: "other"})
@@ -130,3 +162,62 @@
 		Expect(err.Error()).To(ContainSubstring("TANAGERWOOD_PLATFORM_TOKEN"))
 	})
 })
+
+// relay forwards connections to an address. Silenced connections stay open and forward nothing more.
+type relay struct {
+	url string
+
+	mu    sync.Mutex
+	quiet *atomic.Bool
+}
+
+func newRelay(to string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	r := &relay{url: "http://" + listener.Addr().String(), quiet: &atomic.Bool{}}
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.forward(from, to)
+		}
+	}()
+	return r
+}
+
+func (r *relay) forward(from net.Conn, address string) {
+	to, err := net.Dial("tcp", address)
+	if err != nil {
+		_ = from.Close()
+		return
+	}
+	r.mu.Lock()
+	quiet := r.quiet
+	r.mu.Unlock()
+	copyUntilQuiet := func(dst, src net.Conn) {
+		buffer := make([]byte, 4096)
+		for {
+			n, err := src.Read(buffer)
+			if err != nil {
+				_ = dst.Close()
+				return
+			}
+			if !quiet.Load() {
+				_, _ = dst.Write(buffer[:n])
+			}
+		}
+	}
+	go copyUntilQuiet(to, from)
+	go copyUntilQuiet(from, to)
+}
+
+// silence stops the connections that are open now.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quiet.Store(true)
+	r.quiet = &atomic.Bool{}
+}
