--- a/router/internal/app/modelpath/metrics.go
+++ b/router/internal/app/modelpath/metrics.go
@@ -38,11 +38,11 @@
 	queueTime, admitTime, firstTokenTime, addedByRouter metrics.Histogram
 }
 
-func newMeters(r metrics.Registry, open func() int64) *meters {
+func newMeters(r metrics.Registry, open *Registry) *meters {
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
-	metrics.NewRegisteredFunctionalGauge(MetricOpen, r, open)
+	metrics.NewRegisteredFunctionalGauge(MetricOpen, r, open.open.Load)
 	return &meters{
 		registry:       r,
 		requests:       metrics.GetOrRegisterCounter(MetricRequests, r),
--- a/router/internal/app/modelpath/path.go
+++ b/router/internal/app/modelpath/path.go
@@ -51,7 +51,7 @@
 // New returns a path. It subscribes to the configuration to end requests whose key is withdrawn.
 func New(d Deps) *Path {
 	p := &Path{Deps: d, budget: newRetryBudget()}
-	p.meters = newMeters(d.Metrics, d.Registry.Open)
+	p.meters = newMeters(d.Metrics, d.Registry)
 	d.Config.Subscribe(p.withdraw)
 	return p
 }
--- a/router/internal/app/modelpath/registry.go
+++ b/router/internal/app/modelpath/registry.go
@@ -56,14 +56,14 @@
 	return ok
 }
 
-// Open returns the number of open requests.
-func (r *Registry) Open() int64 { return r.open.Load() }
+// Open returns the number of open requests, queued ones included.
+func (r *Registry) Open() int { return int(r.open.Load()) }
 
 // StopAccepting refuses requests from now on. Open ones go on.
 func (r *Registry) StopAccepting() { r.draining.Store(true) }
 
-// CutOff ends all open requests; those that sent something to an endpoint end with outcome partial.
-func (r *Registry) CutOff() {
+// EndAll ends all open requests; those that sent something to an endpoint end with outcome partial.
+func (r *Registry) EndAll() {
 	r.each(func(o *openRequest) {
 		o.cancel(fault.New(fault.Draining, "the instance is stopping; repeat the request"))
 	})
--- a/router/internal/app/placement/fleet_test.go
+++ b/router/internal/app/placement/fleet_test.go
@@ -284,7 +284,7 @@
 		return peer.ReserveReply{}, ctx.Err()
 	}
 	time.Sleep(time.Millisecond)
-	return f.instance(address).service.HandleReserve(ctx, m), nil
+	return f.instance(address).service.ReceiveReserve(ctx, m)
 }
 
 func (f *fleet) Release(ctx context.Context, address string, m peer.ReleaseRequest) error {
@@ -292,8 +292,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	f.instance(address).service.HandleRelease(m)
-	return nil
+	return f.instance(address).service.ReceiveRelease(ctx, m)
 }
 
 func (f *fleet) instance(name string) *instance {
