Run the end-to-end specs through placement, loads and reservations

Cause: the specs over sockets used placement.Random, so that the real placer, the load poller and the owner's tables met engines nowhere.

Change: the specs' router is wired as serve wires it, with one member that owns all endpoints.

Ruled out: a second set of specs for the real placer; Random stays as a baseline with its own use in experiments.

--- a/router/internal/adapter/callers/e2e_test.go
+++ b/router/internal/adapter/callers/e2e_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,9 +27,12 @@
 	"tanagerwood.dev/router/internal/adapter/callers"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/adapter/enginehttp"
+	"tanagerwood.dev/router/internal/app/loads"
 	"tanagerwood.dev/router/internal/app/modelpath"
 	"tanagerwood.dev/router/internal/app/placement"
+	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/domain/config"
+	"tanagerwood.dev/router/internal/domain/prefix"
 	"tanagerwood.dev/router/internal/port"
 )
 
@@ -53,6 +58,12 @@
 func (freeAdmission) Settle(int64) {}
 func (freeAdmission) Cancel()      {}
 
+// onlyMember owns all endpoints.
+type onlyMember struct{ port.Membership }
+
+func (onlyMember) Self() peer.Member                  { return peer.Member{MemberID: peer.MemberID{Name: "r1"}} }
+func (m onlyMember) Owner(string) (peer.Member, bool) { return m.Self(), true }
+
 // canceller repeats each cancel until it is acknowledged.
 type canceller struct {
 	engine port.Engine
@@ -107,8 +118,16 @@
 	}, log)
 	ctx, stop := context.WithCancel(context.Background())
 	cancels := &sync.WaitGroup{}
+	index := prefix.New(1000)
+	poller := loads.New(loads.Deps{Config: w.config, Engine: engines, Clock: clock.System{}, Log: log, Index: index, Self: "r1"})
+	service := reservations.New(reservations.Deps{
+		Membership: onlyMember{}, Engine: engines, Loads: poller, Config: w.config, Clock: clock.System{}, Metrics: metrics.NewRegistry(),
+	})
+	cancels.Go(func() { poller.Run(ctx) })
+	cancels.Go(func() { service.Run(ctx) })
+	placer := placement.New(placement.Deps{Config: w.config, Loads: poller, Index: index, Reservations: service, Clock: clock.System{}})
 	path := modelpath.New(modelpath.Deps{
-		Config: w.config, Admission: freeAdmission{}, Placer: placement.Random{Config: w.config}, Engine: engines,
+		Config: w.config, Admission: freeAdmission{}, Placer: placer, Engine: engines,
 		Canceller: canceller{engines, ctx, cancels}, Clock: clock.System{}, Log: log, Metrics: metrics.NewRegistry(),
 		Registry: modelpath.NewRegistry(),
 	})
@@ -116,6 +135,9 @@
 		Config: w.config, Models: path, IDs: modelpath.NewIDs(peer.MemberID{Name: "r1", Incarnation: 1}), Clock: clock.System{},
 	}))
 	w.url = server.URL
+	Eventually(func() bool { // until all engines have reported
+		return !slices.ContainsFunc(slices.Collect(maps.Values(poller.View().ByName)), func(s *loads.State) bool { return s.ReportedAt == 0 })
+	}, limit).Should(BeTrue())
 	DeferCleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
