--- a/router/internal/app/modelpath/path_test.go
+++ b/router/internal/app/modelpath/path_test.go
@@ -327,7 +327,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), tokenTime)
 			defer cancel()
 			Expect(w.path.Wait(ctx)).NotTo(Succeed())
-			w.registry.EndAll()
+			w.registry.CutOff()
 			Expect(fault.As(<-done).Outcome).To(Equal(openai.Partial))
 			Expect(w.engine.holding()).To(BeZero())
 		})
--- a/router/internal/app/modelpath/registry.go
+++ b/router/internal/app/modelpath/registry.go
@@ -62,8 +62,8 @@
 // StopAccepting refuses requests from now on. Open ones go on.
 func (r *Registry) StopAccepting() { r.draining.Store(true) }
 
-// EndAll ends all open requests; those that sent something to an endpoint end with outcome partial.
-func (r *Registry) EndAll() {
+// CutOff ends all open requests; those that sent something to an endpoint end with outcome partial.
+func (r *Registry) CutOff() {
 	r.each(func(o *openRequest) {
 		o.cancel(fault.New(fault.Draining, "the instance is stopping; repeat the request"))
 	})
--- a/router/internal/app/placement/fleet_test.go
+++ b/router/internal/app/placement/fleet_test.go
@@ -284,7 +284,7 @@
 		return peer.ReserveReply{}, ctx.Err()
 	}
 	time.Sleep(time.Millisecond)
-	return f.instance(address).service.ReceiveReserve(ctx, m)
+	return f.instance(address).service.HandleReserve(ctx, m), nil
 }
 
 func (f *fleet) Release(ctx context.Context, address string, m peer.ReleaseRequest) error {
@@ -292,7 +292,8 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return f.instance(address).service.ReceiveRelease(ctx, m)
+	f.instance(address).service.HandleRelease(m)
+	return nil
 }
 
 func (f *fleet) instance(name string) *instance {
--- a/router/internal/app/reservations/reservations_test.go
+++ b/router/internal/app/reservations/reservations_test.go
@@ -178,8 +178,7 @@
 	It("grants nothing at a leaving endpoint, also to instances that do not know yet", func() {
 		run(func(w *world) {
 			w.leaving = true
-			reply, err := w.service.ReceiveReserve(context.Background(), peer.ReserveRequest{Endpoint: "d1", Attempt: "a"})
-			Expect(err).NotTo(HaveOccurred())
+			reply := w.service.HandleReserve(context.Background(), peer.ReserveRequest{Endpoint: "d1", Attempt: "a"})
 			Expect(reply.Granted).To(BeFalse())
 			Expect(reply.InMS).To(BeNumerically(">", 60_000))
 		})
@@ -188,10 +187,10 @@
 	It("says that it is not the owner", func() {
 		run(func(w *world) {
 			w.owned = false
-			reply, _ := w.service.ReceiveReserve(context.Background(), peer.ReserveRequest{Endpoint: "d1", Attempt: "a"})
+			reply := w.service.HandleReserve(context.Background(), peer.ReserveRequest{Endpoint: "d1", Attempt: "a"})
 			Expect(reply.NotOwner).To(BeTrue())
 			w.owned = true
-			reply, _ = w.service.ReceiveReserve(context.Background(), peer.ReserveRequest{Endpoint: "unknown", Attempt: "a"})
+			reply = w.service.HandleReserve(context.Background(), peer.ReserveRequest{Endpoint: "unknown", Attempt: "a"})
 			Expect(reply.NotOwner).To(BeTrue())
 		})
 	})
--- a/router/internal/app/reservations/service.go
+++ b/router/internal/app/reservations/service.go
@@ -130,22 +130,17 @@
 	return reply, !reply.NotOwner
 }
 
-// ReceiveReserve answers another instance.
-func (s *Service) ReceiveReserve(ctx context.Context, m peer.ReserveRequest) (peer.ReserveReply, error) {
+// HandleReserve answers another instance.
+func (s *Service) HandleReserve(ctx context.Context, m peer.ReserveRequest) peer.ReserveReply {
 	ep, known := s.endpoint(m.Endpoint)
 	if _, self := s.Membership.Owner(m.Endpoint); !self || !known {
-		return peer.ReserveReply{NotOwner: true}, nil
+		return peer.ReserveReply{NotOwner: true}
 	}
-	return s.own(ctx, ep, m), nil
+	return s.own(ctx, ep, m)
 }
 
-// ReceiveRelease takes a reservation back for another instance.
-func (s *Service) ReceiveRelease(_ context.Context, m peer.ReleaseRequest) error {
-	s.release(m)
-	return nil
-}
-
-func (s *Service) release(m peer.ReleaseRequest) {
+// HandleRelease takes a reservation back for another instance.
+func (s *Service) HandleRelease(m peer.ReleaseRequest) {
 	if t, ok := s.tables.Load(m.Endpoint); ok {
 		t.(*table).release(s.Clock.Boot(), m.Attempt)
 	}
@@ -160,7 +155,7 @@
 	}
 	owner, self := s.Membership.Owner(ep.Name)
 	if self {
-		s.release(m)
+		s.HandleRelease(m)
 		return
 	}
 	if until, ok := s.paused.Load(owner.Name); owner.Name == "" || ok && now < until.(time.Duration) {
