Tell the truth about bookings in a young fleet during a platform outage

Cause: with the platform down, a refusal said "unknown" until the instance had watched the fleet for 10 minutes, so a first booking in a young fleet was never told "not_run" (found by lab/e2e: want not_run, got unknown). Ruled out: shortening the 10 minutes (a lost instance may have sent the call), and trusting the live members alone. Change: the roster notes when a member was last removed or replaced; calls that are not repeatable are sent only by confirmed members, so the roster names every possible sender; the refusal says "not_run" if all of them are alive, none left lately and each answers that it has not sent the call. Test ports stay below the kernel's outgoing range. Conclusion: "not_run" is given where it can be proved.

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -46,6 +46,8 @@
 	// generation whose shares its writer could not rule out to be in use, so that a reader who skipped generations can
 	// take all of these into account.
 	Changes []RosterChange `json:"changes,omitempty"`
+	// LastRemovalMS is when a member was last removed or replaced, in milliseconds since the epoch; 0 if never.
+	LastRemovalMS int64 `json:"lastRemovalMs,omitempty"`
 }
 
 // RosterChange is the step from one generation to the next.
--- a/lab/e2e/system_test.go
+++ b/lab/e2e/system_test.go
@@ -71,11 +71,20 @@
 	version   uint64
 }
 
+// nextPort begins below the range from which the kernel takes ports for outgoing connections.
+var nextPort = 19000
+
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for ; nextPort < 30000; nextPort++ {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", nextPort))
+		if err == nil {
+			nextPort++
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	Fail("no free port")
+	return ""
 }
 
 // start runs a system with the example catalogue. Engines take the flags besides their own.
--- a/router/internal/app/membership/tend.go
+++ b/router/internal/app/membership/tend.go
@@ -48,6 +48,9 @@
 	if !needed {
 		return nil
 	}
+	if len(c.Removed) > 0 {
+		next.LastRemovalMS = s.Clock.Now().UnixMilli()
+	}
 	if !current {
 		return fault.New(fault.Conflict, "a newer roster was learned from a peer; read it again")
 	}
--- a/router/internal/app/servicepath/fleet.go
+++ b/router/internal/app/servicepath/fleet.go
@@ -65,8 +65,13 @@
 	return openai.NotRun
 }
 
-// fleetKnown reports whether the live members are all that may have sent a call.
+// fleetKnown reports whether the live members are all that may have sent a call. Calls that are not repeatable are sent
+// only by confirmed members, so the roster names all senders unless it lost one lately.
 func (p *Path) fleetKnown() bool {
+	if p.Rosters != nil && p.Membership.Confirmed() &&
+		claim.RosterComplete(p.Clock.Now(), p.Rosters.Roster(), p.Membership.Alive()) {
+		return true
+	}
 	routers, read := p.Config.Routers()
 	if !read {
 		return false
--- a/router/internal/app/servicepath/once.go
+++ b/router/internal/app/servicepath/once.go
@@ -137,5 +137,8 @@
 	if o.caller.Err() != nil {
 		return errStopped
 	}
+	if !o.path.Membership.Confirmed() {
+		return fault.New(fault.NotConfirmed, "this instance is cut off from the platform and its peers; send the call to another instance")
+	}
 	return nil
 }
--- a/router/internal/app/servicepath/path.go
+++ b/router/internal/app/servicepath/path.go
@@ -75,11 +75,17 @@
 	Platform   port.Platform
 	Peers      port.Peers
 	Membership port.Membership
-	Admission  port.Admission
-	Service    port.Service
-	Events     port.EventLog
+	// Rosters tells the newest known roster. It may be nil; then a refusal without the platform says "unknown" until this
+	// instance has watched the fleet for claim.MemoryTime.
+	Rosters   Rosters
+	Admission port.Admission
+	Service   port.Service
+	Events    port.EventLog
 }
 
+// Rosters tells the newest known roster.
+type Rosters interface{ Roster() peer.Roster }
+
 // Path carries calls. It is safe for concurrent use.
 type Path struct {
 	Deps
--- a/router/internal/domain/roster/chain.go
+++ b/router/internal/domain/roster/chain.go
@@ -25,6 +25,8 @@
 // Chain holds the newest roster and the older ones whose shares may still be in use. It is not safe for concurrent use.
 type Chain struct {
 	rosters []step // ascending and without gaps; the last is the newest
+	// lastRemovalMS is that of the newest roster.
+	lastRemovalMS int64
 }
 
 // step is one generation and the change that led to it.
@@ -59,7 +61,7 @@
 		return peer.Roster{}
 	}
 	newest := c.newest()
-	r := peer.Roster{Generation: newest.generation, Members: newest.members}
+	r := peer.Roster{Generation: newest.generation, Members: newest.members, LastRemovalMS: c.lastRemovalMS}
 	for _, s := range c.rosters[1:] {
 		r.Changes = append(r.Changes, s.change)
 	}
@@ -91,6 +93,7 @@
 	if r.Generation <= c.Generation() || uint64(len(r.Changes)) >= r.Generation {
 		return Adoption{}
 	}
+	c.lastRemovalMS = r.LastRemovalMS
 	steps := expand(r)
 	if len(c.rosters) == 0 {
 		c.rosters = steps
--- a/router/internal/instance/providers.go
+++ b/router/internal/instance/providers.go
@@ -211,6 +211,7 @@
 			Platform:   do.MustInvoke[port.Platform](i),
 			Peers:      do.MustInvoke[port.Peers](i),
 			Membership: do.MustInvoke[port.Membership](i),
+			Rosters:    do.MustInvoke[*membership.Service](i),
 			Admission:  do.MustInvoke[port.Admission](i),
 			Service:    do.MustInvoke[*servicehttp.Client](i),
 			Events:     do.MustInvoke[port.EventLog](i),
