Say in an outage what is unknown about a booking

Cause: a trial with real processes showed a refusal that said the call was not sent while its outcome was unknown, because an earlier call with the key may have been sent.

Change: the message follows the outcome.

Conclusion: the servicepath suite passes under -race.

--- a/router/internal/app/servicepath/claims.go
+++ b/router/internal/app/servicepath/claims.go
@@ -92,8 +92,12 @@
 	if err == nil {
 		err = context.DeadlineExceeded
 	}
-	return fault.Wrap(err, fault.PlatformDown, outcome,
-		"the platform cannot record the call, so it was not sent; repeat it with the same Idempotency-Key").WithRetryAfter(outageRetryAfter)
+	message := "the platform cannot record the call, so it was not sent; repeat it with the same Idempotency-Key"
+	if outcome != openai.NotRun {
+		message = "the platform cannot be asked whether an earlier call with this Idempotency-Key was sent; this one was not. " +
+			"Repeat it with the same key"
+	}
+	return fault.Wrap(err, fault.PlatformDown, outcome, message).WithRetryAfter(outageRetryAfter)
 }
 
 // existing answers a call whose claim another attempt made.
