Serve a light load under every policy in a test

Cause: random, two-choices and prefill-first were tested on single choices only, not through placement and the model path.

Ruled out, by trials of the same kind: a later decode slot (200, 350 and 500 ms after the prefill instead of 100) and a less eager early refusal.

--- a/router/internal/app/placement/placement_test.go
+++ b/router/internal/app/placement/placement_test.go
@@ -102,6 +102,25 @@
 		})
 	})
 
+	DescribeTable("serves a light load under every policy",
+		func(policy catalogue.PolicyName) {
+			bubble(func(ctx context.Context) {
+				f := newFleet(ctx, policy, 2, 3)
+				f.start(2)
+				var l load
+				l.rate(f, "quiet", catalogue.ClassInteractive, 4, 10*time.Second)
+				for _, o := range l.done() {
+					Expect(o.err).NotTo(HaveOccurred())
+				}
+				for _, e := range f.decodes() {
+					Expect(e.running).To(BeEmpty())
+				}
+			})
+		},
+		Entry(nil, catalogue.PolicyReserve), Entry(nil, catalogue.PolicyTwoChoices), Entry(nil, catalogue.PolicyRandom),
+		Entry(nil, catalogue.PolicyLeastLoaded), Entry(nil, catalogue.PolicyPrefillFirst),
+	)
+
 	It("gives a customer its share next to one at five times its rate", func() {
 		bubble(func(ctx context.Context) {
 			f := newFleet(ctx, catalogue.PolicyReserve, 2, 2)
