Rebuild the live set only when a member comes, goes or drains

Cause: a profile of an exchange at 340 members showed 31% of the time in building and sorting the live set, in each round. Ruled out: a longer interval between rebuilds; the set would tell of a dead member later. Change: Table.Live shares the set with the Live before unless a member came, went or began to drain.

--- a/router/internal/domain/roster/live.go
+++ b/router/internal/domain/roster/live.go
@@ -10,14 +10,20 @@
 
 // Live is the set of live members at one time. It is safe for concurrent use.
 type Live struct {
-	// Members are in order of name.
-	Members []peer.Member
+	*liveSet
 	// Until is when the first member counts as dead if it is not heard again.
 	Until time.Duration
+}
+
+// liveSet is shared by the Lives between two changes, because building it is the largest part of a heartbeat's cost.
+type liveSet struct {
+	// Members are in order of name.
+	Members []peer.Member
 
-	alive  map[peer.MemberID]bool
-	owners []peer.Member
-	cache  sync.Map // endpoint -> peer.Member
+	alive    map[peer.MemberID]bool
+	draining map[peer.MemberID]bool
+	owners   []peer.Member
+	cache    sync.Map // endpoint -> peer.Member
 }
 
 // IsAlive reports whether the member lives.
--- a/router/internal/domain/roster/table.go
+++ b/router/internal/domain/roster/table.go
@@ -145,21 +145,41 @@
 	return r.Incarnation == m.Incarnation || r.Incarnation > m.Incarnation && r.Address == m.Address
 }
 
-// Live returns the live members and the time until which this holds if nothing new is heard.
-func (t *Table) Live(now time.Duration) *Live {
-	l := &Live{Until: now + AliveWindow, alive: make(map[peer.MemberID]bool)}
+// Live returns the live members and the time until which this holds if nothing new is heard. It shares what has not
+// changed with the one before, which may be nil.
+func (t *Table) Live(now time.Duration, before *Live) *Live {
+	until, alive, same := now+AliveWindow, 0, before != nil
+	for _, r := range t.rows {
+		if r.Name == t.self {
+			same = same && before.alive[r.MemberID] && before.draining[r.MemberID] == r.Draining
+			alive++
+			continue
+		}
+		if r.alive(now) {
+			until = min(until, r.at+AliveWindow)
+			same = same && before.alive[r.MemberID] && before.draining[r.MemberID] == r.Draining
+			alive++
+		}
+	}
+	if same && alive == len(before.alive) {
+		return &Live{liveSet: before.liveSet, Until: until}
+	}
+	return &Live{liveSet: t.liveSet(now), Until: until}
+}
+
+func (t *Table) liveSet(now time.Duration) *liveSet {
+	l := &liveSet{alive: make(map[peer.MemberID]bool), draining: make(map[peer.MemberID]bool)}
 	for _, r := range t.rows {
 		if r.Name != t.self && !r.alive(now) {
 			continue
 		}
 		l.alive[r.MemberID] = true
 		l.Members = append(l.Members, r.Member)
-		if !r.Draining {
-			l.owners = append(l.owners, r.Member)
-		}
-		if r.Name != t.self {
-			l.Until = min(l.Until, r.at+AliveWindow)
+		if r.Draining {
+			l.draining[r.MemberID] = true
+			continue
 		}
+		l.owners = append(l.owners, r.Member)
 	}
 	byName := func(a, b peer.Member) int { return strings.Compare(a.Name, b.Name) }
 	slices.SortFunc(l.Members, byName)
