Measure loan traffic and the size of the roster

Cause: figures for the messages of loans and for the roster object are missing. Change: TestLoanTraffic and the roster's size in TestFleetScale, both run with -scale only; the doc comment of the memory benchmark says what it reports.

--- a/router/internal/app/quotasync/bench_test.go
+++ b/router/internal/app/quotasync/bench_test.go
@@ -92,8 +92,7 @@
 	a.Stop()
 }
 
-// BenchmarkCustomerMemory reports the heap per customer that was seen once, and per customer of the catalogue that was
-// not.
+// BenchmarkCustomerMemory reports the heap per customer that was seen. A customer that was not has no account.
 func BenchmarkCustomerMemory(b *testing.B) {
 	for _, n := range []int{5, 50, 200, 990} {
 		b.Run(fmt.Sprint("customers=", n), func(b *testing.B) {
@@ -131,12 +130,36 @@
 	if !*scale {
 		t.Skip("run with -scale to measure")
 	}
-	fmt.Println("members fanout messages/s  body-B/s  suspected  mean-age  max-age  CPU-us/s")
+	fmt.Println("members fanout messages/s  body-B/s  suspected  mean-age  max-age  CPU-us/s  roster-B")
 	for _, n := range []int{2, 8, 32, 128, 340} {
 		inWorldOf(t, *scaleFanout, n, func(w *world) { measureScale(w, n) })
 	}
 }
 
+// TestLoanTraffic prints the messages of the steady load of the fault tests.
+func TestLoanTraffic(t *testing.T) {
+	if !*scale {
+		t.Skip("run with -scale to measure")
+	}
+	inWorld(t, 1, 7, steadyLimits(), func(w *world) {
+		time.Sleep(10 * time.Second)
+		w.steadyLoad()
+		time.Sleep(warmUp - w.now())
+		w.net.reset()
+		names := []string{"quota.admitted_requests", "quota.refused", "quota.refused_by_forecast", "quota.loans_asked", "quota.loans_given", "quota.loans_returned"}
+		before := make(map[string]int64)
+		for _, name := range names {
+			before[name] = w.sum(name)
+		}
+		time.Sleep(time.Minute)
+		messages, bytes := w.net.totals()
+		fmt.Printf("7 instances, steady load: %.1f messages/s and %.0f body bytes/s for each instance\n", float64(messages)/420, float64(bytes)/420)
+		for _, name := range names {
+			fmt.Printf("%s %.1f/s in the fleet\n", name, float64(w.sum(name)-before[name])/60)
+		}
+	})
+}
+
 func measureScale(w *world, n int) {
 	const period = 30 * time.Second
 	time.Sleep(60 * time.Second)
@@ -149,8 +172,8 @@
 	suspected = w.sum("membership.members_suspected") - suspected
 	mean, longest := w.staleness()
 	per := float64(n) * period.Seconds()
-	fmt.Printf("%7d %6d %10.2f %9.0f %10d %8.2fs %7.2fs %9.0f\n", n, w.fanout, float64(messages)/per, float64(bytes)/per, suspected,
-		mean.Seconds(), longest.Seconds(), float64(cpu.Microseconds())/per)
+	fmt.Printf("%7d %6d %10.2f %9.0f %10d %8.2fs %7.2fs %9.0f %9d\n", n, w.fanout, float64(messages)/per, float64(bytes)/per, suspected,
+		mean.Seconds(), longest.Seconds(), float64(cpu.Microseconds())/per, len(w.platform.objects["roster/main"].Value))
 }
 
 // staleness is the mean and the greatest age of what an instance knows about another: the time since it heard of a
