Grow shares at once when every member has acknowledged; stop loans going to and fro

Cause: two faults that the process-level tests found. (1) A rolling restart of three routers refused a customer inside its rate (429): each leave and each join kept shares small for 3.3 s, so several restarts together left a third of the rate. (2) Two instances that both lacked tokens woke each other with every returned loan and exchanged 2,800 loans in 15 s. Ruled out: engines as the limit (zero queue time), lost tokens (levels and admissions add up to what had accrued). Change: R3 has a second way out: 500 ms after all members are known to have the newer roster, leavers aside, which outlasts loans and admissions under way; removed or replaced members still cost the full wait. A returned loan does not wake the lender's queue, and failed attempts back off to 192 ms. The reconciler pauses after orders of unknown outcome, and a stopping instance gives up its order leases. The demo's clean-up goes on past processes that have ended. Conclusion: planned restarts no longer cost rate for seconds, and contention costs few messages.

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -54,6 +54,8 @@
 type RosterChange struct {
 	Added   []Member `json:"added,omitempty"`
 	Removed []Member `json:"removed,omitempty"`
+	// Left are those of Removed that removed themselves and had stopped using their shares before.
+	Left []MemberID `json:"left,omitempty"`
 	// Absent are those of Removed that were absent from the platform's instance list. They do not count towards the
 	// majority that must know a newer generation.
 	Absent []MemberID `json:"absent,omitempty"`
--- a/lab/e2e/failures_test.go
+++ b/lab/e2e/failures_test.go
@@ -49,6 +49,28 @@
 		Eventually(s.held).WithTimeout(patience).WithPolling(100 * time.Millisecond).Should(BeZero())
 	})
 
+	It("frees what a frozen router holds, and the router completes its answer after it wakes", func() {
+		s := start(3)
+		ctx, cancel := withTimeout()
+		defer cancel()
+		frozen := make(chan struct{})
+		done := after(func() {
+			a := complete(ctx, s.routers[0].url, key, prompt("frozen"), 300, func(n int) {
+				if n == 10 {
+					s.routers[0].signal(syscall.SIGSTOP)
+					close(frozen)
+				}
+			})
+			expectWhole(a, prompt("frozen"), 300)
+		})
+		Eventually(frozen, patience).Should(BeClosed())
+		// The connections of a frozen process stay open, so only the endpoints' owners can cancel.
+		Eventually(s.cancels).WithTimeout(patience).WithPolling(100 * time.Millisecond).Should(BeNumerically(">", 0))
+		Eventually(s.held).WithTimeout(patience).WithPolling(100 * time.Millisecond).Should(BeZero())
+		s.routers[0].signal(syscall.SIGCONT)
+		Eventually(done, 2*patience).Should(BeClosed())
+	})
+
 	It("frees the engines when callers leave", func() {
 		s := start(2)
 		for i := range 8 {
--- a/lab/e2e/rate_test.go
+++ b/lab/e2e/rate_test.go
@@ -13,8 +13,12 @@
 
 var _ = Describe("rate and burst across processes", func() {
 	It("admits no more than burst and rate allow while a router is frozen and woken", func() {
-		const rate, burst = 300, 4000
-		s := start(3)
+		const (
+			rate, burst = 300, 4000
+			flooding    = 14 * time.Second
+		)
+		// Engines this fast make the callers want several times the rate.
+		s := start(3, "-token-interval", "500us")
 		s.catalogue.Customers[0].RateTokens, s.catalogue.Customers[0].BurstTokens = rate, burst
 		m := &s.catalogue.Models[0]
 		m.MaxPromptTokens, m.MaxOutputTokens, m.DefaultOutputTokens = 1000, 1000, 100
@@ -23,7 +27,7 @@
 		defer cancel()
 		Eventually(s.inForce).WithTimeout(patience).Should(BeTrue())
 		began := time.Now()
-		limit, stop := context.WithTimeout(ctx, 14*time.Second)
+		limit, stop := context.WithTimeout(ctx, flooding)
 		defer stop()
 		var load sync.WaitGroup
 		for worker := range 9 {
@@ -42,7 +46,8 @@
 		}
 		allowed := burst + int64(rate*time.Since(began).Seconds())
 		Expect(admitted).To(BeNumerically("<=", allowed))
-		Expect(admitted).To(BeNumerically(">", allowed/4), "the limit was reached, not just far away")
+		// The shares of the two running routers must be used nearly whole, although they borrow from each other.
+		Expect(admitted).To(BeNumerically(">", rate*2/3*flooding.Seconds()*0.9))
 	})
 })
 
@@ -62,7 +67,7 @@
 // flood sends short requests one after the other until the context ends.
 func flood(ctx context.Context, router string, worker int) {
 	for i := 0; ctx.Err() == nil; i++ {
-		a := complete(ctx, router, key, fmt.Sprint("flood ", worker, " ", i), 20, nil)
+		a := complete(ctx, router, key, fmt.Sprint("flood ", worker, " ", i), 200, nil)
 		if a.status != 200 {
 			select {
 			case <-ctx.Done():
--- a/lab/e2e/system_test.go
+++ b/lab/e2e/system_test.go
@@ -256,6 +256,18 @@
 	return sum
 }
 
+// cancels is how many requests were cancelled at the running engines.
+func (s *system) cancels() int64 {
+	GinkgoHelper()
+	var sum int64
+	for _, p := range s.engines {
+		if p.cmd != nil {
+			sum += get[engine.Stats](p.url + "/stats").Cancels
+		}
+	}
+	return sum
+}
+
 func (s *system) events(p *process) []event.Event {
 	GinkgoHelper()
 	return get[event.Page](p.operators + "/events?since=0").Events
--- a/router/internal/app/membership/tend.go
+++ b/router/internal/app/membership/tend.go
@@ -109,7 +109,8 @@
 	if !s.chain.Names(s.settings.Self.MemberID) {
 		return peer.RosterChange{}, false
 	}
-	return peer.RosterChange{Removed: []peer.Member{s.settings.Self}}, true
+	self := s.settings.Self
+	return peer.RosterChange{Removed: []peer.Member{self}, Left: []peer.MemberID{self.MemberID}}, true
 }
 
 // removeDead removes the members that a majority agrees about, and those that the platform no longer lists.
--- a/router/internal/app/orders/reconcile.go
+++ b/router/internal/app/orders/reconcile.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"tanagerwood.dev/api/engine"
+	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
+	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
 )
 
@@ -78,11 +80,13 @@
 	}
 }
 
-// order sends one order. A failed one is repeated in a later round by whoever owns the endpoint then.
+// order sends one order. One that certainly did not run is repeated in the next round by whoever owns the endpoint then;
+// after any other the endpoint is left alone for a while, because loading again would cost the weight store's rate.
 func (r *Reconciler) order(ctx context.Context, ep port.Endpoint, kind engine.OrderKind, argument string) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if _, err := r.manager.Order(ctx, ep, kind, argument); err == nil {
+	_, err := r.manager.Order(ctx, ep, kind, argument)
+	if err == nil || fault.As(err).Outcome != openai.NotRun {
 		r.quietUntil[ep.Name] = r.manager.Clock.Boot() + reconcilePause
 	}
 }
--- a/router/internal/app/quotasync/admission.go
+++ b/router/internal/app/quotasync/admission.go
@@ -154,6 +154,8 @@
 const (
 	contentionRetries = 4
 	contentionPause   = 12 * time.Millisecond
+	// maxDoublings bounds the growth of the pause between attempts that failed, to 192 ms.
+	maxDoublings = 4
 	longestPause      = time.Second
 )
 
@@ -175,7 +177,7 @@
 		if now+pause > w.deadline && !contended {
 			return nil, a.refuse(acct.name, pause)
 		}
-		if !a.pause(ctx, acct, now, pause) {
+		if !a.pause(ctx, acct, now, max(pause, contentionPause<<min(attempt, maxDoublings))) {
 			return nil, a.gone()
 		}
 	}
--- a/router/internal/app/quotasync/lend.go
+++ b/router/internal/app/quotasync/lend.go
@@ -39,9 +39,9 @@
 	}
 	acct := a.lock(m.Customer)
 	defer acct.mu.Unlock()
-	if acct.bucket.EndLoan(a.Clock.Boot(), m.LoanID, m.From.Name, m.Used) && !m.Used {
-		acct.notify()
-	}
+	// A returned loan does not wake the queue: two instances that both lack tokens would lend to and fro as fast as the
+	// network allows.
+	acct.bucket.EndLoan(a.Clock.Boot(), m.LoanID, m.From.Name, m.Used)
 	return nil
 }
 
--- a/router/internal/domain/roster/chain.go
+++ b/router/internal/domain/roster/chain.go
@@ -14,9 +14,13 @@
 const (
 	ConfirmationValidity = 3 * time.Second
 	ReuseDelay           = ConfirmationValidity + 300*time.Millisecond
-	AliveWindow          = 3 * time.Second
-	SilenceForRemoval    = 5 * time.Second
-	AbsenceForRemoval    = 60 * time.Second
+	// AcknowledgedReuseDelay applies once all members are known to have a newer roster, so that no confirmation needs to
+	// lapse. It outlasts the loans that were given under the older one (quota.LenderValidity) and requests that are being
+	// admitted.
+	AcknowledgedReuseDelay = 500 * time.Millisecond
+	AliveWindow            = 3 * time.Second
+	SilenceForRemoval      = 5 * time.Second
+	AbsenceForRemoval      = 60 * time.Second
 )
 
 // Majority reports whether n is a strict majority of all.
@@ -37,6 +41,14 @@
 	// known is set once a majority of the members is known to have a newer generation, and knownAt is when.
 	known   bool
 	knownAt time.Duration
+	// acknowledged is set once all members that have not left are known to have a newer generation.
+	acknowledged   bool
+	acknowledgedAt time.Duration
+}
+
+// outOfUse reports whether nobody uses a share of this generation any more.
+func (s *step) outOfUse(now time.Duration) bool {
+	return s.known && now >= s.knownAt+ReuseDelay || s.acknowledged && now >= s.acknowledgedAt+AcknowledgedReuseDelay
 }
 
 // Adoption tells what Adopt did.
@@ -126,17 +138,21 @@
 	return r
 }
 
-// Progress applies R3: a roster is out of use ReuseDelay after a majority of its members is known to have a newer one.
-// Members that were absent from the platform's list do not count. It reports whether a roster went out of use.
+// Progress applies R3: a roster is out of use ReuseDelay after a majority of its members is known to have a newer one, or
+// AcknowledgedReuseDelay after all of them are. Members that were absent from the platform's list do not count towards the
+// majority. It reports whether a roster went out of use.
 func (c *Chain) Progress(now time.Duration, knows func(m peer.Member, generation uint64) bool) bool {
 	for i := range c.rosters[:max(0, len(c.rosters)-1)] {
 		s := &c.rosters[i]
 		if !s.known && c.majorityKnows(i, knows) {
 			s.known, s.knownAt = true, now
 		}
+		if !s.acknowledged && c.allKnow(i, knows) {
+			s.acknowledged, s.acknowledgedAt = true, now
+		}
 	}
 	out := 0
-	for out < len(c.rosters)-1 && c.rosters[out].known && now >= c.rosters[out].knownAt+ReuseDelay {
+	for out < len(c.rosters)-1 && c.rosters[out].outOfUse(now) {
 		out++
 	}
 	c.rosters = slices.Delete(c.rosters, 0, out)
@@ -161,6 +177,26 @@
 	return counted == 0 || Majority(informed, counted)
 }
 
+// allKnow reports whether each member of roster i has left by itself or is known to have a newer generation. A member
+// that was removed or replaced by others may be frozen, so that its confirmation has to lapse.
+func (c *Chain) allKnow(i int, knows func(peer.Member, uint64) bool) bool {
+	var left []peer.MemberID
+	var removed []peer.Member
+	for _, later := range c.rosters[i+1:] {
+		left = append(left, later.change.Left...)
+		removed = append(removed, later.change.Removed...)
+	}
+	for _, m := range c.rosters[i].members {
+		if slices.Contains(left, m.MemberID) {
+			continue
+		}
+		if names(removed, m.MemberID) || !knows(m, c.rosters[i].generation+1) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Chain) newest() *step { return &c.rosters[len(c.rosters)-1] }
 
 // expand rebuilds the older rosters by undoing the changes.
--- a/router/internal/instance/instance.go
+++ b/router/internal/instance/instance.go
@@ -122,12 +122,15 @@
 	}
 }
 
-// finish waits for the work that goes on without callers: claims to complete and cancels to be acknowledged.
+// finish waits for the work that goes on without callers: claims to complete and cancels to be acknowledged. Then it gives
+// up the order leases, so that the next holders need not wait for them to lapse.
 func (i *Instance) finish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
 	err := do.MustInvoke[*openRequests](i.injector).Wait(ctx)
-	return errors.Join(err, do.MustInvoke[*cleanup.Canceller](i.injector).Wait(ctx))
+	err = errors.Join(err, do.MustInvoke[*cleanup.Canceller](i.injector).Wait(ctx))
+	do.MustInvoke[*orders.Manager](i.injector).Close(ctx)
+	return err
 }
 
 func (i *Instance) serve(failed chan<- error, server *http.Server, l net.Listener) {
--- a/router/internal/instance/providers.go
+++ b/router/internal/instance/providers.go
@@ -170,16 +170,18 @@
 			Canceller:  do.MustInvoke[*cleanup.Canceller](i),
 		}), nil
 	})
-	do.Provide(injector, func(i do.Injector) (*orders.Reconciler, error) {
-		manager := orders.New(orders.Deps{
+	do.Provide(injector, func(i do.Injector) (*orders.Manager, error) {
+		return orders.New(orders.Deps{
 			Clock:      do.MustInvoke[port.Clock](i),
 			Config:     do.MustInvoke[port.Config](i),
 			Platform:   do.MustInvoke[port.Platform](i),
 			Membership: do.MustInvoke[port.Membership](i),
 			Service:    do.MustInvoke[*servicehttp.Client](i),
 			Events:     do.MustInvoke[port.EventLog](i),
-		})
-		return orders.NewReconciler(manager, do.MustInvoke[port.Engine](i)), nil
+		}), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*orders.Reconciler, error) {
+		return orders.NewReconciler(do.MustInvoke[*orders.Manager](i), do.MustInvoke[port.Engine](i)), nil
 	})
 	do.Provide(injector, func(i do.Injector) (*placement.Placer, error) {
 		return placement.New(placement.Deps{
--- a/scripts/lab-lib.sh
+++ b/scripts/lab-lib.sh
@@ -43,7 +43,9 @@
   local file name
   [ -d "$RUN/pids" ] || return 0
   for file in "$RUN"/pids/*; do
-    [ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+    [ -e "$file" ] || continue
+    # A process that has ended already must not keep the others from being ended.
+    kill -KILL "$(cat "$file")" 2>/dev/null || true
   done
   for file in "$RUN"/pids/*; do
     [ -e "$file" ] || continue
