Ask other routers when the peer with a newer revision does not answer

Cause: heartbeats travel through third peers, and membership names only one peer for a revision. If that peer cannot be reached from here, an instance without the platform stays behind as long as the peer is named. serve also calls Start before Run, so everything was asked twice at the start.

Ruled out: remembering all peers of a revision, which repeats the table that membership keeps.

Shown red: without the second question, "Expected 1 to equal 2".

--- a/router/internal/app/configsync/sync.go
+++ b/router/internal/app/configsync/sync.go
@@ -68,6 +68,7 @@
 	seen     chan struct{}
 	judged   chan struct{}
 	counters counters
+	started  atomic.Bool
 
 	mu sync.Mutex
 	// raw is the JSON of the revision in force, for peers.
@@ -111,9 +112,11 @@
 	return s
 }
 
-// Run takes the newest configuration of the platform and the peers, and then follows both until the context ends.
+// Run follows the platform and the peers until the context ends. It begins with Start unless that was called before.
 func (s *Sync) Run(ctx context.Context) {
-	s.Start(ctx)
+	if !s.started.Load() {
+		s.Start(ctx)
+	}
 	var loops sync.WaitGroup
 	loops.Go(func() { s.every(ctx, s.pollCatalogue) })
 	loops.Go(func() { s.every(ctx, s.pollInstances) })
@@ -125,6 +128,7 @@
 // Start asks the platform, the seeds and some routers of the instance list once. A peer's answer may be newer than a
 // stale read of the platform.
 func (s *Sync) Start(ctx context.Context) {
+	s.started.Store(true)
 	var asked sync.WaitGroup
 	asked.Go(func() { s.pollCatalogue(ctx) })
 	asked.Go(func() { s.pollInstances(ctx) })
@@ -246,29 +250,34 @@
 	asked.Wait()
 }
 
-// fetchNewest fetches the newest revision seen at a peer. If that fails, the next heartbeat asks again.
+// fetchNewest fetches the newest revision seen at a peer. A peer's heartbeats may arrive through others although it
+// cannot be reached from here; then some other routers are asked. The next heartbeat asks again.
 func (s *Sync) fetchNewest(ctx context.Context) {
 	s.mu.Lock()
 	want := s.newest
 	s.newest = peerRevision{}
 	s.mu.Unlock()
-	if want.address != "" && !s.known(want.revision) {
-		s.fetch(ctx, want.address)
+	if want.address == "" || s.known(want.revision) {
+		return
+	}
+	if !s.fetch(ctx, want.address) {
+		s.askPeers(ctx, s.someRouters())
 	}
 }
 
-func (s *Sync) fetch(ctx context.Context, address string) {
+func (s *Sync) fetch(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	snapshot, err := s.options.Peers.Snapshot(ctx, address)
 	if err != nil {
 		s.counters.peerFailed.Inc(1)
-		return
+		return false
 	}
 	s.useInstances(snapshot.Instances)
 	if snapshot.Revision > 0 {
 		s.judge(snapshot.Revision, snapshot.Catalogue, fromPeer)
 	}
+	return true
 }
 
 // judge validates a revision that is newer than the one in force, and swaps it in if it is valid. A valid revision comes
--- a/router/internal/app/configsync/sync_test.go
+++ b/router/internal/app/configsync/sync_test.go
@@ -296,6 +296,21 @@
 		Expect(s.Current().Revision).To(Equal(next), "the platform's older copy must not replace it")
 	})
 
+	// Guards against an instance that lags behind because the one peer it asks cannot be reached.
+	It("asks other routers if the peer with the newer revision does not answer", func() {
+		start(standin.Options{Instances: []platform.Instance{{Name: "r2", Role: platform.RoleRouter, URL: "http://r2"}}})
+		put(0, `{"owner":"first"}`)
+		s := newSync("r1")
+		s.Start(ctx)
+		next := s.Current().Revision + 1
+		peers.snapshots["http://r2"] = func() peer.Snapshot {
+			return peer.Snapshot{Revision: next, Catalogue: []byte(`{"owner":"second"}`)}
+		}
+		s.SawRevision("http://unreachable", next)
+		s.fetchNewest(ctx)
+		Expect(s.Current().Revision).To(Equal(next))
+	})
+
 	It("does not let an invalid copy from a peer keep the platform's valid copy out of force", func() {
 		start(standin.Options{})
 		first := put(0, `{"owner":"first"}`)
