Close spans of the Chrome trace and keep them per process

Cause: "make demo" showed that a router records the begin of a transfer and not its end, so the span stayed open; router and engine used the same id for spans of one attempt.

Ruled out: dropping transfers from the trace.

Change: trace.go ends a transfer at the span that follows, ends all spans of an attempt or request when that fails or ends, and uses process-local ids.

--- a/router/cmd/tanagerwood/trace.go
+++ b/router/cmd/tanagerwood/trace.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"io"
+	"slices"
+	"strings"
 
 	"tanagerwood.dev/api/event"
 )
@@ -26,54 +28,120 @@
 	event.ServiceAnswered: {"service", false},
 }
 
+// ending are the events that end every open part of an attempt, or of all attempts of a request.
+var ending = map[event.Kind]bool{
+	event.AttemptFailed:    true,
+	event.AttemptCancelled: true,
+	event.RequestEnded:     true,
+}
+
 // traceEvent is an entry of Chrome's trace-event format.
 type traceEvent struct {
 	Name     string            `json:"name"`
 	Category string            `json:"cat,omitempty"`
 	Phase    string            `json:"ph"`
 	Scope    string            `json:"s,omitempty"`
-	ID       string            `json:"id,omitempty"`
+	ID       *traceID          `json:"id2,omitempty"`
 	Process  int               `json:"pid"`
 	Thread   int               `json:"tid"`
 	Micros   float64           `json:"ts"`
 	Args     map[string]string `json:"args,omitempty"`
 }
 
+// traceID tells the spans of a process apart. Router and engine have spans of the same attempt.
+type traceID struct {
+	Local string `json:"local"`
+}
+
 type trace struct {
 	Events []traceEvent `json:"traceEvents"`
 }
 
-// encodeTrace writes ordered events: the parts of requests as asynchronous spans, all else as instants.
+// openSpan is a span that has begun and not ended.
+type openSpan struct {
+	process int
+	request string
+	name    string
+}
+
+// tracer turns events into a trace: the parts of requests into asynchronous spans, all else into instants.
+type tracer struct {
+	trace
+	processes map[string]int
+	open      []openSpan
+}
+
+// encodeTrace writes ordered events.
 func encodeTrace(w io.Writer, events []event.Event) error {
-	t := trace{Events: []traceEvent{}}
-	processes := make(map[string]int)
+	t := &tracer{trace: trace{Events: []traceEvent{}}, processes: make(map[string]int)}
 	for _, e := range events {
-		id, known := processes[e.Process]
-		if !known {
-			id = len(processes) + 1
-			processes[e.Process] = id
-			t.Events = append(t.Events, traceEvent{Name: "process_name", Phase: "M", Process: id, Args: map[string]string{"name": e.Process}})
+		t.add(e)
+	}
+	return json.NewEncoder(w).Encode(t.trace)
+}
+
+func (t *tracer) add(e event.Event) {
+	process := t.process(e.Process)
+	part, isSpan := spans[e.Kind]
+	isSpan = isSpan && e.Request != ""
+	s := openSpan{process: process, request: e.Request, name: part.name}
+	switch {
+	case e.Request != "" && ending[e.Kind]:
+		t.endAll(process, e)
+		if e.Kind != event.RequestEnded {
+			t.emit(e, traceEvent{Name: string(e.Kind), Phase: "i", Scope: "p", Process: process})
 		}
-		t.Events = append(t.Events, traceOf(e, id))
+	case isSpan && part.begin:
+		// A router notices the end of a transfer only by the decode that follows.
+		t.end(e, openSpan{process: process, request: e.Request, name: spans[event.TransferStarted].name})
+		t.open = append(t.open, s)
+		t.emit(e, spanEvent(s, "b"))
+	case isSpan:
+		t.end(e, s)
+	default:
+		t.emit(e, traceEvent{Name: string(e.Kind), Phase: "i", Scope: "p", Process: process})
 	}
-	return json.NewEncoder(w).Encode(t)
 }
 
-func traceOf(e event.Event, process int) traceEvent {
-	out := traceEvent{Name: string(e.Kind), Phase: "i", Scope: "p", Process: process, Thread: 1, Micros: traceMicros(e.Clock), Args: make(map[string]string)}
-	for _, f := range fields(e) {
-		out.Args[f.name] = f.value
+// process numbers a process at its first event.
+func (t *tracer) process(name string) int {
+	id, known := t.processes[name]
+	if !known {
+		id = len(t.processes) + 1
+		t.processes[name] = id
+		t.Events = append(t.Events, traceEvent{Name: "process_name", Phase: "M", Process: id, Args: map[string]string{"name": name}})
 	}
-	part, ok := spans[e.Kind]
-	if !ok || e.Request == "" {
-		return out
+	return id
+}
+
+// end ends a span if it is open.
+func (t *tracer) end(e event.Event, s openSpan) {
+	i := slices.Index(t.open, s)
+	if i >= 0 {
+		t.open = slices.Delete(t.open, i, i+1)
+		t.emit(e, spanEvent(s, "e"))
+	}
+}
+
+// endAll ends the open spans of a request and its attempts at the process, the newest first.
+func (t *tracer) endAll(process int, e event.Event) {
+	for _, s := range slices.Backward(slices.Clone(t.open)) {
+		if s.process == process && (s.request == e.Request || strings.HasPrefix(s.request, e.Request+".")) {
+			t.end(e, s)
+		}
 	}
-	out.Name, out.Category, out.Scope, out.ID = part.name, "request", "", e.Request
-	out.Phase = "e"
-	if part.begin {
-		out.Phase = "b"
+}
+
+func spanEvent(s openSpan, phase string) traceEvent {
+	return traceEvent{Name: s.name, Category: "request", Phase: phase, ID: &traceID{Local: s.request}, Process: s.process}
+}
+
+func (t *tracer) emit(e event.Event, out traceEvent) {
+	out.Thread, out.Micros, out.Args = 1, traceMicros(e.Clock), make(map[string]string)
+	for _, f := range fields(e) {
+		out.Args[f.name] = f.value
 	}
-	return out
+	t.Events = append(t.Events, out)
 }
 
 // traceMicros puts the logical counter below the millisecond, so that the viewer keeps the causal order.
