Keep the columns of the status table when an instance does not answer

Cause: a row with fewer cells split the table in two, seen in a trial with three routers of which one was stopped.

Ruled out: nothing.

Change: the row has all cells.

Conclusion: the command's specs pass with -race.

--- a/router/cmd/tanagerwood/status.go
+++ b/router/cmd/tanagerwood/status.go
@@ -106,7 +106,7 @@
 	fmt.Fprintln(table, "INSTANCE\tDOMAIN\tREADY\tPHASE\tREVISION\tGENERATION\tCONFIRMED\tALIVE\tOPEN")
 	for _, s := range all {
 		if s.err != nil {
-			fmt.Fprintf(table, "%s\tdoes not answer\n", s.url)
+			fmt.Fprintf(table, "%s\t-\t-\tdoes not answer\t-\t-\t-\t-\t-\n", s.url)
 			continue
 		}
 		showRow(table, s.status, newest)
