Judge refusals against shares that fill from empty

For a customer beyond its rate the replay also counts every request that the fleet admitted in another order than the ideal bucket.

Change: -filled sets how long the ideal bucket has filled; figures have admitted tokens over ideally admitted ones and the worst-served customer among those inside their rate; "load -judge-only" judges the records of an earlier run again.

Conclusion: wrongful refusals of customers inside their rate are the figure to watch.

--- a/lab/cmd/tanagerlab/load.go
+++ b/lab/cmd/tanagerlab/load.go
@@ -29,6 +29,8 @@
 	services   string
 	out        string
 	records    string
+	judge      bool
+	filled     time.Duration
 	policy     string
 	seed       uint64
 	parallel   int
@@ -57,6 +59,8 @@
 	f.StringVar(&c.services, "services", "", "base `URLs` of the plain services, for their counters; optional")
 	f.StringVar(&c.out, "out", "", "`file` for the JSON result; optional")
 	f.StringVar(&c.records, "records", "", "`file` for one JSON line a request; optional")
+	f.BoolVar(&c.judge, "judge-only", false, "send nothing; judge the file of -records again and replace the result at -out")
+	f.DurationVar(&c.filled, "filled", 0, "`time` that the routers' empty shares have filled before the run; 0 means that they are full")
 	f.StringVar(&c.policy, "policy", "", "`label` of the policy in the result; the scenario's if empty")
 	f.Uint64Var(&c.seed, "seed", 0, "seed that replaces the scenario's; 0 keeps it")
 	f.IntVar(&c.parallel, "parallel", 4000, "most open requests; arrivals beyond it are not sent")
@@ -89,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if c.judge {
+		return c.judgeAgain(o)
+	}
 	engines, err := load.SplitTargets(c.engines)
 	if err != nil {
 		return err
@@ -119,6 +126,27 @@
 	return c.write(result, records)
 }
 
+// judgeAgain keeps the counters of the stand-ins from the earlier result.
+func (c *loadCommand) judgeAgain(o load.Options) error {
+	earlier, err := load.ReadResult(c.out)
+	if err != nil {
+		return err
+	}
+	records, err := load.ReadRecords(c.records)
+	if err != nil {
+		return err
+	}
+	result, err := load.Judge(o.Scenario, o.Limits, records, o.Targets)
+	if err != nil {
+		return err
+	}
+	result.StartedMS, result.Engines, result.Bookings = earlier.StartedMS, earlier.Engines, earlier.Bookings
+	if err := result.Write(c.out); err != nil {
+		return err
+	}
+	return load.WriteTable(os.Stdout, result)
+}
+
 func (c *loadCommand) options() (load.Options, error) {
 	scenario, err := load.ReadScenario(c.scenario)
 	if err != nil {
@@ -127,6 +155,12 @@
 	if c.seed != 0 {
 		scenario.Seed = c.seed
 	}
+	if c.filled > 0 {
+		scenario.FilledMS = c.filled.Milliseconds()
+	}
+	if err := scenario.Validate(); err != nil {
+		return load.Options{}, err
+	}
 	if c.policy != "" {
 		scenario.Policy = c.policy
 	}
--- a/lab/internal/load/bucket.go
+++ b/lab/internal/load/bucket.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Bucket is an ideal token bucket for the whole fleet. It starts full.
+// Bucket is an ideal token bucket for the whole fleet.
 type Bucket struct {
 	rate  float64
 	burst float64
@@ -13,9 +13,14 @@
 	at    time.Duration
 }
 
-// NewBucket returns a full bucket with a rate in tokens a second.
-func NewBucket(rateTokens, burstTokens int64) *Bucket {
-	return &Bucket{rate: float64(rateTokens), burst: float64(burstTokens), level: float64(burstTokens)}
+// NewBucket returns a bucket with a rate in tokens a second that has filled for the given time. The shares of routers
+// start empty, so right after their start a full bucket would admit what no router can; with 0 the bucket is full.
+func NewBucket(rateTokens, burstTokens int64, filled time.Duration) *Bucket {
+	b := &Bucket{rate: float64(rateTokens), burst: float64(burstTokens), level: float64(burstTokens)}
+	if filled > 0 {
+		b.level = min(b.burst, b.rate*filled.Seconds())
+	}
+	return b
 }
 
 // Take charges the bucket at a time that must not go back, and reports whether it held enough.
--- a/lab/internal/load/record.go
+++ b/lab/internal/load/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -92,3 +94,26 @@
 	}
 	return file.Close()
 }
+
+// ReadRecords reads a file of WriteRecords.
+func ReadRecords(path string) ([]Record, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var records []Record
+	decoder := json.NewDecoder(file)
+	for len(records) <= MaxArrivals {
+		var r Record
+		err := decoder.Decode(&r)
+		if errors.Is(err, io.EOF) {
+			return records, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		records = append(records, r)
+	}
+	return nil, fmt.Errorf("%s: more than %d records", path, MaxArrivals)
+}
--- a/lab/internal/load/result.go
+++ b/lab/internal/load/result.go
@@ -25,6 +25,8 @@
 	Engines   Prefill    `json:"engines"`
 	Bookings  Bookings   `json:"bookings"`
 	Worst     WorstShare `json:"worst"`
+	// WorstInside leaves out the customers that offer more than their rate.
+	WorstInside WorstShare `json:"worstInsideRate"`
 	// Process holds figures of the processes, which scripts measure and add.
 	Process map[string]float64 `json:"process,omitempty"`
 }
@@ -48,6 +50,9 @@
 	InsideRate    int64 `json:"insideRate"`
 	Wrongful      int64 `json:"wrongful"`
 	RefusedInside int64 `json:"refusedInside"`
+	// AdmittedOverIdeal is the tokens that the fleet admitted over those that the ideal bucket admits. For a customer beyond
+	// its rate it tells more than Wrongful, because the fleet may rightly admit other requests than the ideal bucket.
+	AdmittedOverIdeal float64 `json:"admittedOverIdeal"`
 	// GoodPerSecond counts requests, GoodTokensPerSecond their output tokens.
 	GoodPerSecond       float64 `json:"goodPerSecond"`
 	GoodTokensPerSecond float64 `json:"goodTokensPerSecond"`
--- a/lab/internal/load/scenario.go
+++ b/lab/internal/load/scenario.go
@@ -35,6 +35,8 @@
 	DurationMS int64  `json:"durationMs"`
 	// WarmupMS is the first part of the duration, whose requests are sent but not counted.
 	WarmupMS int64 `json:"warmupMs,omitempty"`
+	// FilledMS is how long the customers' shares have filled before the run; 0 means that they are full.
+	FilledMS int64 `json:"filledMs,omitempty"`
 	// CapacityTokens is the decode capacity in output tokens a second, for the entitlements; 0 means unlimited.
 	CapacityTokens float64 `json:"capacityTokensPerSecond,omitempty"`
 	// LoadFraction is a label: offered output tokens over capacity.
@@ -104,6 +106,9 @@
 	if s.WarmupMS < 0 || s.WarmupMS >= s.DurationMS {
 		return errors.New("warmupMs must be less than durationMs")
 	}
+	if s.FilledMS < 0 || s.FilledMS > MaxDuration.Milliseconds() {
+		return fmt.Errorf("filledMs must be between 0 and %d", MaxDuration.Milliseconds())
+	}
 	if len(s.Mixes) == 0 || len(s.Mixes) > maxCustomers {
 		return fmt.Errorf("mixes must have 1 to %d entries", maxCustomers)
 	}
@@ -126,6 +131,9 @@
 // Warmup is the part of Duration that is not counted.
 func (s Scenario) Warmup() time.Duration { return time.Duration(s.WarmupMS) * time.Millisecond }
 
+// Filled is how long the customers' shares have filled before the run.
+func (s Scenario) Filled() time.Duration { return time.Duration(s.FilledMS) * time.Millisecond }
+
 func (m Mix) validate() error {
 	if !finite(m.RateMultiple) || m.RateMultiple > 1000 {
 		return errors.New("rateMultiple must be between 0 and 1000")
--- a/lab/internal/report/report.go
+++ b/lab/internal/report/report.go
@@ -26,6 +26,7 @@
 	{"answered", experiment.MeasureAnswered, "%.1f%%", 100},
 	{"wasted prefill", experiment.MeasureWasted, "%.2f%%", 100},
 	{"worst served", experiment.MeasureWorst, "%.3f", 1},
+	{"worst inside rate", experiment.MeasureWorstInside, "%.3f", 1},
 	{"wrongful refusals", experiment.MeasureWrongful, "%.2f%%", 100},
 	{"refused inside rate", experiment.MeasureRefusedInside, "%.2f%%", 100},
 	{"excess tokens", experiment.MeasureExcess, "%.0f", 1},
