End all processes of a cell even if one is gone already

Cause: in the cell router-lost the killed router's id made "kill" fail in an && list, "set -e" ended end_all, and routers 4 to 8 of that cell lived on. The next cell's routers adopted the old roster from them over the peer port and never became ready, because the new platform had no roster.

Ruled out: a fault of the router: the members in /status had the incarnations of the earlier cell.

Change: failures of kill are ignored, a process that does not get ready ends the cell at once, and a cell waits for its restarts before it ends the processes.

Figures: before, 8 processes were left; they were ended by the ids in the pids directory.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -36,15 +36,15 @@
     start_process "$name" "$lab" "$kind" "${arguments[@]}"
     if [ "$kind" = platform ]; then
       platform=$url
-      wait_for "$platform/calls" 10
+      wait_for "$platform/calls" 10 || return 1
       curl -sf -o /dev/null -X PUT -H "Authorization: Bearer $TANAGERWOOD_PLATFORM_TOKEN" -H 'If-None-Match: *' \
         --data-binary "@$RUN/catalogue.json" "$platform/api/v1/catalogue/main"
     else
-      wait_for "$url/healthz" 10
+      wait_for "$url/healthz" 10 || return 1
     fi
   done <"$RUN/processes.txt"
   while read -r name kind _ url operators _; do
-    if [ "$kind" = router ]; then wait_for "$operators/readyz" 40; fi
+    if [ "$kind" = router ]; then wait_for "$operators/readyz" 40 || return 1; fi
   done <"$RUN/processes.txt"
 }
 
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -48,16 +48,16 @@
   local platform name kind url operators _
   platform=$(urls_of platform)
   start_named platform
-  wait_for "$platform/calls" 10
+  wait_for "$platform/calls" 10 || return 1
   curl -sf -o /dev/null -X PUT -H "Authorization: Bearer $TANAGERWOOD_PLATFORM_TOKEN" -H 'If-None-Match: *' \
     --data-binary "@$RUN/catalogue.json" "$platform/api/v1/catalogue/main"
   for name in $(names_of engine) $(names_of service); do start_named "$name"; done
   while read -r name kind _ url _; do
-    case $kind in engine | service) wait_for "$url/healthz" 10 ;; esac
+    case $kind in engine | service) wait_for "$url/healthz" 10 || return 1 ;; esac
   done <"$RUN/processes.txt"
   for name in $(names_of router); do start_named "$name"; done
   while read -r name kind _ _ operators _; do
-    [ "$kind" = router ] && wait_for "$operators/readyz" 30
+    wait_for "$operators/readyz" 30 || return 1
   done < <(grep ' router ' "$RUN/processes.txt")
 }
 
@@ -70,8 +70,11 @@
     if [ "$pause" -gt 0 ]; then sleep "$(awk -v ms="$pause" 'BEGIN {print ms / 1000}')"; fi
     echo "fault at $at ms: $action $name ${url:-} ${body:-}"
     case $action in
-      kill) kill -KILL "$(pid_of "$name")" ;;
-      restart) { end_process "$name" TERM 60 && start_named "$name"; } & ;;
+      kill) kill -KILL "$(pid_of "$name")" || true ;;
+      restart)
+        { end_process "$name" TERM 60 && start_named "$name"; } &
+        restarts+=($!)
+        ;;
       post) curl -sf -o /dev/null --max-time 2 -X POST --data-binary "$body" "$url" || echo "no answer from $url" ;;
       remove) curl -sf -o /dev/null --max-time 2 -X POST --data-binary "{\"removed\":[\"$name\"]}" "$platform/instances" || true ;;
     esac
@@ -91,7 +94,8 @@
 }
 
 run_cell() {
-  local control cpu begin load_pid status=0
+  local control cpu begin load_pid pid status=0
+  restarts=()
   local -a routers
   mapfile -t routers < <(names_of router)
   start_cell || return 1
@@ -99,11 +103,12 @@
   cpu=$(cpu_ticks "${routers[@]}")
   begin=$(now_ms)
   "$lab" load -scenario "$RUN/scenario.json" -catalogue "$RUN/catalogue.json" -routers "$(urls_of router)" \
-    -engines "$(urls_of engine)" -services "$(urls_of service)" -out "$RUN/result.tmp" -records "$RUN/records.jsonl" \
+    -engines "$(urls_of engine)" -services "$(urls_of service)" -filled "${fill_seconds}s" -out "$RUN/result.tmp" -records "$RUN/records.jsonl" \
     >"$RUN/table.txt" 2>"$RUN/load.log" &
   load_pid=$!
   run_faults "$begin" >"$RUN/faults.log" 2>&1
   wait "$load_pid" || status=$?
+  for pid in "${restarts[@]}"; do wait "$pid" || true; done # else a restart could begin after end_all
   if [ "$status" -ne 0 ]; then
     cat "$RUN/load.log" >&2
     return 1
--- a/scripts/lab-lib.sh
+++ b/scripts/lab-lib.sh
@@ -43,7 +43,7 @@
   local file name
   [ -d "$RUN/pids" ] || return 0
   for file in "$RUN"/pids/*; do
-    [ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+    if [ -e "$file" ]; then kill -KILL "$(cat "$file")" 2>/dev/null || true; fi
   done
   for file in "$RUN"/pids/*; do
     [ -e "$file" ] || continue
