--- a/router/internal/app/quotasync/admission.go
+++ b/router/internal/app/quotasync/admission.go
@@ -156,7 +156,7 @@
 	contentionPause   = 12 * time.Millisecond
 	// maxDoublings bounds the growth of the pause between attempts that failed, to 192 ms.
 	maxDoublings = 4
-	longestPause      = time.Second
+	longestPause = time.Second
 )
 
 // serve tries to get the tokens for the first request in the queue until its patience ends.
--- a/router/internal/instance/instance.go
+++ b/router/internal/instance/instance.go
@@ -26,6 +26,7 @@
 	"tanagerwood.dev/router/internal/app/quotasync"
 	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/app/servicepath"
+	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/settings"
 )
 
@@ -143,10 +144,11 @@
 
 // startLoops reads the configuration once and starts the background loops.
 func (i *Instance) startLoops(ctx context.Context) {
-	config := do.MustInvoke[*configsync.Sync](i.injector)
-	config.Start(ctx)
+	sync := do.MustInvoke[*configsync.Sync](i.injector)
+	sync.Subscribe(i.warnOfShortDrain)
+	sync.Start(ctx)
 	do.MustInvoke[*membership.Service](i.injector).Start(ctx)
-	i.loop(func() { config.Run(ctx) })
+	i.loop(func() { sync.Run(ctx) })
 	i.loop(func() { i.followRevisions(ctx) })
 	i.loop(func() { do.MustInvoke[*loads.Poller](i.injector).Run(ctx) })
 	i.loop(func() { do.MustInvoke[*reservations.Service](i.injector).Run(ctx) })
@@ -155,9 +157,15 @@
 	i.loop(func() { do.MustInvoke[*orders.Reconciler](i.injector).Run(ctx) })
 }
 
+func (i *Instance) warnOfShortDrain(s *config.Snapshot) {
+	if warning := i.options.Settings.DrainWarning(s.Catalogue); warning != "" {
+		i.options.Logger.Warn().Msg(warning)
+	}
+}
+
 // followRevisions tells the configuration loop of newer revisions that heartbeats have shown.
 func (i *Instance) followRevisions(ctx context.Context) {
-	members, config := do.MustInvoke[*membership.Service](i.injector), do.MustInvoke[*configsync.Sync](i.injector)
+	members, sync := do.MustInvoke[*membership.Service](i.injector), do.MustInvoke[*configsync.Sync](i.injector)
 	ticker := time.NewTicker(membership.HeartbeatPeriod)
 	defer ticker.Stop()
 	for {
@@ -166,8 +174,8 @@
 			return
 		case <-ticker.C:
 		}
-		if revision, address := members.NewestRevision(); revision > config.Current().Revision {
-			config.SawRevision(address, revision)
+		if revision, address := members.NewestRevision(); revision > sync.Current().Revision {
+			sync.SawRevision(address, revision)
 		}
 	}
 }
--- a/scripts/lab-lib.sh
+++ b/scripts/lab-lib.sh
@@ -38,7 +38,7 @@
   rm -f "$RUN/pids/$1"
 }
 
-# end_all ends the routers first, so that they do not report lost endpoints.
+# end_all kills all processes that the script started.
 end_all() {
   local file name
   [ -d "$RUN/pids" ] || return 0
