--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -12,6 +12,7 @@
 lab=$ROOT/bin/tanagerlab
 router=$ROOT/bin/tanagerwood
 example=$ROOT/examples/asahan
+catalogue=${CATALOGUE:-$example/catalogue.json}
 region=my-west
 model=tulis
 customer=kilang-pisau
@@ -98,7 +99,7 @@
   start_process platform "$lab" platform -listen "127.0.0.1:$base_port" -platform-token "$TANAGERWOOD_PLATFORM_TOKEN" \
     -instances instances.json
   wait_for "$platform_url/calls" 10
-  "$router" apply -create -platform-url "$platform_url" -catalogue "$example/catalogue.json" >"$RUN/apply.log"
+  "$router" apply -create -platform-url "$platform_url" -catalogue "$catalogue" >"$RUN/apply.log"
   start_endpoints
   start_routers
 }
