Share the loop of background tasks and the silent connections of the stand-ins

Ruled out: a common fault type for both stand-ins, whose faults differ in all but this one. Change: package periodic runs a function once each period; package silent keeps which connections have gone silent. Conclusion: no change of behaviour.

--- a/lab/standin/engine/answer.go
+++ b/lab/standin/engine/answer.go
@@ -110,7 +110,7 @@
 
 // raw writes one event, or nothing if the connection has gone silent.
 func (a *answer) raw(body []byte) bool {
-	if a.quiet || a.engine.isSilent(a.r.RemoteAddr) {
+	if a.quiet || a.engine.connections.IsSilent(a.r.RemoteAddr) {
 		a.quiet = true
 		return true
 	}
@@ -131,7 +131,7 @@
 		return false
 	}
 	a.engine.release(a.en)
-	if a.quiet || a.engine.isSilent(a.r.RemoteAddr) {
+	if a.quiet || a.engine.connections.IsSilent(a.r.RemoteAddr) {
 		select {
 		case <-a.r.Context().Done():
 		case <-a.engine.closing:
--- a/lab/standin/engine/completion.go
+++ b/lab/standin/engine/completion.go
@@ -160,7 +160,7 @@
 	stopClient()
 	e.export(en)
 	exported = true
-	if e.isSilent(r.RemoteAddr) {
+	if e.connections.IsSilent(r.RemoteAddr) {
 		<-r.Context().Done()
 		return
 	}
--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -7,6 +7,7 @@
 
 	"tanagerwood.dev/api/engine"
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/lab/standin/silent"
 )
 
 // logEvents is how many events the timeline keeps if the caller gives none.
@@ -50,25 +51,24 @@
 	closing chan struct{}
 	wg      sync.WaitGroup
 
-	mu         sync.Mutex
-	closed     bool
-	role       Role
-	model      string
-	entries    map[*entry]struct{}
-	tombstones map[string]time.Time
-	slotsUsed  int
-	blocksUsed int64
-	decoding   int
-	stats      Stats
-	faults     Faults
-	stallOver  chan struct{}
-	conns      map[string]bool
-	silent     map[string]bool
-	lastID     string
-	anonymous  int64
-	fencing    uint64
-	orders     []engine.Order
-	reports    [2]engine.Load
+	mu          sync.Mutex
+	closed      bool
+	role        Role
+	model       string
+	entries     map[*entry]struct{}
+	tombstones  map[string]time.Time
+	slotsUsed   int
+	blocksUsed  int64
+	decoding    int
+	stats       Stats
+	faults      Faults
+	stallOver   chan struct{}
+	connections silent.Connections
+	lastID      string
+	anonymous   int64
+	fencing     uint64
+	orders      []engine.Order
+	reports     [2]engine.Load
 }
 
 // New starts an engine. Close ends it.
@@ -78,7 +78,6 @@
 		opts: opts, log: opts.Log, link: make(chan struct{}, 1), closing: make(chan struct{}),
 		role: opts.Role, model: opts.Model, cache: newPrefixCache(opts),
 		entries: make(map[*entry]struct{}), tombstones: make(map[string]time.Time),
-		conns: make(map[string]bool), silent: make(map[string]bool),
 	}
 	if e.log == nil {
 		e.log = event.NewLog(opts.Name, "", logEvents, time.Now)
--- a/lab/standin/engine/faults.go
+++ b/lab/standin/engine/faults.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/lab/standin/silent"
 )
 
 // Faults are the failures that an engine shows. POST /faults replaces all of them; absent ones are off.
@@ -43,13 +43,7 @@
 	if !e.faults.StallTransfers && f.StallTransfers {
 		e.stallOver = make(chan struct{})
 	}
-	if f.Silent {
-		for addr := range e.conns {
-			e.silent[addr] = true
-		}
-	} else {
-		clear(e.silent)
-	}
+	e.connections.Switch(f.Silent)
 	e.faults = f
 	detail, _ := json.Marshal(f)
 	e.log.Record(event.Event{Kind: event.FaultSwitched, Endpoint: e.opts.Name, Detail: string(detail)})
@@ -118,13 +112,6 @@
 	return true
 }
 
-// isSilent reports whether the connection from addr has gone silent.
-func (e *Engine) isSilent(addr string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.silent[addr]
-}
-
 // onConnection notes the connection and holds requests on silent ones for as long as they are open.
 func (e *Engine) onConnection(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -132,28 +119,14 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		e.mu.Lock()
-		if len(e.conns) >= maxConns {
-			clear(e.conns)
-		}
-		e.conns[r.RemoteAddr] = true
-		e.mu.Unlock()
-		if e.isSilent(r.RemoteAddr) {
-			// net/http notices that the client closed only once the body is read.
-			_, _ = io.Copy(io.Discard, r.Body)
-			select {
-			case <-r.Context().Done():
-			case <-e.closing:
-			}
-			panic(http.ErrAbortHandler)
+		e.connections.Use(r.RemoteAddr)
+		if e.connections.IsSilent(r.RemoteAddr) {
+			silent.Hold(r, e.closing)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// maxConns bounds the table of connections that were used.
-const maxConns = 10_000
-
 // isManagement tells the paths that experiments use, which no fault touches.
 func isManagement(path string) bool {
 	return path == "/faults" || path == "/stats" || path == "/events"
--- a/lab/standin/service/faults.go
+++ b/lab/standin/service/faults.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/lab/standin/silent"
 )
 
-// maxConns bounds the table of connections that were used.
-const maxConns = 10_000
-
 // Faults are the failures that a service shows. POST /faults replaces all of them; absent ones are off.
 type Faults struct {
 	// DieAfterRun makes the service die after its next booking ran, before it answers.
@@ -31,13 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dead = false
-	if f.Silent {
-		for addr := range s.conns {
-			s.silent[addr] = true
-		}
-	} else {
-		clear(s.silent)
-	}
+	s.connections.Switch(f.Silent)
 	s.faults = f
 	detail, _ := json.Marshal(f)
 	s.log.Record(event.Event{Kind: event.FaultSwitched, Endpoint: s.opts.Name, Detail: string(detail)})
@@ -64,29 +55,21 @@
 
 // beforeReading cuts or holds the call if a fault says so.
 func (s *Service) beforeReading(r *http.Request) {
-	s.mu.Lock()
-	if len(s.conns) >= maxConns {
-		clear(s.conns)
+	s.connections.Use(r.RemoteAddr)
+	if s.connections.IsSilent(r.RemoteAddr) {
+		silent.Hold(r, s.closing)
 	}
-	s.conns[r.RemoteAddr] = true
-	silent, cut := s.silent[r.RemoteAddr], s.dead
-	if !silent && !cut && s.faults.DropBeforeReading > 0 {
+	s.mu.Lock()
+	cut := s.dead
+	if !cut && s.faults.DropBeforeReading > 0 {
 		s.faults.DropBeforeReading--
 		cut = true
 	}
-	if !silent && !cut {
+	if !cut {
 		s.headers = append(s.headers, r.Header.Clone())
 	}
 	s.mu.Unlock()
-	if silent {
-		// net/http notices that the client closed only once the body is read.
-		_, _ = io.Copy(io.Discard, r.Body)
-		select {
-		case <-r.Context().Done():
-		case <-s.closing:
-		}
-	}
-	if silent || cut {
+	if cut {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/lab/standin/service/service.go
+++ b/lab/standin/service/service.go
@@ -12,6 +12,7 @@
 
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/lab/standin/silent"
 )
 
 const (
@@ -63,14 +64,13 @@
 	closing chan struct{}
 	once    sync.Once
 
-	mu      sync.Mutex
-	runs    map[string]Run
-	lookups int
-	headers []http.Header
-	faults  Faults
-	dead    bool
-	conns   map[string]bool
-	silent  map[string]bool
+	mu          sync.Mutex
+	runs        map[string]Run
+	lookups     int
+	headers     []http.Header
+	faults      Faults
+	dead        bool
+	connections silent.Connections
 }
 
 // New returns a service. Close ends calls that wait.
@@ -83,7 +83,6 @@
 	}
 	s := &Service{
 		opts: opts, log: opts.Log, closing: make(chan struct{}), runs: make(map[string]Run),
-		conns: make(map[string]bool), silent: make(map[string]bool),
 	}
 	if s.log == nil {
 		s.log = event.NewLog(opts.Name, "", logEvents, time.Now)
--- a/router/internal/app/cleanup/reaper.go
+++ b/router/internal/app/cleanup/reaper.go
@@ -11,6 +11,7 @@
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/api/platform"
+	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/port"
 )
 
@@ -69,16 +70,7 @@
 
 // Run does a round every second until ctx ends.
 func (r *Reaper) Run(ctx context.Context) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.Round(ctx)
-		}
-	}
+	periodic.Run(ctx, period, r.Round)
 }
 
 // Round looks once at every engine that this instance owns, at all of them at the same time.
--- a/router/internal/app/orders/reconcile.go
+++ b/router/internal/app/orders/reconcile.go
@@ -7,6 +7,7 @@
 	"tanagerwood.dev/api/engine"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
+	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
 )
@@ -38,16 +39,7 @@
 
 // Run compares until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
-	ticker := time.NewTicker(reconcilePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.Round(ctx)
-		}
-	}
+	periodic.Run(ctx, reconcilePeriod, r.Round)
 }
 
 // Round compares each owned engine with its pool once.
--- a/router/internal/app/reservations/service.go
+++ b/router/internal/app/reservations/service.go
@@ -13,6 +13,7 @@
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/api/platform"
 	"tanagerwood.dev/router/internal/app/loads"
+	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/domain/reservation"
 	"tanagerwood.dev/router/internal/port"
 )
@@ -285,16 +286,7 @@
 
 // Run reads the lists of the owned endpoints until the context ends, and forgets endpoints that are not owned any more.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.listOwned(ctx)
-		}
-	}
+	periodic.Run(ctx, listInterval, s.listOwned)
 }
 
 func (s *Service) listOwned(ctx context.Context) {
--- a/router/internal/instance/instance.go
+++ b/router/internal/instance/instance.go
@@ -23,6 +23,7 @@
 	"tanagerwood.dev/router/internal/app/loads"
 	"tanagerwood.dev/router/internal/app/membership"
 	"tanagerwood.dev/router/internal/app/orders"
+	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/app/quotasync"
 	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/app/servicepath"
@@ -166,18 +167,11 @@
 // followRevisions tells the configuration loop of newer revisions that heartbeats have shown.
 func (i *Instance) followRevisions(ctx context.Context) {
 	members, sync := do.MustInvoke[*membership.Service](i.injector), do.MustInvoke[*configsync.Sync](i.injector)
-	ticker := time.NewTicker(membership.HeartbeatPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, membership.HeartbeatPeriod, func(context.Context) {
 		if revision, address := members.NewestRevision(); revision > sync.Current().Revision {
 			sync.SawRevision(address, revision)
 		}
-	}
+	})
 }
 
 func (i *Instance) loop(run func()) {
