Ask for removals only while a majority is heard

Cause: an instance that is cut off hears nobody and asked every member about the removal of every other one, twice a second. Change: the remover needs a strict majority of the roster that is heard, itself included, and asks only the members that are heard.

--- a/router/internal/app/membership/tend.go
+++ b/router/internal/app/membership/tend.go
@@ -115,18 +115,20 @@
 
 // removeDead removes the members that a majority agrees about, and those that the platform no longer lists.
 func (s *Service) removeDead(ctx context.Context) {
-	generation, silent := s.silentMembers()
+	generation, silent, heard := s.silentMembers()
 	if len(silent) == 0 {
 		return
 	}
 	absent := s.absentMembers(ctx, silent)
+	// An instance that is cut off hears nobody. Without this check it would ask everybody about everybody.
+	majorityHeard := roster.Majority(len(heard)+1, len(heard)+1+len(silent))
 	var change peer.RosterChange
 	for _, m := range silent {
 		switch {
 		case absent[m.MemberID]:
 			change.Removed = append(change.Removed, m)
 			change.Absent = append(change.Absent, m.MemberID)
-		case s.isRemover(m) && s.majorityAgrees(ctx, generation, m):
+		case majorityHeard && s.isRemover(m) && s.majorityAgrees(ctx, generation, m, heard):
 			change.Removed = append(change.Removed, m)
 		}
 	}
@@ -139,17 +141,22 @@
 	}
 }
 
-// silentMembers lists the members of the newest roster that were not heard for long enough.
-func (s *Service) silentMembers() (generation uint64, silent []peer.Member) {
+// silentMembers splits the other members of the newest roster into those that were not heard for long enough and the
+// rest.
+func (s *Service) silentMembers() (generation uint64, silent, heard []peer.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Boot()
 	for _, m := range s.chain.Members() {
-		if m.MemberID != s.settings.Self.MemberID && s.table.Silence(now, m.MemberID) >= roster.SilenceForRemoval {
+		switch {
+		case m.MemberID == s.settings.Self.MemberID:
+		case s.table.Silence(now, m.MemberID) >= roster.SilenceForRemoval:
 			silent = append(silent, m)
+		default:
+			heard = append(heard, m)
 		}
 	}
-	return s.chain.Generation(), silent
+	return s.chain.Generation(), silent, heard
 }
 
 // isRemover keeps all instances from asking all others about the same member at once.
@@ -162,35 +169,30 @@
 	return s.table.Silence(s.Clock.Boot(), m.MemberID) >= roster.SilenceForRemoval+backupRemoverDelay
 }
 
-// majorityAgrees asks for the votes that R2 demands.
-func (s *Service) majorityAgrees(ctx context.Context, generation uint64, m peer.Member) bool {
+// majorityAgrees asks the members that are heard for the votes that R2 demands.
+func (s *Service) majorityAgrees(ctx context.Context, generation uint64, m peer.Member, heard []peer.Member) bool {
 	request := peer.RemovalRequest{From: s.settings.Self.MemberID, Request: s.requests.Add(1), Generation: generation, Remove: m.MemberID}
 	own, err := s.ReceiveRemoval(ctx, request)
 	if err != nil || !own.Agreed {
 		return false
 	}
-	others := s.others()
-	votes := make(chan bool, len(others))
-	for _, other := range others {
+	votes := make(chan bool, len(heard))
+	for _, other := range heard {
 		s.loops.Go(func() {
-			if other.MemberID == m.MemberID {
-				votes <- false
-				return
-			}
 			reply, err := s.Peers.AgreeRemoval(ctx, other.Address, request)
 			votes <- err == nil && reply.Agreed && reply.Request == request.Request
 		})
 	}
-	agreed := 1
-	for range others {
+	all, agreed := len(s.others())+1, 1
+	for range heard {
 		if <-votes {
 			agreed++
 		}
-		if roster.Majority(agreed, len(others)+1) {
+		if roster.Majority(agreed, all) {
 			return true
 		}
 	}
-	return roster.Majority(agreed, len(others)+1)
+	return false
 }
 
 // ReceiveRemoval votes on removing a member.
--- a/router/internal/app/quotasync/faults_test.go
+++ b/router/internal/app/quotasync/faults_test.go
@@ -196,6 +196,7 @@
 			Expect(fault.Is(w.ask(n, "bombas", 10), fault.NotConfirmed)).To(BeTrue())
 			Expect(counter(n, "quota.not_confirmed")).NotTo(BeZero())
 			time.Sleep(17 * time.Second)
+			Expect(counter(n, "membership.removals_agreed")).To(BeZero(), "it hears nobody, so it must not try to remove all others")
 			w.net.isolate(n.name, false)
 			w.platform.set(func(p *fakePlatform) { p.cutOff[n.name] = false })
 			time.Sleep(5 * time.Second)
