Let instances read a new roster from the platform, not from each peer

Cause: the roster went to every peer that was believed to have an older generation, although most had read it meanwhile. Ruled out: telling sooner who has a generation; the copies are sent within the second in which that is not known. Change: a heartbeat tells the generation only. An instance whose last read of the platform failed, or that knows no roster, asks for the members with pullRoster and gets them in the answer. Conclusion: the cost of a roster change is one read for each instance while the platform is up.

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -82,8 +82,10 @@
 	Draining bool   `json:"draining,omitempty"`
 	// Entries are the sender's full own entry, now and then, and, in an answer, those of the groups whose digests differ.
 	Entries []HeartbeatEntry `json:"entries,omitempty"`
-	// Roster is the newest roster the sender knows, without members if the receiver is believed to have it.
+	// Roster is the newest roster the sender knows. Only an answer to PullRoster with an older generation has the members.
 	Roster Roster `json:"roster"`
+	// PullRoster asks for the roster, because the sender cannot read it from the platform.
+	PullRoster bool `json:"pullRoster,omitempty"`
 	// Beats holds the counter of each member of the roster, in its order, modulo BeatModulus, or BeatSilent if the sender
 	// has not heard the member lately. It means something only to a receiver with the same roster generation.
 	Beats []byte `json:"beats,omitempty"`
--- a/router/internal/app/membership/confirm.go
+++ b/router/internal/app/membership/confirm.go
@@ -195,6 +195,13 @@
 	return r.after(ctx)
 }
 
+// down reports whether the last read failed.
+func (r *reader) down() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed != nil
+}
+
 // run reads, and goes on with the read that callers wait for meanwhile. Reads have their own timeout, because one
 // caller's end must not fail the others.
 func (r *reader) run(call *reading) {
--- a/router/internal/app/membership/heartbeat.go
+++ b/router/internal/app/membership/heartbeat.go
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, HeartbeatPeriod)
 	defer cancel()
 	s.count.beats.Inc(1)
-	reply, err := s.Peers.Heartbeat(ctx, address, s.heartbeat(address))
+	reply, err := s.Peers.Heartbeat(ctx, address, s.heartbeat())
 	if err != nil {
 		s.count.beatsFailed.Inc(1)
 		return
@@ -126,11 +126,12 @@
 	s.merge(reply)
 }
 
-// heartbeat builds the message for the member at an address.
-func (s *Service) heartbeat(address string) peer.Heartbeat {
+// heartbeat builds the message of this instance.
+func (s *Service) heartbeat() peer.Heartbeat {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := s.message(s.table.GenerationAt(address))
+	m := s.message()
+	m.PullRoster = s.chain.Generation() == 0 || s.reader.down()
 	m.Digests = s.table.Digests(s.Clock.Boot())
 	if own := s.table.Own(); own.Counter < introductionBeats || own.Counter%introductionEvery == 0 {
 		m.Entries = []peer.HeartbeatEntry{own}
@@ -138,15 +139,15 @@
 	return m
 }
 
-// message is a heartbeat for a peer that has a generation. The caller holds mu.
-func (s *Service) message(generation uint64) peer.Heartbeat {
+// message is what every heartbeat tells. The caller holds mu.
+func (s *Service) message() peer.Heartbeat {
 	members, own := s.chain.Members(), s.table.Own()
 	return peer.Heartbeat{
 		From:     own.MemberID,
 		Counter:  own.Counter,
 		Revision: own.CatalogueRevision,
 		Draining: own.Draining,
-		Roster:   s.rosterFor(generation),
+		Roster:   peer.Roster{Generation: s.chain.Generation()},
 		Beats:    s.table.Beats(s.Clock.Boot(), members),
 		Informed: s.table.Informed(members, s.chain.Generation()),
 	}
@@ -198,7 +199,10 @@
 	s.merge(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply := s.message(m.Roster.Generation)
+	reply := s.message()
+	if m.PullRoster {
+		reply.Roster = s.rosterFor(m.Roster.Generation)
+	}
 	reply.Entries = s.table.Differing(s.Clock.Boot(), m.Digests)
 	return reply, nil
 }
--- a/router/internal/domain/roster/table.go
+++ b/router/internal/domain/roster/table.go
@@ -191,14 +191,3 @@
 func (r *row) fresh(now time.Duration) bool { return r.heard && now-r.at < gossipFor }
 
 func (r *row) alive(now time.Duration) bool { return r.heard && now-r.at < AliveWindow }
-
-// GenerationAt is the newest generation known at the live member with an address, or 0.
-func (t *Table) GenerationAt(address string) uint64 {
-	generation := uint64(0)
-	for _, r := range t.rows {
-		if r.Address == address && r.heard {
-			generation = max(generation, r.RosterGeneration)
-		}
-	}
-	return generation
-}
