Let prefills end when the decode slot is free; fix a race in a spec

Change: a slot may get free at most 20 ms after the prefill (was 100); the pause between two questions shrinks from 25 to 2 ms as the KV cache's life runs out; a transfer may begin in 90% of that life (was 75%).

"ends requests whose key is withdrawn: while queued" failed in 2 of some 110 runs under -race: the spec read the timeline before the goroutine that applies the configuration had recorded the event, which follows the cancel. It now waits for that goroutine and expects the same; 100 of 100 runs passed after.

--- a/router/internal/app/modelpath/attempt.go
+++ b/router/internal/app/modelpath/attempt.go
@@ -147,7 +147,8 @@
 // open starts the decode. While the exported KV cache lives, an engine that is full is asked again, and one that cannot
 // be reached or refuses is replaced by another if there is one. Nothing ran in either case.
 func (r *run) open(id string, ep port.Endpoint, placement Placement, kv *engine.KVTransfer) (port.Endpoint, port.TokenStream, error) {
-	until := r.Clock.Now().Add(time.Duration(kv.ExpiresInMS) * time.Millisecond * kvUsablePercent / 100)
+	life := time.Duration(kv.ExpiresInMS) * time.Millisecond * kvUsablePercent / 100
+	until := r.Clock.Now().Add(life)
 	avoid := map[string]bool{}
 	for {
 		r.event(event.TransferStarted, id, ep, "")
@@ -163,7 +164,8 @@
 		if !fault.Is(err, fault.EndpointRefused) {
 			return ep, nil, err
 		}
-		r.pause(refusedPause)
+		left := max(0, until.Sub(r.Clock.Now()))
+		r.pause(max(minRefusedPause, time.Duration(float64(refusedPause)*float64(left)/float64(life))))
 	}
 }
 
--- a/router/internal/app/modelpath/path.go
+++ b/router/internal/app/modelpath/path.go
@@ -22,10 +22,13 @@
 	// retryAfterFailure tells the caller of a failed request when the fleet has noticed a dead endpoint.
 	retryAfterFailure = 3 * time.Second
 	drainPoll         = 20 * time.Millisecond
-	// refusedPause is the time between two questions to a decode engine that is full: about one decode step.
-	refusedPause = 25 * time.Millisecond
+	// refusedPause is the time between two questions to a decode engine that is full, at first: about two decode steps.
+	// It shrinks to minRefusedPause as the KV cache's life runs out, so that of several attempts that wait for one slot
+	// the most urgent asks most often. With equal pauses some attempts lost every slot to later ones until they failed.
+	refusedPause    = 25 * time.Millisecond
+	minRefusedPause = 2 * time.Millisecond
 	// kvUsablePercent is the part of the exported KV cache's life in which a transfer may begin.
-	kvUsablePercent = 75
+	kvUsablePercent = 90
 )
 
 // Deps are the parts that a path works with.
--- a/router/internal/app/modelpath/path_test.go
+++ b/router/internal/app/modelpath/path_test.go
@@ -268,6 +268,7 @@
 				Expect(fault.As(err).Outcome).To(Equal(outcome))
 				Expect(time.Since(began)).To(Equal(after))
 				Expect(w.engine.holding()).To(BeZero())
+				synctest.Wait() // the event follows the cancel, on the goroutine that applied the configuration
 				Expect(w.kinds()).To(ContainElement(event.KeyWithdrawn))
 			})
 		},
--- a/router/internal/app/placement/placer.go
+++ b/router/internal/app/placement/placer.go
@@ -32,7 +32,7 @@
 	prefillQueue = 100 * time.Millisecond
 	// decodeWithin is how much later than the prefill's end the decode slot may get free. An exported KV cache lives
 	// under a second.
-	decodeWithin = 100 * time.Millisecond
+	decodeWithin = 20 * time.Millisecond
 	// marginPart of the first-token target is kept free before the deadline. Slots get free some decode steps before or
 	// after the prediction, and a job may lose its slot to the next one and wait for that one's.
 	marginPart = 10
