Name the router binary of each cell; shorten the summary

Cause: commits.txt named the worktree's commit, which moved on during the first runs while the binary stayed; and the summary listed each missing cell on its own line.

Ruled out: the commit in the binary's build information; builds here carry none.

--- a/lab/internal/experiment/aggregate.go
+++ b/lab/internal/experiment/aggregate.go
@@ -283,8 +283,8 @@
 			100*m[MeasureWasted], m[MeasureWorst], m[MeasureWorstInside], 100*m[MeasureWrongful], 100*m[MeasureRefusedInside], m[MeasureExcess],
 			m[MeasureFirstP50], m[MeasureFirstP95], m[MeasureIntervalP95], m[MeasureCut], m[MeasureCPU])
 	}
-	for _, id := range s.Missing {
-		_, err = fmt.Fprintf(w, "\nNo result: %s\n", id)
+	if len(s.Missing) > 0 {
+		_, err = fmt.Fprintf(w, "\n%d cells of the plan have no result; summary.json lists them.\n", len(s.Missing))
 	}
 	return err
 }
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -129,7 +129,7 @@
   case $cell in $pattern) ;; *) continue ;; esac
   RUN=$out/$cell
   if [ -e "$RUN/result.json" ]; then continue; fi
-  echo "$cell $(git -C "$ROOT" describe --always --dirty)" >>"$out/commits.txt"
+  echo "$cell $(git -C "$ROOT" describe --always --dirty) router $(sha256sum "$router" | cut -c1-12)" >>"$out/commits.txt"
   echo "$(date -u +%H:%M:%S) $cell"
   rm -rf "$RUN"
   mkdir -p "$RUN/pids"
