Print unmeasured CPU as absent in the summary table

Cause: cells whose routers restart have no CPU figure, and the table printed 0.00 for them.

Change: the table prints a dash.

Conclusion: absent figures no longer look like zero.

--- a/lab/internal/experiment/aggregate.go
+++ b/lab/internal/experiment/aggregate.go
@@ -278,10 +278,10 @@
 	_, err := fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, g := range s.Groups {
 		m := g.Median
-		_, err = fmt.Fprintf(w, "| %s | %s | %d | %.2f | %.1f%% | %s | %s | %.2f%% | %.3f | %.3f | %.2f%% | %.2f%% | %.0f | %.0f/%.0f | %.1f | %.0f | %.2f |\n",
+		_, err = fmt.Fprintf(w, "| %s | %s | %d | %.2f | %.1f%% | %s | %s | %.2f%% | %.3f | %.3f | %.2f%% | %.2f%% | %.0f | %.0f/%.0f | %.1f | %.0f | %s |\n",
 			g.Scenario, g.Policy, len(g.Seeds), m[MeasureGoodput], 100*m[MeasureGoodPortion], figure(g.GoodputOverBest), figure(g.GoodputOverFull),
 			100*m[MeasureWasted], m[MeasureWorst], m[MeasureWorstInside], 100*m[MeasureWrongful], 100*m[MeasureRefusedInside], m[MeasureExcess],
-			m[MeasureFirstP50], m[MeasureFirstP95], m[MeasureIntervalP95], m[MeasureCut], m[MeasureCPU])
+			m[MeasureFirstP50], m[MeasureFirstP95], m[MeasureIntervalP95], m[MeasureCut], figure(m[MeasureCPU]))
 	}
 	if len(s.Missing) > 0 {
 		_, err = fmt.Fprintf(w, "\n%d cells of the plan have no result; summary.json lists them.\n", len(s.Missing))
