--- a/lab/e2e/system_test.go
+++ b/lab/e2e/system_test.go
@@ -57,6 +57,8 @@
 	arguments      []string
 	binary         string
 	cmd            *exec.Cmd
+	// log is what the process wrote to standard error.
+	log recording
 }
 
 // system is a platform, engines, services and routers as separate processes.
@@ -89,9 +91,21 @@
 
 // start runs a system with the example catalogue. Engines take the flags besides their own.
 func start(routers int, engineFlags ...string) *system {
+	s := prepare(routers, engineFlags...)
+	s.launch()
+	return s
+}
+
+// prepare lays a system out without starting it, so that a test can change its flags and its instance list.
+func prepare(routers int, engineFlags ...string) *system {
 	s := &system{dir: GinkgoT().TempDir()}
 	s.readCatalogue()
 	s.layOut(routers, engineFlags)
+	return s
+}
+
+func (s *system) launch() {
+	GinkgoHelper()
 	raw, err := json.Marshal(s.instances)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(os.WriteFile(filepath.Join(s.dir, "instances.json"), raw, 0o600)).To(Succeed())
@@ -109,7 +123,6 @@
 	for _, p := range s.routers {
 		s.await(p.operators + "/readyz")
 	}
-	return s
 }
 
 func (s *system) readCatalogue() {
@@ -161,7 +174,7 @@
 	p.cmd = exec.Command(filepath.Join(bin, p.binary), p.arguments...)
 	p.cmd.Dir = s.dir
 	p.cmd.Env = append(os.Environ(), "TANAGERWOOD_PLATFORM_TOKEN="+platformToken, "TANAGERWOOD_PEER_TOKEN="+peerToken)
-	p.cmd.Stderr = GinkgoWriter
+	p.cmd.Stderr = io.MultiWriter(GinkgoWriter, &p.log)
 	Expect(p.cmd.Start()).To(Succeed())
 }
 
