Leave time for the endpoints when a request waits for tokens

Ruled out: the queue of the endpoints (8 refusals) and the shares (100% of the ideal amount was admitted). Change: an interactive request waits for tokens at most half of the time that its prompt leaves until the deadline.

--- a/router/internal/app/modelpath/path.go
+++ b/router/internal/app/modelpath/path.go
@@ -153,8 +153,7 @@
 
 func (r *run) admit() error {
 	began := r.Clock.Now()
-	patience := time.Duration(r.req.Class.QueuePatienceMS) * time.Millisecond
-	charge, err := r.Admission.Admit(r.ctx, r.req.Customer, r.req.PromptTokens+r.req.MaxTokens, patience)
+	charge, err := r.Admission.Admit(r.ctx, r.req.Customer, r.req.PromptTokens+r.req.MaxTokens, r.tokenPatience())
 	waited := r.Clock.Now().Sub(began)
 	r.queued += waited
 	r.meters.admitTime.Update(waited.Milliseconds())
