Read the instance list and the engines' request lists less often

Change: the instance list carries an ETag and is read with If-None-Match; the reaper passes its lists on to the reservations, which read only what is older than 1.25 s.

--- a/api/platform/platform.go
+++ b/api/platform/platform.go
@@ -5,7 +5,7 @@
 //	GET    /api/v1/{kind}?watch=1&version=V      newline-delimited WatchEvent; counts as one call while it waits
 //	PUT    /api/v1/{kind}/{name}                 with If-Match: VERSION (replace) or If-None-Match: * (create); 412 on conflict
 //	DELETE /api/v1/{kind}/{name}                 with If-Match: VERSION; 412 on conflict
-//	GET    /api/v1/instances                     InstanceList, lagging
+//	GET    /api/v1/instances                     InstanceList, lagging; ETag and If-None-Match as above
 //
 // All calls need a bearer token. 429 means the call rate is used up, 503 an outage.
 package platform
--- a/lab/standin/platform/server.go
+++ b/lab/standin/platform/server.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/platform"
 )
@@ -176,9 +178,22 @@
 	}
 }
 
-func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request, kind platform.Kind) {
+func (s *Server) listInstances(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
+	list := s.instances.list()
+	raw, err := json.Marshal(list)
+	if err != nil {
+		problem(w, http.StatusInternalServerError, err.Error(), 0)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(raw), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		s.counters.count(kind, func(c *Counts) { c.NotModified++ })
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	s.counters.count(kind, func(c *Counts) { c.Lists++ })
-	reply(w, http.StatusOK, s.instances.list())
+	reply(w, http.StatusOK, list)
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -66,6 +67,14 @@
 	timeout time.Duration
 	base    *http.Transport
 	http    *http.Client
+	// instances is the newest instance list, for answers that it has not changed.
+	instances atomic.Pointer[instanceList]
+}
+
+// instanceList is an answer that is never changed.
+type instanceList struct {
+	tag       string
+	instances []platform.Instance
 }
 
 var _ port.Platform = (*Client)(nil)
@@ -141,8 +150,22 @@
 // Instances implements port.Platform.
 func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
 	var list platform.InstanceList
-	_, err := c.call(ctx, request{method: http.MethodGet, path: "/api/v1/instances"}, &list)
-	return list.Instances, err
+	r := request{method: http.MethodGet, path: "/api/v1/instances"}
+	known := c.instances.Load()
+	if known != nil {
+		r.noneMatch = known.tag
+	}
+	status, tag, err := c.tagged(ctx, r, &list)
+	if err != nil {
+		return nil, err
+	}
+	if status == http.StatusNotModified && known != nil {
+		return slices.Clone(known.instances), nil
+	}
+	if tag != "" {
+		c.instances.Store(&instanceList{tag: tag, instances: slices.Clone(list.Instances)})
+	}
+	return list.Instances, nil
 }
 
 func (c *Client) write(ctx context.Context, r request) (uint64, error) {
@@ -162,9 +185,14 @@
 
 func (r request) writes() bool { return r.method != http.MethodGet }
 
-// call makes one call and decodes a 200 answer. The error is typed; for a write its outcome is unknown once the
-// request may have reached the platform.
 func (c *Client) call(ctx context.Context, r request, into any) (int, error) {
+	status, _, err := c.tagged(ctx, r, into)
+	return status, err
+}
+
+// tagged makes one call, decodes a 200 answer and returns its ETag. The error is typed; for a write its outcome is unknown
+// once the request may have reached the platform.
+func (c *Client) tagged(ctx context.Context, r request, into any) (status int, tag string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	// Set from the transport's goroutine. A write before a connection was obtained cannot have taken effect.
@@ -172,30 +200,30 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	out, err := http.NewRequestWithContext(ctx, r.method, c.url+r.path, bytes.NewReader(r.body))
 	if err != nil {
-		return 0, fault.Wrap(err, fault.InvalidSettings, openai.NotRun, "the platform's URL is not valid; set TANAGERWOOD_PLATFORM_URL")
+		return 0, "", fault.Wrap(err, fault.InvalidSettings, openai.NotRun, "the platform's URL is not valid; set TANAGERWOOD_PLATFORM_URL")
 	}
 	c.setHeader(out.Header, r)
 	resp, err := c.http.Do(out)
 	if err != nil {
 		// If one pooled connection has gone silent, the others may have too; the next call opens a new one.
 		c.base.CloseIdleConnections()
-		return 0, unreachable(err, r, connected.Load())
+		return 0, "", unreachable(err, r, connected.Load())
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return 0, unreachable(err, r, true)
+		return 0, "", unreachable(err, r, true)
 	}
 	if resp.StatusCode == http.StatusNotModified {
-		return resp.StatusCode, nil
+		return resp.StatusCode, resp.Header.Get("ETag"), nil
 	}
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusCreated {
-		return resp.StatusCode, refused(resp.StatusCode, body, r)
+		return resp.StatusCode, "", refused(resp.StatusCode, body, r)
 	}
 	if err := json.Unmarshal(body, into); err != nil {
-		return 0, unreachable(fmt.Errorf("the answer is not valid: %w", err), r, true)
+		return 0, "", unreachable(fmt.Errorf("the answer is not valid: %w", err), r, true)
 	}
-	return resp.StatusCode, nil
+	return resp.StatusCode, resp.Header.Get("ETag"), nil
 }
 
 func (c *Client) setHeader(h http.Header, r request) {
--- a/router/internal/app/cleanup/reaper.go
+++ b/router/internal/app/cleanup/reaper.go
@@ -39,6 +39,13 @@
 	Inflight   port.Inflight
 	Events     port.EventLog
 	Canceller  *Canceller
+	// Lists gets each list that is read, so that others need not read it again. It may be nil.
+	Lists Lists
+}
+
+// Lists takes request lists of owned engines.
+type Lists interface {
+	Observe(ep port.Endpoint, list engine.RequestList)
 }
 
 // Reaper cancels requests of dead instances and requests that live instances do not know, at the endpoints that this
@@ -122,6 +129,9 @@
 	if err != nil {
 		return // the next round lists again
 	}
+	if r.Lists != nil {
+		r.Lists.Observe(ep, list)
+	}
 	unknown := make(map[string]bool)
 	for id, attempts := range byInstance(list.Requests) {
 		for _, attempt := range r.unknownTo(ctx, ep, id, attempts) {
--- a/router/internal/app/reservations/service.go
+++ b/router/internal/app/reservations/service.go
@@ -27,6 +27,9 @@
 	// listInterval is the time between two readings of an owned engine's request list.
 	listInterval = time.Second
 	listTimeout  = time.Second
+	// freshList is the age below which a list that Observe got is not read again. It is longer than the period of other
+	// readers, which is that of this one.
+	freshList = listInterval * 5 / 4
 	// rebuildTimeout bounds the reading that a new owner's first reservation waits for. It leaves time within ownerTimeout.
 	rebuildTimeout = 30 * time.Millisecond
 	// releaseTimeout bounds the message that gives a reservation back; a lost one lapses.
@@ -284,11 +287,19 @@
 	}
 }
 
-// Run reads the lists of the owned endpoints until the context ends, and forgets endpoints that are not owned any more.
+// Run reads the lists of the owned endpoints that nobody has passed to Observe lately, and forgets endpoints that are not
+// owned any more, until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	periodic.Run(ctx, listInterval, s.listOwned)
 }
 
+func (s *Service) observedLately(endpoint string) bool {
+	t := load(&s.tables, endpoint)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed && s.Clock.Boot()-t.listedAt < freshList
+}
+
 func (s *Service) listOwned(ctx context.Context) {
 	timed, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -300,7 +311,9 @@
 		}
 		if _, self := s.Membership.Owner(ep.Name); self {
 			owned[ep.Name] = true
-			wait.Go(func() { s.list(timed, ep) })
+			if !s.observedLately(ep.Name) {
+				wait.Go(func() { s.list(timed, ep) })
+			}
 		}
 	}
 	wait.Wait()
--- a/router/internal/instance/providers.go
+++ b/router/internal/instance/providers.go
@@ -169,6 +169,7 @@
 			Inflight:   do.MustInvoke[*modelpath.Registry](i),
 			Events:     do.MustInvoke[port.EventLog](i),
 			Canceller:  do.MustInvoke[*cleanup.Canceller](i),
+			Lists:      do.MustInvoke[*reservations.Service](i),
 		}), nil
 	})
 	do.Provide(injector, func(i do.Injector) (*orders.Manager, error) {
