--- a/lab/e2e/system_test.go
+++ b/lab/e2e/system_test.go
@@ -236,10 +236,15 @@
 }
 
 func (s *system) faults(p *process, body any) {
+	GinkgoHelper()
+	s.post(p.url+"/faults", body)
+}
+
+func (s *system) post(url string, body any) {
 	GinkgoHelper()
 	raw, err := json.Marshal(body)
 	Expect(err).NotTo(HaveOccurred())
-	resp, err := http.Post(p.url+"/faults", "application/json", bytes.NewReader(raw))
+	resp, err := http.Post(url, "application/json", bytes.NewReader(raw))
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	Expect(resp.StatusCode).To(BeNumerically("<", 300))
