Serve runtime profiles on the operators' port

Cause: routers use 2.6 ms of processor time for a request of 20 tokens against engines without delay, and nothing showed where. Ruled out: a profile flag of serve (a restart would lose the state in which the question came up). Change: /debug/pprof/ on the operators' port, which callers do not reach.

--- a/router/internal/adapter/operators/server.go
+++ b/router/internal/adapter/operators/server.go
@@ -48,6 +48,7 @@
 	config.CreateHooks = nil // no "$schema" in answers
 	config.DocsPath = ""     // the documentation page would load scripts from the Internet
 	s.register(humago.New(mux, config))
+	registerProfiles(mux)
 	s.handler = o.Events.Handler(mux)
 	return s
 }
