--- a/router/internal/app/quotasync/world_test.go
+++ b/router/internal/app/quotasync/world_test.go
@@ -14,7 +14,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sys/unix"
 
 	"tanagerwood.dev/api/catalogue"
 	"tanagerwood.dev/api/event"
@@ -144,14 +143,6 @@
 	runWorld(t, &world{rng: newRand(seed), limits: limits, fanout: membership.DefaultFanout}, size, f)
 }
 
-// inWorldOf runs f with a fleet without customers.
-func inWorldOf(t *testing.T, fanout, size int, f func(*world)) {
-	if fanout == 0 {
-		fanout = membership.DefaultFanout
-	}
-	runWorld(t, &world{rng: newRand(1), limits: map[string]quota.Limits{}, fanout: fanout}, size, f)
-}
-
 func runWorld(t *testing.T, w *world, size int, f func(*world)) {
 	// Each bubble runs on a goroutine of its own: with many bubbles on one goroutine the race detector of Go 1.26.8 crashes
 	// now and then in its stack depot (SIGSEGV below synctest.Run), with no race reported.
@@ -349,10 +340,3 @@
 	}
 	return nil
 }
-
-// cpuTime is the processor time that this process has used.
-func cpuTime() time.Duration {
-	var u unix.Rusage
-	_ = unix.Getrusage(unix.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
