Refund what a request did not need of a loan at its lender

Ruled out: a recovery that stops half-way (all shares were in force), and charging less at admission (the bound needs it). Change: a used loan becomes an open charge at its lender; at the end of the request the borrower reports what was unused beyond its local part, and the lender refunds by the rule for local charges. Loans not settled in 3 minutes are closed. Conclusion: the bound stays strict, and customers can use their whole rate.

--- a/api/peer/peer.go
+++ b/api/peer/peer.go
@@ -169,12 +169,15 @@
 	Level int64 `json:"level"`
 }
 
-// LoanDone ends a loan before its validity does. Used loans free the lender's capacity; others return the tokens too.
+// LoanDone ends a loan before its validity does. Used loans free the lender's capacity; others return the tokens too. A
+// second one with Settled tells how much of a used loan the request did not need.
 type LoanDone struct {
 	From     MemberID `json:"from"`
 	Customer string   `json:"customer"`
 	LoanID   uint64   `json:"loanId"`
 	Used     bool     `json:"used"`
+	Settled  bool     `json:"settled,omitempty"`
+	Unused   int64    `json:"unused,omitempty"`
 }
 
 // ReserveRequest asks the owner of an endpoint for a slot.
--- a/router/internal/app/quotasync/account.go
+++ b/router/internal/app/quotasync/account.go
@@ -25,6 +25,8 @@
 	viewSeq  uint64
 	lenders  []lender
 	queue    []*waiter
+	// lent holds the used loans that may be settled, by loan id.
+	lent map[uint64]usedLoan
 	// headUntil is when the first request in the queue expects its tokens, or 0 while it does not wait for them.
 	headUntil time.Duration
 }
--- a/router/internal/app/quotasync/borrow.go
+++ b/router/internal/app/quotasync/borrow.go
@@ -194,7 +194,7 @@
 	c := a.commit(acct, tokens, held, loans)
 	if c != nil {
 		acct.mu.Unlock()
-		a.end(ctx, acct, loans, true)
+		a.end(acct, loans, true)
 		return result{charge: c}
 	}
 	for _, l := range loans {
@@ -204,7 +204,7 @@
 	wait, _ := a.forecast(acct, now, tokens, false)
 	confirmed := a.Members.Confirmed()
 	acct.mu.Unlock()
-	a.end(ctx, acct, loans, false)
+	a.end(acct, loans, false)
 	return result{wait: max(wait, contentionPause), unreachable: !confirmed && !answered}
 }
 
@@ -220,7 +220,7 @@
 		acct.bucket.Release(now, held)
 		return nil
 	}
-	c := &charge{admission: a, account: acct, total: tokens}
+	c := &charge{admission: a, account: acct, loans: loans, total: tokens}
 	if held.Tokens() > 0 {
 		local, ok := acct.bucket.Commit(now, held)
 		if !ok {
@@ -242,23 +242,27 @@
 	}
 }
 
-// end tells the lenders, in the background, that their loans were used or are returned. A message that is lost costs
-// tokens until they have accrued again.
-func (a *Admission) end(ctx context.Context, acct *account, loans []taken, used bool) {
-	ctx = context.WithoutCancel(ctx)
+// end tells the lenders that their loans were used or are returned.
+func (a *Admission) end(acct *account, loans []taken, used bool) {
 	for _, l := range loans {
 		if used {
 			a.Events.Record(event.Event{Kind: event.LoanTaken, Customer: acct.name, Tokens: l.tokens, Detail: l.from.Name})
 		} else {
 			a.count.loansReturned.Inc(1)
 		}
-		done := peer.LoanDone{From: a.Members.Self().MemberID, Customer: acct.name, LoanID: l.id, Used: used}
-		a.sending.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, quota.LoanValidity) // after that the loan has lapsed anyway
-			defer cancel()
-			if a.Lenders.LoanDone(ctx, l.from.Address, done) != nil {
-				a.count.loanDoneFailed.Inc(1)
-			}
-		})
+		a.tellLender(l, peer.LoanDone{Customer: acct.name, LoanID: l.id, Used: used})
 	}
 }
+
+// tellLender sends a message about a loan in the background. A message that is lost costs tokens until they have accrued
+// again.
+func (a *Admission) tellLender(l taken, m peer.LoanDone) {
+	m.From = a.Members.Self().MemberID
+	a.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), quota.LoanValidity) // after that the loan has lapsed anyway
+		defer cancel()
+		if a.Lenders.LoanDone(ctx, l.from.Address, m) != nil {
+			a.count.loanDoneFailed.Inc(1)
+		}
+	})
+}
--- a/router/internal/app/quotasync/borrow_test.go
+++ b/router/internal/app/quotasync/borrow_test.go
@@ -40,6 +40,7 @@
 	crossed  bool
 	mu       sync.Mutex
 	returned int
+	unused   int64
 }
 
 func (l *lenderStub) Loan(_ context.Context, _ string, m peer.LoanRequest) (peer.LoanReply, error) {
@@ -56,6 +57,7 @@
 	if !m.Used {
 		l.returned++
 	}
+	l.unused += m.Unused
 	return nil
 }
 
@@ -95,6 +97,20 @@
 		})
 	})
 
+	It("tells a lender once what a request did not need, beyond the local part", func() {
+		inBubble(func() {
+			lender := &lenderStub{}
+			a, _, x := lonely(lender, true)
+			time.Sleep(time.Second) // 50 tokens accrue here
+			charge, err := a.Admit(context.Background(), x, 200, 0)
+			Expect(err).NotTo(HaveOccurred())
+			charge.Settle(80)
+			charge.Cancel()
+			a.Stop()
+			Expect(lender.unused).To(BeEquivalentTo(200 - 80 - 50))
+		})
+	})
+
 	It("returns a loan that arrives after its validity, counted from the sending of the request", func() {
 		inBubble(func() {
 			lender := &lenderStub{delay: 251 * time.Millisecond}
--- a/router/internal/app/quotasync/lend.go
+++ b/router/internal/app/quotasync/lend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/peer"
@@ -41,15 +42,64 @@
 	defer acct.mu.Unlock()
 	// A returned loan does not wake the queue: two instances that both lack tokens would lend to and fro as fast as the
 	// network allows.
-	acct.bucket.EndLoan(a.Clock.Boot(), m.LoanID, m.From.Name, m.Used)
+	now := a.Clock.Boot()
+	switch {
+	case m.Settled:
+		a.settleLoan(acct, now, m)
+	case m.Used:
+		acct.useLoan(now, m)
+	default:
+		acct.bucket.EndLoan(now, m.LoanID, m.From.Name, false)
+	}
 	return nil
 }
 
-// charge is what one request took: a local part and loans. Loans are not refunded after use.
+// settleWithin is how long after its use a loan can be settled. It exceeds the longest answers; later settlements find
+// that the tokens have accrued again anyway.
+const settleWithin = 3 * time.Minute
+
+// usedLoan is a loan that its borrower has used for a request that may still turn out to need less.
+type usedLoan struct {
+	charge   quota.Charge
+	borrower peer.MemberID
+	expires  time.Duration
+}
+
+// useLoan keeps the charge of a used loan until it is settled. The caller holds the account's lock.
+func (acct *account) useLoan(now time.Duration, m peer.LoanDone) {
+	charge, ok := acct.bucket.UseLoan(now, m.LoanID, m.From.Name)
+	if !ok {
+		return
+	}
+	for id, l := range acct.lent {
+		if now >= l.expires {
+			acct.bucket.Refund(now, l.charge, 0)
+			delete(acct.lent, id)
+		}
+	}
+	if acct.lent == nil {
+		acct.lent = make(map[uint64]usedLoan)
+	}
+	acct.lent[m.LoanID] = usedLoan{charge: charge, borrower: m.From, expires: now + settleWithin}
+}
+
+// settleLoan gives back what a request did not need of a loan. The caller holds the account's lock.
+func (a *Admission) settleLoan(acct *account, now time.Duration, m peer.LoanDone) {
+	l, ok := acct.lent[m.LoanID]
+	if !ok || l.borrower != m.From || m.Unused < 0 {
+		return
+	}
+	delete(acct.lent, m.LoanID)
+	a.count.refunded.Inc(int64(acct.bucket.Refund(now, l.charge, m.Unused)))
+	acct.notify()
+}
+
+// charge is what one request took: a local part and loans.
 type charge struct {
 	admission *Admission
 	account   *account
 	local     quota.Charge
+	loans     []taken
 	total     int64
 	ended     atomic.Bool
 }
@@ -60,6 +110,7 @@
 		return
 	}
 	c.admission.count.settled.Inc(used)
+	c.settleLoans(c.total - used - c.local.Tokens())
 	acct := c.account
 	acct.mu.Lock()
 	defer acct.mu.Unlock()
@@ -77,6 +128,19 @@
 	acct.notify()
 }
 
+// settleLoans tells lenders what is unused beyond the local part. The local part is refunded first, because that costs no
+// message.
+func (c *charge) settleLoans(unused int64) {
+	for _, l := range c.loans {
+		part := min(unused, l.tokens)
+		if part <= 0 {
+			return
+		}
+		unused -= part
+		c.admission.tellLender(l, peer.LoanDone{Customer: c.account.name, LoanID: l.id, Used: true, Settled: true, Unused: part})
+	}
+}
+
 // Cancel implements port.Charge.
 func (c *charge) Cancel() { c.Settle(0) }
 
--- a/router/internal/domain/quota/bucket.go
+++ b/router/internal/domain/quota/bucket.go
@@ -174,6 +174,20 @@
 	return false
 }
 
+// UseLoan ends a loan that its borrower used and returns the charge that it became, for a later Refund. It reports false
+// if the loan has lapsed or ended before, or the share was lost meanwhile. The tokens were reserved until now, so the
+// level since the borrower's admission cannot have exceeded what it would have been with a smaller charge.
+func (b *Bucket) UseLoan(now time.Duration, id uint64, borrower string) (Charge, bool) {
+	b.advance(now)
+	for i, l := range b.loans {
+		if l.id == id && l.borrower == borrower {
+			b.loans = append(b.loans[:i], b.loans[i+1:]...)
+			return b.Commit(now, Held{tokens: l.tokens, epoch: l.epoch})
+		}
+	}
+	return Charge{}, false
+}
+
 // Idle reports whether the bucket is full and nothing refers to it, so that it can be built again from its share.
 func (b *Bucket) Idle(now time.Duration) bool {
 	b.advance(now)
--- a/router/internal/domain/quota/quota_test.go
+++ b/router/internal/domain/quota/quota_test.go
@@ -160,6 +160,7 @@
 		type lent struct {
 			id    uint64
 			entry int
+			given time.Duration
 		}
 		var now time.Duration
 		var log []admission
@@ -188,7 +189,7 @@
 				n := b.Lend(now, uint64(i), "x", int64(rapid.IntRange(1, 400).Draw(rt, "n")))
 				if n > 0 { // used at the last moment of the borrower's validity, reported never or later
 					log = append(log, admission{now + LoanValidity, float64(n)})
-					loans = append(loans, lent{uint64(i), len(log) - 1})
+					loans = append(loans, lent{uint64(i), len(log) - 1, now})
 				}
 			case 3:
 				if len(loans) == 0 {
@@ -197,13 +198,18 @@
 				l := loans[len(loans)-1]
 				loans = loans[:len(loans)-1]
 				used := rapid.Bool().Draw(rt, "used")
-				if used && now < log[l.entry].at {
-					log[l.entry].at = now // used before it was reported
+				if used { // used at any moment between the loan and its report, which may come late
+					latest := min(now, log[l.entry].at) - l.given
+					log[l.entry].at = l.given + time.Duration(rapid.Int64Range(0, int64(latest)).Draw(rt, "used after"))
 				}
 				if !used && now < log[l.entry].at {
 					log[l.entry].used = 0
 				}
-				b.EndLoan(now, l.id, "x", used || log[l.entry].used > 0)
+				if log[l.entry].used == 0 {
+					b.EndLoan(now, l.id, "x", false)
+				} else if c, ok := b.UseLoan(now, l.id, "x"); ok {
+					opens = append(opens, open{c, l.entry})
+				}
 			}
 		}
 		if err := checkWindows(log, rate, burst); err != nil {
