--- a/router/internal/app/modelpath/fakes_test.go
+++ b/router/internal/app/modelpath/fakes_test.go
@@ -307,10 +307,11 @@
 type fakeAdmission struct {
 	charged, settled int64
 	cancelled        bool
+	patience         time.Duration
 }
 
-func (a *fakeAdmission) Admit(_ context.Context, _ *config.Customer, tokens int64, _ time.Duration) (port.Charge, error) {
-	a.charged = tokens
+func (a *fakeAdmission) Admit(_ context.Context, _ *config.Customer, tokens int64, patience time.Duration) (port.Charge, error) {
+	a.charged, a.patience = tokens, patience
 	return a, nil
 }
 func (a *fakeAdmission) Settle(used int64) { a.settled = used }
--- /dev/null
+++ b/router/internal/app/modelpath/patience_test.go
@@ -0,0 +1,37 @@
+package modelpath_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/api/catalogue"
+	"tanagerwood.dev/router/internal/domain/config"
+)
+
+// Guards against requests that wait for tokens so long that their prefill is wasted on an answer that comes too late.
+var _ = DescribeTable("patience for tokens",
+	func(class catalogue.Class, promptTokens int64, want time.Duration) {
+		bubble(func() {
+			w := newWorld()
+			c := w.config.Current().Catalogue
+			c.Pools = []catalogue.Pool{{Name: "p", Role: catalogue.RolePrefill, Model: "m", PrefillRate: 1000}}
+			w.config.snapshot = config.New(2, c)
+			r := w.request()
+			r.Class, r.PromptTokens = &class, promptTokens
+			_, err := w.path.Serve(context.Background(), r, w.sink)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(w.admission.patience).To(Equal(want))
+		})
+	},
+	Entry("half of what the prompt leaves until the first token is due",
+		catalogue.Class{Kind: catalogue.ClassInteractive, FirstTokenMS: 1400, QueuePatienceMS: 1500}, int64(400), 500*time.Millisecond),
+	Entry("never more than the class allows",
+		catalogue.Class{Kind: catalogue.ClassInteractive, FirstTokenMS: 1400, QueuePatienceMS: 100}, int64(400), 100*time.Millisecond),
+	Entry("half of the target if the prompt alone takes longer",
+		catalogue.Class{Kind: catalogue.ClassInteractive, FirstTokenMS: 1400, QueuePatienceMS: 1500}, int64(2000), 700*time.Millisecond),
+	Entry("all that the class allows for batch work",
+		catalogue.Class{Kind: catalogue.ClassBatch, FirstTokenMS: 1400, QueuePatienceMS: 240000}, int64(400), 4*time.Minute),
+)
