Close unsettled loans when idle accounts are dropped

Cause: the charge of a used loan that was never settled was closed only when another loan of the customer was used, so an account without further loans was never idle and stayed in memory. Ruled out: a timer for each loan. Change: dropping idle accounts closes expired charges first; the loop has one place. Two lines of text are corrected.

--- a/router/internal/app/quotasync/account.go
+++ b/router/internal/app/quotasync/account.go
@@ -203,6 +203,7 @@
 			return true
 		}
 		a.refresh(acct)
+		acct.closeUnsettled(a.Clock.Boot())
 		if acct.limits.Burst > 0 && acct.bucket.Share().Burst > 0 && len(acct.queue) == 0 && acct.bucket.Idle(a.Clock.Boot()) {
 			acct.evicted = true
 			a.accounts.Delete(name)
--- a/router/internal/app/quotasync/lend.go
+++ b/router/internal/app/quotasync/lend.go
@@ -71,16 +71,21 @@
 	if !ok {
 		return
 	}
+	acct.closeUnsettled(now)
+	if acct.lent == nil {
+		acct.lent = make(map[uint64]usedLoan)
+	}
+	acct.lent[m.LoanID] = usedLoan{charge: charge, borrower: m.From, expires: now + settleWithin}
+}
+
+// closeUnsettled ends the charges of loans whose settlement has not come in time. The caller holds the account's lock.
+func (acct *account) closeUnsettled(now time.Duration) {
 	for id, l := range acct.lent {
 		if now >= l.expires {
 			acct.bucket.Refund(now, l.charge, 0)
 			delete(acct.lent, id)
 		}
 	}
-	if acct.lent == nil {
-		acct.lent = make(map[uint64]usedLoan)
-	}
-	acct.lent[m.LoanID] = usedLoan{charge: charge, borrower: m.From, expires: now + settleWithin}
 }
 
 // settleLoan gives back what a request did not need of a loan. The caller holds the account's lock.
--- a/router/internal/domain/quota/bucket.go
+++ b/router/internal/domain/quota/bucket.go
@@ -13,7 +13,8 @@
 )
 
 // Bucket is one holder's share of a customer. The sum of its level, its outstanding loans and the tokens held for
-// requests that are being admitted never exceeds the share's burst, but for loans given before the share shrank. It is not safe for concurrent use.
+// requests that are being admitted never exceeds the share's burst, but for loans given before the share shrank. It is not
+// safe for concurrent use.
 type Bucket struct {
 	share Share
 	at    time.Duration
