Tell taken and released places at once; reserve the prompt only

Places and their charges are now told in partial messages within milliseconds; the reservation covers the prompt, while prompt + 0.75 x likely output counts as used.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -58,15 +58,17 @@
 	Instances func() int
 	// Random returns a number in [0, 1).
 	Random func() float64
-	Boot   func() time.Duration
-	Logger *log.Logger
+	// Changed is called when a place was taken or released.
+	Changed func()
+	Boot    func() time.Duration
+	Logger  *log.Logger
 }
 
 // Job is a request that needs a place. Times are since boot.
 type Job struct {
 	RequestID string
 	Service   string
-	Tokens    int64
+	Demand    routing.Demand
 	// OnTimeUntil is when the place must be found for the answer to be on time, Latest when waiting ends.
 	OnTimeUntil time.Duration
 	Latest      time.Duration
@@ -178,6 +180,7 @@
 		}
 		err = d.reserve(ctx, job, p, engine)
 		if err == nil {
+			d.Changed()
 			return p, nil
 		}
 		d.refused(ctx, job, p, err)
@@ -194,11 +197,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	candidates := d.candidates(job, d.Boot())
-	best := engines.Decode(candidates, size, job.Tokens, d.Domain)
+	best := engines.Decode(candidates, size, engines.Memory(job.Demand), d.Domain)
 	if best < 0 {
 		return nil, nil, errFull
 	}
-	p := &Place{Endpoint: candidates[best].Endpoint, dispatcher: d, amount: work.Amount{Requests: 1, Tokens: job.Tokens}}
+	p := &Place{Endpoint: candidates[best].Endpoint, dispatcher: d, amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand)}}
 	d.Book.Begin(p.Endpoint.ID, p.amount)
 	return p, engine, nil
 }
@@ -209,7 +212,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	r, err := d.Engines.Reserve(ctx, p.Endpoint, job.Tokens, engine.MaxReservation)
+	r, err := d.Engines.Reserve(ctx, p.Endpoint, engines.Reservation(job.Demand), engine.MaxReservation)
 	if err != nil {
 		return err
 	}
@@ -231,14 +234,14 @@
 		d.Health.Failed(p.Endpoint.ID, true, now)
 	}
 	d.Logger.Info().Str("event", "place.refused").Str("request", job.RequestID).Str("endpoint", p.Endpoint.ID).
-		Int("requests", p.amount.Requests).Int64("tokens", job.Tokens).Err(err).Msg("")
+		Int("requests", p.amount.Requests).Int64("tokens", p.amount.Tokens).Err(err).Msg("")
 }
 
 // wait waits until the request may try again.
 func (d *Dispatcher) wait(ctx context.Context, job *Job) error {
 	notify := make(chan bool, 1)
 	entry := &waitlist.Entry{
-		Tokens: job.Tokens, OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Notify: func(refused bool) { notify <- refused },
+		Tokens: engines.Memory(job.Demand), OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Notify: func(refused bool) { notify <- refused },
 	}
 	d.mu.Lock()
 	list := d.list(job.Service)
@@ -310,6 +313,7 @@
 	p.once.Do(func() {
 		d := p.dispatcher
 		d.Book.End(p.Endpoint.ID, p.amount)
+		d.Changed()
 		if p.Reservation != nil && !p.used {
 			go d.giveBack(*p.Reservation)
 		}
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -84,7 +84,7 @@
 	return &dispatch.Job{
 		RequestID:   r.req.Caller.RequestID,
 		Service:     r.service.Name,
-		Tokens:      engines.Memory(demand),
+		Demand:      demand,
 		OnTimeUntil: r.req.Arrived + r.route.Objective - waited - service,
 		Latest:      min(r.req.Arrived+silence, r.deadline) - service,
 		Avoid:       r.tried,
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -1,5 +1,7 @@
-// Package gossip tells the other instances what this one does, several times a second: what it has admitted for each
-// customer, its work at each endpoint, and which configuration it knows. Messages hold whole states and may get lost.
+// Package gossip tells the other instances what this one does: what it has admitted for each customer, its work at each
+// endpoint, and which configuration it knows. Large changes are told at once in partial messages, so that all instances
+// place requests and charge limits on the same state; messages with the whole state follow in a period that grows with the
+// fleet, and make up for messages that got lost. Amounts are absolute, so that a message may come twice.
 package gossip
 
 import (
@@ -18,9 +20,11 @@
 )
 
 const (
-	// basePeriod is the time between messages in a small fleet; information of 100 ms of age is fresh next to requests that
-	// last seconds.
-	basePeriod = 100 * time.Millisecond
+	// basePeriod is the time between whole states in a small fleet, and the age of what is not told at once: plain requests,
+	// which cost little.
+	basePeriod = 150 * time.Millisecond
+	// minChangePause is the least time between partial messages.
+	minChangePause = 5 * time.Millisecond
 	// periodPerPeer lengthens the period in large fleets, so that an instance receives at most about 80 messages a second.
 	periodPerPeer = 12 * time.Millisecond
 	// lostAfter is when the work that a silent instance has told no longer counts: its requests have ended with it, or
@@ -47,6 +51,8 @@
 	Work      map[string]work.Amount `json:"work,omitempty"`
 	// Stopped is set in the last message of an instance that stops as planned.
 	Stopped bool `json:"stopped,omitempty"`
+	// Partial messages hold only what has changed since the sender's last message.
+	Partial bool `json:"partial,omitempty"`
 }
 
 // State is what an instance gives to one that asks.
@@ -102,15 +108,31 @@
 	peers    map[string]*peer
 	sequence uint64
 	fetching bool
+	// toldSpent and toldWork are what the last messages told.
+	toldSpent map[string]int64
+	toldWork  map[string]work.Amount
+
+	nudges chan struct{}
 }
 
 // New returns a service.
-func New(d Deps) *Service { return &Service{Deps: d, peers: map[string]*peer{}} }
+func New(d Deps) *Service {
+	return &Service{Deps: d, peers: map[string]*peer{}, nudges: make(chan struct{}, 1)}
+}
+
+// Nudge has the changes told at once.
+func (s *Service) Nudge() {
+	select {
+	case s.nudges <- struct{}{}:
+	default:
+	}
+}
 
 // Run registers the instance and sends messages until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { s.join(ctx) })
+	wg.Go(func() { s.tellChanges(ctx) })
 	for ctx.Err() == nil {
 		s.Tell(false)
 		s.tend()
@@ -119,6 +141,56 @@
 	wg.Wait()
 }
 
+// tellChanges sends partial messages after nudges. Nudges within a short time share a message.
+func (s *Service) tellChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.nudges:
+		}
+		s.tellPartial()
+		s.sleep(ctx, minChangePause)
+	}
+}
+
+func (s *Service) tellPartial() {
+	config, endpoints := s.Mirror.Revisions()
+	spent, own := s.Limiter.Spent(), s.Book.Own()
+	s.mu.Lock()
+	changedSpent, changedWork := changes(s.toldSpent, spent), changes(s.toldWork, own)
+	if len(changedSpent)+len(changedWork) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	s.toldSpent, s.toldWork = spent, own
+	s.sequence++
+	m := Message{
+		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: changedSpent, Work: changedWork,
+		Partial: true,
+	}
+	addresses := s.addresses()
+	s.mu.Unlock()
+	s.send(m, addresses)
+}
+
+// changes returns the entries of now that differ from those of before. Entries that are missing have become zero.
+func changes[V comparable](before, now map[string]V) map[string]V {
+	out := map[string]V{}
+	for key, value := range now {
+		if old, known := before[key]; !known || old != value {
+			out[key] = value
+		}
+	}
+	var zero V
+	for key := range before {
+		if _, left := now[key]; !left {
+			out[key] = zero
+		}
+	}
+	return out
+}
+
 func (s *Service) period() time.Duration {
 	return max(basePeriod, time.Duration(s.Size())*periodPerPeer)
 }
@@ -194,11 +266,22 @@
 		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints,
 		Spent: s.Limiter.Spent(), Work: s.Book.Own(), Stopped: stopped,
 	}
+	s.toldSpent, s.toldWork = m.Spent, m.Work
+	addresses := s.addresses()
+	s.mu.Unlock()
+	s.send(m, addresses)
+}
+
+// addresses lists the peers' addresses; s.mu is held.
+func (s *Service) addresses() []string {
 	addresses := make([]string, 0, len(s.peers))
 	for _, p := range s.peers {
 		addresses = append(addresses, p.instance.Address)
 	}
-	s.mu.Unlock()
+	return addresses
+}
+
+func (s *Service) send(m Message, addresses []string) {
 	for _, address := range addresses {
 		if err := s.Transport.Send(address, m); err != nil && !errors.Is(err, net.ErrClosed) {
 			s.Logger.Debug().Str("event", "message.not_sent").Str("to", address).Err(err).Msg("")
@@ -212,12 +295,15 @@
 	if !s.heard(m, now) {
 		return
 	}
-	s.Limiter.Hear(m.Sender.Name, m.Sender.Incarnation, m.Spent, now)
-	if m.Stopped {
+	s.Limiter.Hear(m.Sender.Name, m.Sender.Incarnation, m.Spent, m.Partial, now)
+	switch {
+	case m.Stopped:
 		s.forget(m.Sender.Name, "stopped")
-	} else if m.Work == nil {
+	case m.Partial:
+		s.Book.Update(m.Sender.Name, m.Work)
+	case m.Work == nil:
 		s.Book.Hear(m.Sender.Name, map[string]work.Amount{})
-	} else {
+	default:
 		s.Book.Hear(m.Sender.Name, m.Work)
 	}
 	s.Changed()
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -17,13 +17,17 @@
 	failurePenalty = 2
 )
 
-// outputPart is the part of the likely output for which memory is set aside. Requests that run together are at different
-// points of their output, and on the whole use half of it.
-const outputPart = 0.5
+// outputPart is the part of the likely output for which memory is counted. Requests that run together are at different
+// points of their output, and long ones are met more often than short ones.
+const outputPart = 0.75
 
-// Memory is the engine memory to set aside for a request.
+// Memory is the engine memory that counts as used by a request.
 func Memory(d routing.Demand) int64 { return d.PromptTokens + int64(outputPart*float64(d.Likely())) }
 
+// Reservation is the memory to reserve at an engine: the prompt alone. Memory that is reserved for an output which is not
+// yet made makes the engine put back requests that run.
+func Reservation(d routing.Demand) int64 { return d.PromptTokens }
+
 // Candidate is an engine with what is known of its load.
 type Candidate struct {
 	Endpoint routing.Endpoint
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -92,12 +92,15 @@
 	return out
 }
 
-// Hear takes over what another instance has admitted since its start.
-func (l *Limiter) Hear(name string, incarnation uint64, spent map[string]int64, now time.Duration) {
+// Hear takes over what another instance has admitted since its start. A partial message leaves customers out.
+func (l *Limiter) Hear(name string, incarnation uint64, spent map[string]int64, partial bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[name]
 	if p == nil || !p.known || p.incarnation < incarnation {
+		if partial {
+			return // a whole message shows what the peer had admitted before
+		}
 		p = l.restarted(name, p, incarnation, spent)
 	}
 	if p.incarnation > incarnation {
@@ -111,6 +114,9 @@
 			b.level -= delta
 		}
 	}
+	if partial {
+		return
+	}
 	// What was assumed for customers that the peer did not serve is given back.
 	for customer, n := range p.assumed {
 		if b := l.buckets[customer]; b != nil {
--- a/router/internal/domain/sharedlimit/sharedlimit_test.go
+++ b/router/internal/domain/sharedlimit/sharedlimit_test.go
@@ -40,7 +40,7 @@
 	for i, from := range f.limiters {
 		for j, to := range f.limiters {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				to.Hear(fmt.Sprint("i", i), 1, from.Spent(), f.now)
+				to.Hear(fmt.Sprint("i", i), 1, from.Spent(), false, f.now)
 			}
 		}
 	}
@@ -96,7 +96,7 @@
 		fresh := sharedlimit.New()
 		ok, _ := fresh.Take(customer, 1, f.now)
 		Expect(ok).To(BeTrue())
-		fresh.Hear("i0", 1, f.limiters[0].Spent(), f.now)
+		fresh.Hear("i0", 1, f.limiters[0].Spent(), false, f.now)
 		ok, _ = fresh.Take(customer, 500, f.now)
 		Expect(ok).To(BeTrue())
 	})
@@ -104,19 +104,32 @@
 	// Guards against a restarted instance whose counts begin at zero and would give back what it had admitted.
 	It("counts a restarted instance from zero", func() {
 		l := sharedlimit.New()
-		l.Hear("p", 1, map[string]int64{"c": 0}, time.Minute)
+		l.Hear("p", 1, map[string]int64{"c": 0}, false, time.Minute)
 		_, _ = l.Take(customer, 1, time.Minute)
-		l.Hear("p", 1, map[string]int64{"c": 900}, time.Minute)
+		l.Hear("p", 1, map[string]int64{"c": 900}, false, time.Minute)
 		ok, _ := l.Take(customer, 100, time.Minute)
 		Expect(ok).To(BeFalse(), "the bucket began with 1000, of which 901 are used")
-		l.Hear("p", 2, map[string]int64{"c": 50}, time.Minute)
+		l.Hear("p", 2, map[string]int64{"c": 50}, false, time.Minute)
 		ok, _ = l.Take(customer, 60, time.Minute)
 		Expect(ok).To(BeFalse())
-		l.Hear("p", 1, map[string]int64{"c": 0}, time.Minute)
+		l.Hear("p", 1, map[string]int64{"c": 0}, false, time.Minute)
 		ok, _ = l.Take(customer, 60, time.Minute)
 		Expect(ok).To(BeFalse(), "a message of the life before is ignored")
 	})
 
+	// Guards against a partial message that gives back what was assumed for customers that it leaves out.
+	It("takes partial messages over, once a whole one has come", func() {
+		l := sharedlimit.New()
+		l.Hear("p", 1, map[string]int64{"c": 900}, true, time.Minute)
+		_, _ = l.Take(customer, 1, time.Minute)
+		l.Hear("p", 1, map[string]int64{"c": 900}, false, time.Minute)
+		ok, _ := l.Take(customer, 900, time.Minute)
+		Expect(ok).To(BeTrue(), "what was admitted before is not charged")
+		l.Hear("p", 1, map[string]int64{"c": 960}, true, time.Minute)
+		ok, _ = l.Take(customer, 60, time.Minute)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("tells when enough will have accrued", func() {
 		l := sharedlimit.New()
 		ok, wait := l.Take(customer, 1500, time.Minute)
--- a/router/internal/domain/work/work.go
+++ b/router/internal/domain/work/work.go
@@ -68,6 +68,22 @@
 	return out
 }
 
+// Update replaces single amounts that another instance has told.
+func (b *Book) Update(instance string, amounts map[string]Amount) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	told := b.peers[instance]
+	if told == nil {
+		told = map[string]Amount{}
+		b.peers[instance] = told
+	}
+	for id, a := range amounts {
+		old := told[id]
+		b.total[id] = b.total[id].plus(Amount{Requests: a.Requests - old.Requests, Tokens: a.Tokens - old.Tokens})
+		told[id] = a
+	}
+}
+
 // Hear replaces what another instance has told; nil removes the instance.
 func (b *Book) Hear(instance string, amounts map[string]Amount) {
 	b.mu.Lock()
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -305,7 +305,7 @@
 			Engines: do.MustInvoke[*platform.Endpoints](i), State: state{do.MustInvoke[*mirror.Mirror](i)},
 			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
 			Instances: func() int { return do.MustInvoke[*gossip.Service](i).Size() },
-			Random:    rand.Float64, Boot: boot, Logger: logger,
+			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Nudge() }, Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*forward.Path, error) {
