Eject engines that cannot be reached or answer 421; reserve the slot only

Cause: a restarted engine grants a reservation at its old address and then answers the decode with 421, each time after a prefill; engines that refuse connections were asked again by every request, since a refused connection counted as a full engine; a request that ended without running was reported as timed out, without a time to come back, because its context was cancelled before its error was typed; and prefill engines were chosen on loads of a second's age.

--- a/api/routing/call.go
+++ b/api/routing/call.go
@@ -12,6 +12,9 @@
 var (
 	// ErrNotRun says that the endpoint has not run the request and never will.
 	ErrNotRun = errors.New("the endpoint did not run the request; another endpoint may")
+	// ErrMisdirected says that another endpoint has the address, or that the endpoint is in another stage. It goes with
+	// ErrNotRun.
+	ErrMisdirected = errors.New("another endpoint answers at the address, or the endpoint has another stage")
 	// ErrGone says that the platform no longer has the history after the given revision; read the list again.
 	ErrGone = errors.New("the platform's history is gone; read the list again")
 	// ErrMalformed says that an answer is not one in the protocol, or belongs to another request.
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -150,7 +150,7 @@
 
 // candidates lists the decode engines of the job's service that may take it.
 func (d *Dispatcher) candidates(job *Job, now time.Duration) []engines.Candidate {
-	endpoints := d.State.Stage(job.Service, routing.Decode)
+	endpoints := health.Usable(d.Health, d.State.Stage(job.Service, routing.Decode), endpointID, now)
 	out := make([]engines.Candidate, 0, len(endpoints))
 	for _, ep := range endpoints {
 		if job.Avoid[ep.ID] {
@@ -163,6 +163,8 @@
 	return out
 }
 
+func endpointID(ep routing.Endpoint) string { return ep.ID }
+
 func (d *Dispatcher) size(service string) (engines.Size, *routing.Engine) {
 	s := d.State.Service(service)
 	if s == nil || s.Engine == nil {
@@ -212,7 +214,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	r, err := d.Engines.Reserve(ctx, p.Endpoint, engines.Reservation(job.Demand), engine.MaxReservation)
+	r, err := d.Engines.Reserve(ctx, p.Endpoint, engines.ReservedTokens, engine.MaxReservation)
 	if err != nil {
 		return err
 	}
@@ -230,7 +232,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !errors.Is(err, routing.ErrNotRun) || errors.Is(err, context.DeadlineExceeded) {
+	if !errors.Is(err, routing.ErrNotRun) || health.Unreachable(err) {
 		d.Health.Failed(p.Endpoint.ID, true, now)
 	}
 	d.Logger.Info().Str("event", "place.refused").Str("request", job.RequestID).Str("endpoint", p.Endpoint.ID).
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -61,7 +61,9 @@
 	// Instances is the number of instances that share the endpoints' connections.
 	Instances func() int
 	// Random returns a number in [0, 1).
-	Random  func() float64
+	Random func() float64
+	// Changed is called when the work at prefill engines changed.
+	Changed func()
 	Boot    func() time.Duration
 	Logger  *log.Logger
 	Metrics metrics.Registry
@@ -276,7 +278,7 @@
 		return typed.WithOutcome(r.outcome())
 	}
 	switch {
-	case r.ctx != nil && r.ctx.Err() != nil:
+	case r.deadline > 0 && r.timeLeft() <= 0:
 		return fault.Wrap(err, fault.Timeout, r.outcome(), "the route's time limit is over; send the request again if it may be repeated")
 	case !r.mayHaveRun:
 		return fault.Wrap(err, fault.Overloaded, openai.NotRun, "no endpoint took the request; come back after Retry-After").
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -100,7 +100,11 @@
 	}
 	amount := work.Amount{Requests: 1, Tokens: demand.PromptTokens}
 	r.Book.Begin(ep.ID, amount)
-	defer r.Book.End(ep.ID, amount)
+	r.Changed()
+	defer func() {
+		r.Book.End(ep.ID, amount)
+		r.Changed()
+	}()
 	expected := time.Duration(r.Book.At(ep.ID).Tokens) * time.Second / readTokensPerSecond
 	ctx, cancel := context.WithTimeout(r.ctx, max(minPrefillTime, prefillTimeFactor*expected))
 	defer cancel()
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -151,7 +151,7 @@
 		// The caller is gone, which says nothing about the endpoint.
 	default:
 		unanswered := errors.Is(err, context.DeadlineExceeded) && float64(now-began) > hardTimeoutPart*float64(r.route.Timeout)
-		unreachable := errors.Is(err, routing.ErrNotRun) && isNetworkError(err)
+		unreachable := errors.Is(err, routing.ErrMisdirected) || errors.Is(err, routing.ErrNotRun) && health.Unreachable(err)
 		if r.Health.Failed(ep.ID, unanswered || unreachable, now) {
 			r.Logger.Warn().Str("event", "endpoint.ejected").Str("endpoint", ep.ID).Err(err).Msg("")
 		}
--- a/router/internal/app/forward/record.go
+++ b/router/internal/app/forward/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -82,12 +81,6 @@
 		Int64("left_ms", r.timeLeft().Milliseconds()).Err(err).Msg("")
 }
 
-// isNetworkError reports whether an endpoint could not be reached.
-func isNetworkError(err error) bool {
-	var network net.Error
-	return errors.As(err, &network)
-}
-
 // patienceByRoute remembers the longest patience of the callers of each route.
 type patienceByRoute struct {
 	mu      sync.Mutex
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -23,8 +23,8 @@
 	// basePeriod is the time between whole states in a small fleet, and the age of what is not told at once: plain requests,
 	// which cost little.
 	basePeriod = 150 * time.Millisecond
-	// minChangePause is the least time between partial messages.
-	minChangePause = 5 * time.Millisecond
+	// changeDelay is how long a change waits for others to go into the same message.
+	changeDelay = 2 * time.Millisecond
 	// periodPerPeer lengthens the period in large fleets, so that an instance receives at most about 80 messages a second.
 	periodPerPeer = 12 * time.Millisecond
 	// lostAfter is when the work that a silent instance has told no longer counts: its requests have ended with it, or
@@ -149,8 +149,8 @@
 			return
 		case <-s.nudges:
 		}
+		s.sleep(ctx, changeDelay)
 		s.tellPartial()
-		s.sleep(ctx, minChangePause)
 	}
 }
 
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -24,9 +24,9 @@
 // Memory is the engine memory that counts as used by a request.
 func Memory(d routing.Demand) int64 { return d.PromptTokens + int64(outputPart*float64(d.Likely())) }
 
-// Reservation is the memory to reserve at an engine: the prompt alone. Memory that is reserved for an output which is not
-// yet made makes the engine put back requests that run.
-func Reservation(d routing.Demand) int64 { return d.PromptTokens }
+// ReservedTokens is the memory to reserve with a slot. Engines put running requests back for memory that is reserved, so
+// only the slot is reserved, with one block of memory.
+const ReservedTokens = 16
 
 // Candidate is an engine with what is known of its load.
 type Candidate struct {
--- a/router/internal/domain/health/health.go
+++ b/router/internal/domain/health/health.go
@@ -3,6 +3,8 @@
 package health
 
 import (
+	"errors"
+	"net"
 	"sync"
 	"time"
 )
@@ -84,6 +86,12 @@
 	return 0
 }
 
+// Unreachable reports whether an error shows that an endpoint could not be reached.
+func Unreachable(err error) bool {
+	var network net.Error
+	return errors.As(err, &network)
+}
+
 // Usable returns the endpoints that are not ejected. If more than half are ejected, all are returned.
 func Usable[E any](t *Tracker, all []E, id func(E) string, now time.Duration) []E {
 	t.mu.Lock()
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -315,7 +315,7 @@
 			Budget: do.MustInvoke[*retrybudget.Budget](i), Book: do.MustInvoke[*work.Book](i),
 			Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
 			Instances: func() int { return do.MustInvoke[*gossip.Service](i).Size() },
-			Random:    rand.Float64, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
+			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Nudge() }, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*front.Handler, error) {
