--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -25,11 +25,14 @@
 	basePeriod = 150 * time.Millisecond
 	// changeDelay is how long a change waits for others to go into the same message.
 	changeDelay = 2 * time.Millisecond
-	// periodPerPeer lengthens the period in large fleets, so that an instance receives at most about 80 messages a second.
-	periodPerPeer = 12 * time.Millisecond
-	// lostAfter is when the work that a silent instance has told no longer counts: its requests have ended with it, or
-	// their endpoints tell by refusing.
-	lostAfter = 2 * time.Second
+	// periodPerPeer lengthens the period in large fleets, so that an instance receives at most about 160 whole states a second.
+	periodPerPeer = 6 * time.Millisecond
+	// silentPeriods is for how many periods an instance may be silent until it is assumed to admit its share of the rates.
+	silentPeriods = 3
+	// lostAfter and lostPeriods are when the work that a silent instance has told no longer counts: its requests have ended
+	// with it, or their endpoints tell by refusing.
+	lostAfter   = 2 * time.Second
+	lostPeriods = 4
 	// forgottenAfter is when a silent instance counts as removed for good. It exceeds the partitions that are to be borne.
 	forgottenAfter = time.Minute
 	// behindFor is how long a peer may know something newer before its copy is fetched; the platform is usually faster.
@@ -240,6 +243,7 @@
 		return err
 	}
 	s.meet(list)
+	s.Tell(false)
 	s.Logger.Info().Str("event", "instance.registered").Int("instances", len(list)).Msg("")
 	return nil
 }
@@ -259,19 +263,24 @@
 
 // Tell sends the present state to all other instances.
 func (s *Service) Tell(stopped bool) {
-	config, endpoints := s.Mirror.Revisions()
 	s.mu.Lock()
-	s.sequence++
-	m := Message{
-		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints,
-		Spent: s.Limiter.Spent(), Work: s.Book.Own(), Stopped: stopped,
-	}
+	m := s.whole()
+	m.Stopped = stopped
 	s.toldSpent, s.toldWork = m.Spent, m.Work
 	addresses := s.addresses()
 	s.mu.Unlock()
 	s.send(m, addresses)
 }
 
+// whole returns the whole state; s.mu is held.
+func (s *Service) whole() Message {
+	config, endpoints := s.Mirror.Revisions()
+	s.sequence++
+	return Message{
+		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: s.Limiter.Spent(), Work: s.Book.Own(),
+	}
+}
+
 // addresses lists the peers' addresses; s.mu is held.
 func (s *Service) addresses() []string {
 	addresses := make([]string, 0, len(s.peers))
@@ -292,7 +301,11 @@
 // Hear takes a message over.
 func (s *Service) Hear(m Message) {
 	now := s.Boot()
-	if !s.heard(m, now) {
+	newer, started := s.heard(m, now)
+	if started {
+		s.answer(m.Sender.Address)
+	}
+	if !newer {
 		return
 	}
 	s.Limiter.Hear(m.Sender.Name, m.Sender.Incarnation, m.Spent, m.Partial, now)
@@ -309,8 +322,16 @@
 	s.Changed()
 }
 
-// heard enters the sender and reports whether the message is its newest.
-func (s *Service) heard(m Message, now time.Duration) bool {
+// answer sends the whole state to an instance that has just started, which must not decide without it for a period.
+func (s *Service) answer(address string) {
+	s.mu.Lock()
+	m := s.whole()
+	s.mu.Unlock()
+	s.send(m, []string{address})
+}
+
+// heard enters the sender and reports whether the message is its newest, and whether it is the first of its life.
+func (s *Service) heard(m Message, now time.Duration) (newer, started bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.peers[m.Sender.Name]
@@ -319,14 +340,15 @@
 		s.peers[m.Sender.Name] = p
 	}
 	if m.Sender.Incarnation < p.instance.Incarnation || m.Sender.Incarnation == p.instance.Incarnation && m.Sequence <= p.sequence {
-		return false
+		return false, false
 	}
-	if p.silent || m.Sender.Incarnation != p.instance.Incarnation {
+	started = m.Sender.Incarnation != p.instance.Incarnation || p.sequence == 0
+	if p.silent || started {
 		s.Logger.Info().Str("event", "instance.heard").Str("peer", m.Sender.Name).Uint64("incarnation", m.Sender.Incarnation).Msg("")
 	}
 	p.instance, p.sequence, p.heard, p.silent = m.Sender, m.Sequence, now, false
 	s.compare(p, m, now)
-	return true
+	return true, started
 }
 
 // compare fetches the peer's copy if it has known something newer for a while, or if this instance knows nothing.
@@ -378,14 +400,15 @@
 
 // tend notes silent instances and forgets those that are gone.
 func (s *Service) tend() {
-	now := s.Boot()
+	now, period := s.Boot(), s.period()
+	s.Limiter.SetSilence(silentPeriods * period)
 	var silent, gone []string
 	s.mu.Lock()
 	for name, p := range s.peers {
 		switch {
 		case now-p.heard > forgottenAfter:
 			gone = append(gone, name)
-		case now-p.heard > lostAfter && !p.silent:
+		case now-p.heard > max(lostAfter, lostPeriods*period) && !p.silent:
 			p.silent = true
 			silent = append(silent, name)
 		}
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -13,8 +14,8 @@
 )
 
 const (
-	// silentAfter is how long an instance may say nothing until it is assumed to admit its share of the rate.
-	silentAfter = time.Second
+	// minSilence is the least time for which an instance may say nothing until it is assumed to admit its share of the rate.
+	minSilence = time.Second
 	// initialFill is the part of the burst that a new bucket holds: what was admitted before the start is not known.
 	initialFill = 0.5
 	// fullEnough is the part of the burst that admits a request of any size, since no bucket ever holds more than its burst.
@@ -27,6 +28,7 @@
 	buckets map[string]*bucket
 	spent   map[string]int64
 	peers   map[string]*peer
+	silence time.Duration
 }
 
 type bucket struct {
@@ -46,7 +48,17 @@
 
 // New returns an empty limiter.
 func New() *Limiter {
-	return &Limiter{buckets: map[string]*bucket{}, spent: map[string]int64{}, peers: map[string]*peer{}}
+	return &Limiter{buckets: map[string]*bucket{}, spent: map[string]int64{}, peers: map[string]*peer{}, silence: minSilence}
+}
+
+// never is when an instance was heard that has not told anything yet.
+const never = time.Duration(math.MinInt64 / 2)
+
+// SetSilence sets after what time without a message an instance counts as silent. It must exceed the period of messages.
+func (l *Limiter) SetSilence(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silence = max(minSilence, d)
 }
 
 // Take admits a request of the cost, or returns after what time enough will have accrued. Now is the time since boot.
@@ -146,7 +158,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.peers[name] == nil {
-		l.peers[name] = &peer{heard: -silentAfter, spent: map[string]int64{}, assumed: map[string]float64{}}
+		l.peers[name] = &peer{heard: never, spent: map[string]int64{}, assumed: map[string]float64{}}
 	}
 }
 
@@ -170,7 +182,7 @@
 	b.level += accrued
 	share := accrued / float64(len(l.peers)+1)
 	for _, p := range l.peers {
-		if now-p.heard > silentAfter {
+		if now-p.heard > l.silence {
 			p.assumed[c.Name] += share
 			b.level -= share
 		}
