--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// noConfigRetry is when a caller should come back to an instance that has no configuration yet.
-	noConfigRetry = 300 * time.Millisecond
+	// startRetry is when a caller should come back to an instance that has just started.
+	startRetry = 200 * time.Millisecond
 	// noEndpointRetry is when a caller should come back that found no endpoint.
 	noEndpointRetry = 500 * time.Millisecond
 	// defaultPatience bounds requests for which neither caller nor route gives a limit.
@@ -60,6 +60,8 @@
 	Domain     string
 	// Instances is the number of instances that share the endpoints' connections.
 	Instances func() int
+	// Joined reports whether this instance knows what the others do.
+	Joined func() bool
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Changed is called when the work at prefill engines changed.
@@ -163,8 +165,9 @@
 // prepare checks the request against the configuration and the customer's limit, and reads its body.
 func (r *run) prepare() error {
 	r.table = r.State.Table()
-	if r.table == nil {
-		return fault.New(fault.NotConfirmed, "this instance has no configuration yet; come back after Retry-After").WithRetryAfter(noConfigRetry)
+	if r.table == nil || !r.Joined() {
+		return fault.New(fault.NotConfirmed, "this instance has just started and knows no configuration or no other instance yet; "+
+			"come back after Retry-After").WithRetryAfter(startRetry)
 	}
 	if r.route = r.table.Route(r.req.Host, r.req.Path); r.route == nil {
 		return fault.New(fault.NotFound, "no route matches the host and path; check them or ask the operator")
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -35,6 +36,8 @@
 	lostPeriods = 4
 	// forgottenAfter is when a silent instance counts as removed for good. It exceeds the partitions that are to be borne.
 	forgottenAfter = time.Minute
+	// hearTime is how long a new instance waits for the states of the others once it knows them.
+	hearTime = 100 * time.Millisecond
 	// behindFor is how long a peer may know something newer before its copy is fetched; the platform is usually faster.
 	behindFor = 300 * time.Millisecond
 	// fetchTimeout bounds the fetch of a copy.
@@ -116,6 +119,8 @@
 	toldWork  map[string]work.Amount
 
 	nudges chan struct{}
+	// met is the time since boot at which other instances became known; zero before.
+	met atomic.Int64
 }
 
 // New returns a service.
@@ -207,6 +212,13 @@
 	}
 }
 
+// Joined reports whether this instance knows what the others have admitted and placed. Until then it would place requests
+// and charge limits as if it were alone.
+func (s *Service) Joined() bool {
+	met := time.Duration(s.met.Load())
+	return met > 0 && s.Boot()-met >= hearTime
+}
+
 // Size is the number of instances that are known, this one included.
 func (s *Service) Size() int {
 	s.mu.Lock()
@@ -250,6 +262,7 @@
 
 // meet makes instances known from a list.
 func (s *Service) meet(list []routing.Instance) {
+	s.met.CompareAndSwap(0, int64(s.Boot()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, in := range list {
@@ -385,6 +398,7 @@
 	}
 	s.Mirror.Adopt(state.Copy, address)
 	s.meet(state.Instances)
+	s.Tell(false)
 }
 
 // State is what another instance gets that asks.
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -100,7 +100,8 @@
 
 // Ready reports whether the instance takes new connections.
 func (n *Node) Ready() bool {
-	return n.phase() == front.Serving && do.MustInvoke[*mirror.Mirror](n.injector).Table() != nil
+	return n.phase() == front.Serving && do.MustInvoke[*mirror.Mirror](n.injector).Table() != nil &&
+		do.MustInvoke[*gossip.Service](n.injector).Joined()
 }
 
 // phase tells how far a planned stop is.
@@ -315,6 +316,7 @@
 			Budget: do.MustInvoke[*retrybudget.Budget](i), Book: do.MustInvoke[*work.Book](i),
 			Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
 			Instances: func() int { return do.MustInvoke[*gossip.Service](i).Size() },
+			Joined:    func() bool { return do.MustInvoke[*gossip.Service](i).Joined() },
 			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Nudge() }, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
