Count the progress of running requests as used memory

Cause: requests that exceed their callers' estimates are the ones that run for long, so that a fixed part of the estimate counts too little for the requests that are running. The places' memory now follows the events that streams have made.

--- a/api/routing/config.go
+++ b/api/routing/config.go
@@ -60,6 +60,8 @@
 	HandleLife time.Duration `json:"handleLife"`
 	// SwitchTime is how long an engine is away when it changes its stage.
 	SwitchTime time.Duration `json:"switchTime"`
+	// EventTokens is the number of tokens in an event of a stream; zero if it is not told.
+	EventTokens int64 `json:"eventTokens"`
 	// MaxReservation is the longest time for which an engine grants a reservation; zero if it grants none.
 	MaxReservation time.Duration `json:"maxReservation"`
 }
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 	fullFor = 60 * time.Millisecond
 	// checkPeriod is how often waiting requests are looked at when nothing else happens.
 	checkPeriod = 20 * time.Millisecond
+	// progressStep is the growth of a request that is entered in the book, in tokens: half a percent of a small engine.
+	progressStep = 400
 	// reserveTimeout bounds a reservation, which an engine answers at once.
 	reserveTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds the release of a reservation; after it, the engine lets it lapse.
@@ -85,9 +87,13 @@
 	Waited time.Duration
 
 	dispatcher *Dispatcher
+	demand     routing.Demand
 	amount     work.Amount
-	used       bool
-	once       sync.Once
+	// made is the output as of the last progress, in tokens; perEvent the tokens in an event of the engine's streams.
+	made     int64
+	perEvent int64
+	used     bool
+	once     sync.Once
 }
 
 // Dispatcher finds places. It is safe for concurrent use.
@@ -199,11 +205,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	candidates := d.candidates(job, d.Boot())
-	best := engines.Decode(candidates, size, engines.Memory(job.Demand), d.Domain)
+	best := engines.Decode(candidates, size, engines.Memory(job.Demand, 0), d.Domain)
 	if best < 0 {
 		return nil, nil, errFull
 	}
-	p := &Place{Endpoint: candidates[best].Endpoint, dispatcher: d, amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand)}}
+	p := &Place{Endpoint: candidates[best].Endpoint, dispatcher: d, demand: job.Demand, perEvent: engine.EventTokens,
+		amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand, 0)}}
 	d.Book.Begin(p.Endpoint.ID, p.amount)
 	return p, engine, nil
 }
@@ -243,7 +250,7 @@
 func (d *Dispatcher) wait(ctx context.Context, job *Job) error {
 	notify := make(chan bool, 1)
 	entry := &waitlist.Entry{
-		Tokens: engines.Memory(job.Demand), OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Notify: func(refused bool) { notify <- refused },
+		Tokens: engines.Memory(job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Notify: func(refused bool) { notify <- refused },
 	}
 	d.mu.Lock()
 	list := d.list(job.Service)
@@ -310,6 +317,16 @@
 // Use marks the reservation as used, so that Release does not give it back.
 func (p *Place) Use() { p.used = true }
 
+// Progress counts events of the stream, so that the memory that the request uses is known.
+func (p *Place) Progress(events int) {
+	p.made += int64(events) * p.perEvent
+	tokens := engines.Memory(p.demand, p.made)
+	if grown := tokens - p.amount.Tokens; grown >= progressStep || grown <= -progressStep {
+		p.dispatcher.Book.Begin(p.Endpoint.ID, work.Amount{Tokens: grown})
+		p.amount.Tokens = tokens
+	}
+}
+
 // Release ends the work at the place.
 func (p *Place) Release() {
 	p.once.Do(func() {
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -157,7 +157,7 @@
 		return err
 	}
 	r.mayHaveRun = true
-	err = r.relay(answer, began)
+	err = r.relay(answer, place, began)
 	r.judge(ep, err, began)
 	if err != nil {
 		r.recordFailure(ep, err)
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/app/dispatch"
 )
 
 // relayBuffer is the size of one read of a stream. Events have some hundred bytes.
@@ -21,7 +22,7 @@
 
 // relay passes a stream on as its events arrive. Only complete events are passed on, so that a stream that breaks off can
 // go on at another endpoint.
-func (r *run) relay(answer *routing.Answer, began time.Duration) error {
+func (r *run) relay(answer *routing.Answer, place *dispatch.Place, began time.Duration) error {
 	defer answer.Body.Close()
 	r.status = answer.Status
 	switch {
@@ -41,6 +42,7 @@
 			complete = bytes.LastIndex(rest, eventEnd) + len(eventEnd)
 		}
 		if complete >= len(eventEnd) {
+			place.Progress(bytes.Count(rest[:complete], eventEnd))
 			if err := r.pieces(answer, rest[:complete], began); err != nil {
 				return err
 			}
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -164,8 +164,8 @@
 
 func (s *Service) tellPartial() {
 	config, endpoints := s.Mirror.Revisions()
-	spent, own := s.Limiter.Spent(), s.Book.Own()
 	s.mu.Lock()
+	spent, own := s.Limiter.Spent(), s.Book.Own()
 	changedSpent, changedWork := changes(s.toldSpent, spent), changes(s.toldWork, own)
 	if len(changedSpent)+len(changedWork) == 0 {
 		s.mu.Unlock()
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -17,12 +17,27 @@
 	failurePenalty = 2
 )
 
-// outputPart is the part of the likely output for which memory is counted. Requests that run together are at different
-// points of their output, and long ones are met more often than short ones.
-const outputPart = 0.75
+const (
+	// lookahead is the growth of a request that counts as used, in tokens. By the time that requests have made as many, about
+	// as many others have ended.
+	lookahead = 2000
+	// overdue is the part of its output from which a request is likely to exceed the caller's estimate, and tail what it is
+	// then likely to make still, as a part of what it has made. Estimates are right at the median only, and the requests that
+	// exceed them are those that an engine runs for long.
+	overdue = 0.8
+	tail    = 0.25
+)
 
-// Memory is the engine memory that counts as used by a request.
-func Memory(d routing.Demand) int64 { return d.PromptTokens + int64(outputPart*float64(d.Likely())) }
+// Memory is the engine memory that counts as used by a request that has made some of its output: what it has, and what it
+// will need soon. Without the progress of running requests engines run out of memory and put requests back.
+func Memory(d routing.Demand, made int64) int64 {
+	left := d.Likely() - made
+	if float64(made) >= overdue*float64(d.Likely()) {
+		left = int64(tail * float64(made))
+	}
+	left = max(0, min(left, d.OutputTokens-made))
+	return d.PromptTokens + made + min(left, lookahead)
+}
 
 // ReservedTokens is the memory to reserve with a slot. Engines put running requests back for memory that is reserved, so
 // only the slot is reserved, with one block of memory.
--- a/router/internal/domain/engines/engines_test.go
+++ b/router/internal/domain/engines/engines_test.go
@@ -52,10 +52,16 @@
 	Entry("nothing to choose from", -1),
 )
 
-// Guards against engines that count as full with half of their slots taken, because the largest output is set aside.
-var _ = It("sets memory aside for the likely output", func() {
-	d := routing.Demand{PromptTokens: 5000, OutputTokens: 9000, ExpectedOutput: 4000}
-	Expect(engines.Memory(d)).To(Equal(int64(7000)))
-	d.ExpectedOutput = 0
-	Expect(engines.Memory(d)).To(Equal(int64(7250)), "without an estimate, half of the largest output is likely")
-})
+// Guards against engines that count as full with half of their slots taken, because the largest output is set aside, and
+// against engines that run out of memory because requests exceed their estimates.
+var _ = DescribeTable("the memory of a request", func(expected, made, memory int64) {
+	d := routing.Demand{PromptTokens: 5000, OutputTokens: 9000, ExpectedOutput: expected}
+	Expect(engines.Memory(d, made)).To(Equal(memory))
+},
+	Entry("a long output counts as far as it is near", int64(4000), int64(0), int64(7000)),
+	Entry("a short one counts as a whole", int64(1000), int64(0), int64(6000)),
+	Entry("without an estimate, half of the largest output is likely", int64(0), int64(3000), int64(9500)),
+	Entry("what was made counts, and what is left", int64(4000), int64(3000), int64(9000)),
+	Entry("a request that exceeds its estimate is likely to go on", int64(1000), int64(4000), int64(10_000)),
+	Entry("the largest output is the end", int64(1000), int64(8900), int64(14_000)),
+)
