Grant places in one order over all instances

Cause: when a place becomes free, all instances with waiting requests try for it before they hear of each other; five of them were placed on one engine within 30 ms, which then put requests back. Instances now tell what waits, and each grants places to the requests of all in the order of urgency, keeping those that come before its own.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	fullFor = 60 * time.Millisecond
 	// checkPeriod is how often waiting requests are looked at when nothing else happens.
 	checkPeriod = 20 * time.Millisecond
+	// maxTold is the number of waiting requests that an instance tells the others, so that messages stay small.
+	maxTold = 32
 	// progressStep is the growth of a request that is entered in the book, in tokens: half a percent of a small engine.
 	progressStep = 400
 	// reserveTimeout bounds a reservation, which an engine answers at once.
@@ -87,6 +90,7 @@
 	Waited time.Duration
 
 	dispatcher *Dispatcher
+	service    string
 	demand     routing.Demand
 	amount     work.Amount
 	// made is the output as of the last progress, in tokens; perEvent the tokens in an event of the engine's streams.
@@ -100,14 +104,23 @@
 type Dispatcher struct {
 	Deps
 
-	mu    sync.Mutex
-	lists map[string]*waitlist.List
-	full  map[string]time.Duration
+	mu     sync.Mutex
+	lists  map[string]*waitlist.List
+	full   map[string]time.Duration
+	others map[string][]other
+}
+
+// other is a waiting request of another instance.
+type other struct {
+	service string
+	waitlist.Other
 }
 
 // New returns a dispatcher. Run must be started too.
 func New(d Deps) *Dispatcher {
-	return &Dispatcher{Deps: d, lists: map[string]*waitlist.List{}, full: map[string]time.Duration{}}
+	return &Dispatcher{
+		Deps: d, lists: map[string]*waitlist.List{}, full: map[string]time.Duration{}, others: map[string][]other{},
+	}
 }
 
 // Run looks at the waiting requests until ctx ends.
@@ -124,44 +137,75 @@
 	}
 }
 
-// Kick lets waiting requests try for places that may have become free.
+// Kick grants places that may have become free.
 func (d *Dispatcher) Kick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.kickAll()
+}
+
+func (d *Dispatcher) kickAll() {
 	for service := range d.lists {
 		d.kick(service)
 	}
 }
 
-// errFull says that no engine has room now.
-var errFull = errors.New("no decode engine has room")
+// Waiting lists this instance's waiting requests for the other instances.
+func (d *Dispatcher) Waiting() []waitlist.Request {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Boot()
+	var out []waitlist.Request
+	for service, list := range d.lists {
+		out = append(out, list.Tell(service, now)...)
+	}
+	return out[:min(len(out), maxTold)]
+}
+
+// Hear replaces what another instance has told about its waiting requests.
+func (d *Dispatcher) Hear(instance string, requests []waitlist.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(requests) == 0 {
+		delete(d.others, instance)
+		return
+	}
+	now := d.Boot()
+	told := make([]other, len(requests))
+	for i, r := range requests {
+		told[i] = other{service: r.Service, Other: waitlist.Other{
+			Tokens: r.Tokens, OnTimeUntil: now + time.Duration(r.OnTimeLeft)*time.Millisecond,
+		}}
+	}
+	d.others[instance] = told
+}
 
 // Place waits for a place. Errors are of kind fault.Overloaded, fault.NoEndpoint or fault.CallerGone, and not run.
 func (d *Dispatcher) Place(ctx context.Context, job *Job) (*Place, error) {
 	began := d.Boot()
+	if _, engine := d.size(job.Service); engine == nil {
+		return nil, fault.New(fault.NoEndpoint, "the service has no engines; come back after Retry-After").WithRetryAfter(minReturn)
+	}
 	for {
-		place, err := d.try(ctx, job)
-		if err == nil {
-			place.Waited = d.Boot() - began
-			return place, nil
-		}
-		if ctx.Err() != nil {
-			return nil, fault.Wrap(ctx.Err(), fault.CallerGone, openai.NotRun, "the caller is gone")
-		}
-		if err := d.wait(ctx, job); err != nil {
+		p, err := d.wait(ctx, job)
+		if err != nil {
 			return nil, err
 		}
+		err = d.reserve(ctx, p)
+		if err == nil {
+			p.Waited = d.Boot() - began
+			d.Changed()
+			return p, nil
+		}
+		d.refused(ctx, job, p, err)
 	}
 }
 
-// candidates lists the decode engines of the job's service that may take it.
-func (d *Dispatcher) candidates(job *Job, now time.Duration) []engines.Candidate {
-	endpoints := health.Usable(d.Health, d.State.Stage(job.Service, routing.Decode), endpointID, now)
+// candidates lists the decode engines of a service.
+func (d *Dispatcher) candidates(service string, now time.Duration) []engines.Candidate {
+	endpoints := health.Usable(d.Health, d.State.Stage(service, routing.Decode), endpointID, now)
 	out := make([]engines.Candidate, 0, len(endpoints))
 	for _, ep := range endpoints {
-		if job.Avoid[ep.ID] {
-			continue
-		}
 		out = append(out, engines.Candidate{
 			Endpoint: ep, Work: d.Book.At(ep.ID), FailureRate: d.Health.FailureRate(ep.ID), Full: now < d.full[ep.ID],
 		})
@@ -179,44 +223,9 @@
 	return engines.Size{Slots: s.Engine.Slots, Tokens: s.Engine.MemoryTokens}, s.Engine
 }
 
-// try reserves a place at the best engine that seems to have room, one after the other.
-func (d *Dispatcher) try(ctx context.Context, job *Job) (*Place, error) {
-	for ctx.Err() == nil {
-		p, engine, err := d.choose(job)
-		if err != nil {
-			return nil, err
-		}
-		err = d.reserve(ctx, job, p, engine)
-		if err == nil {
-			d.Changed()
-			return p, nil
-		}
-		d.refused(ctx, job, p, err)
-	}
-	return nil, ctx.Err()
-}
-
-// choose picks an engine and enters the work in the book, so that requests that come at the same time see it.
-func (d *Dispatcher) choose(job *Job) (*Place, *routing.Engine, error) {
-	size, engine := d.size(job.Service)
-	if engine == nil {
-		return nil, nil, fault.New(fault.NoEndpoint, "the service has no engines")
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	candidates := d.candidates(job, d.Boot())
-	best := engines.Decode(candidates, size, engines.Memory(job.Demand, 0), d.Domain)
-	if best < 0 {
-		return nil, nil, errFull
-	}
-	p := &Place{Endpoint: candidates[best].Endpoint, dispatcher: d, demand: job.Demand, perEvent: engine.EventTokens,
-		amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand, 0)}}
-	d.Book.Begin(p.Endpoint.ID, p.amount)
-	return p, engine, nil
-}
-
-func (d *Dispatcher) reserve(ctx context.Context, job *Job, p *Place, engine *routing.Engine) error {
-	if engine.MaxReservation <= 0 {
+func (d *Dispatcher) reserve(ctx context.Context, p *Place) error {
+	_, engine := d.size(p.service)
+	if engine == nil || engine.MaxReservation <= 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -243,77 +252,132 @@
 		d.Health.Failed(p.Endpoint.ID, true, now)
 	}
 	d.Logger.Info().Str("event", "place.refused").Str("request", job.RequestID).Str("endpoint", p.Endpoint.ID).
-		Int("requests", p.amount.Requests).Int64("tokens", p.amount.Tokens).Err(err).Msg("")
+		Int64("tokens", p.amount.Tokens).Err(err).Msg("")
 }
 
-// wait waits until the request may try again.
-func (d *Dispatcher) wait(ctx context.Context, job *Job) error {
-	notify := make(chan bool, 1)
+// wait enters the request in the list, also if there is room, so that requests of all instances are served in one order.
+// The place that it returns is entered in the book.
+func (d *Dispatcher) wait(ctx context.Context, job *Job) (*Place, error) {
+	granted := make(chan *Place, 1)
 	entry := &waitlist.Entry{
-		Tokens: engines.Memory(job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Notify: func(refused bool) { notify <- refused },
+		Tokens: engines.Memory(job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Avoid: job.Avoid,
+	}
+	entry.Decided = func(engine *routing.Endpoint) {
+		if engine == nil {
+			granted <- nil
+			return
+		}
+		granted <- d.newPlace(job, *engine)
 	}
 	d.mu.Lock()
 	list := d.list(job.Service)
-	list.Add(entry, d.Boot())
+	list.Add(entry)
+	d.kick(job.Service)
+	waits := len(granted) == 0
 	waiting := list.Len()
 	d.mu.Unlock()
+	if waits {
+		d.Changed()
+		defer d.Changed()
+	}
 	select {
 	case <-ctx.Done():
-		d.mu.Lock()
-		list.Remove(entry)
-		d.mu.Unlock()
-		return fault.Wrap(ctx.Err(), fault.CallerGone, openai.NotRun, "the caller is gone")
-	case refused := <-notify:
-		if !refused {
-			return nil
+		return nil, d.abandon(ctx, list, entry, granted)
+	case p := <-granted:
+		if p != nil {
+			return p, nil
 		}
 	}
 	d.Logger.Info().Str("event", "place.none").Str("request", job.RequestID).Int("waiting", waiting).
 		Dur("past_on_time", d.Boot()-job.OnTimeUntil).Msg("")
-	return fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.returnTime())
+	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.returnTime())
+}
+
+// abandon takes the request of a caller that left off the list, with the place that it may just have got.
+func (d *Dispatcher) abandon(ctx context.Context, list *waitlist.List, entry *waitlist.Entry, granted chan *Place) error {
+	d.mu.Lock()
+	waited := list.Remove(entry)
+	d.mu.Unlock()
+	if !waited {
+		if p := <-granted; p != nil {
+			d.Book.End(p.Endpoint.ID, p.amount)
+		}
+	}
+	return fault.Wrap(ctx.Err(), fault.CallerGone, openai.NotRun, "the caller is gone")
+}
+
+// newPlace enters the work in the book, so that requests that come at the same time see it.
+func (d *Dispatcher) newPlace(job *Job, ep routing.Endpoint) *Place {
+	p := &Place{Endpoint: ep, dispatcher: d, service: job.Service, demand: job.Demand,
+		amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand, 0)}}
+	if _, engine := d.size(job.Service); engine != nil {
+		p.perEvent = engine.EventTokens
+	}
+	d.Book.Begin(ep.ID, p.amount)
+	return p
 }
 
 func (d *Dispatcher) returnTime() time.Duration {
 	return minReturn + time.Duration(d.Random()*float64(maxReturn-minReturn))
 }
 
-// list returns the service's list of waiting requests. As many late ones may wait as this instance's part of the slots.
 func (d *Dispatcher) list(service string) *waitlist.List {
 	l := d.lists[service]
 	if l == nil {
-		size, _ := d.size(service)
-		slots := size.Slots * len(d.State.Stage(service, routing.Decode))
-		l = waitlist.New(max(1, slots/max(1, d.Instances())))
+		l = &waitlist.List{}
 		d.lists[service] = l
 	}
 	return l
 }
 
-// kick refuses requests that have waited for too long, and lets as many of the others try as seem to find room.
+// kick refuses requests that have waited for too long, and grants the places that are free to the requests of all
+// instances in order. As many late requests may wait here as this instance's part of the slots.
 func (d *Dispatcher) kick(service string) {
 	list := d.lists[service]
-	now := d.Boot()
-	for _, e := range list.Expire(now) {
-		e.Notify(true)
-	}
 	if list.Len() == 0 {
 		return
 	}
+	now := d.Boot()
 	size, _ := d.size(service)
-	candidates := d.candidates(&Job{Service: service}, now)
-	list.Each(func(e *waitlist.Entry) bool {
-		best := engines.Decode(candidates, size, e.Tokens, d.Domain)
-		if best < 0 {
-			return false
-		}
-		candidates[best].Work.Requests++
-		candidates[best].Work.Tokens += e.Tokens
-		list.Remove(e)
-		e.Notify(false)
-		return true
+	candidates := d.candidates(service, now)
+	list.Expire(now, max(1, size.Slots*len(candidates)/max(1, d.Instances())))
+	list.Grant(now, d.othersOf(service), func(tokens int64, own *waitlist.Entry) *routing.Endpoint {
+		return d.take(candidates, size, tokens, own)
 	})
 }
 
+// take finds an engine among the candidates and counts the request as placed there.
+func (d *Dispatcher) take(candidates []engines.Candidate, size engines.Size, tokens int64, own *waitlist.Entry) *routing.Endpoint {
+	allowed := candidates
+	if own != nil && len(own.Avoid) > 0 {
+		allowed = slices.DeleteFunc(slices.Clone(candidates), func(c engines.Candidate) bool { return own.Avoid[c.Endpoint.ID] })
+	}
+	best := engines.Decode(allowed, size, tokens, d.Domain)
+	if best < 0 {
+		return nil
+	}
+	ep := allowed[best].Endpoint
+	for i := range candidates {
+		if candidates[i].Endpoint.ID == ep.ID {
+			candidates[i].Work.Requests++
+			candidates[i].Work.Tokens += tokens
+		}
+	}
+	return &ep
+}
+
+func (d *Dispatcher) othersOf(service string) []waitlist.Other {
+	var out []waitlist.Other
+	for _, told := range d.others {
+		for _, o := range told {
+			if o.service == service {
+				out = append(out, o.Other)
+			}
+		}
+	}
+	return out
+}
+
 // Use marks the reservation as used, so that Release does not give it back.
 func (p *Place) Use() { p.used = true }
 
@@ -338,9 +402,7 @@
 		}
 		d.mu.Lock()
 		delete(d.full, p.Endpoint.ID)
-		for service := range d.lists {
-			d.kick(service)
-		}
+		d.kickAll()
 		d.mu.Unlock()
 	})
 }
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/domain/work"
 )
 
@@ -55,6 +56,8 @@
 	Endpoints uint64                 `json:"endpoints"`
 	Spent     map[string]int64       `json:"spent,omitempty"`
 	Work      map[string]work.Amount `json:"work,omitempty"`
+	// Waiting lists the sender's requests that wait for a place, also in partial messages.
+	Waiting []waitlist.Request `json:"waiting,omitempty"`
 	// Stopped is set in the last message of an instance that stops as planned.
 	Stopped bool `json:"stopped,omitempty"`
 	// Partial messages hold only what has changed since the sender's last message.
@@ -82,6 +85,16 @@
 	RemoveInstance(ctx context.Context, name string) error
 }
 
+// Queue holds the requests that wait for a place.
+type Queue interface {
+	// Waiting lists this instance's requests.
+	Waiting() []waitlist.Request
+	// Hear replaces what another instance has told.
+	Hear(instance string, requests []waitlist.Request)
+	// Kick is called after each message that was taken over.
+	Kick()
+}
+
 // Deps are what a Service works with.
 type Deps struct {
 	Self      routing.Instance
@@ -91,10 +104,9 @@
 	Mirror    *mirror.Mirror
 	Limiter   *sharedlimit.Limiter
 	Book      *work.Book
-	// Changed is called after each message that was taken over.
-	Changed func()
-	Boot    func() time.Duration
-	Logger  *log.Logger
+	Queue     Queue
+	Boot      func() time.Duration
+	Logger    *log.Logger
 }
 
 type peer struct {
@@ -117,8 +129,12 @@
 	// toldSpent and toldWork are what the last messages told.
 	toldSpent map[string]int64
 	toldWork  map[string]work.Amount
+	// toldWaiting is the number of waiting requests in the last message.
+	toldWaiting int
 
 	nudges chan struct{}
+	// others is the number of peers, which is read while other locks are held.
+	others atomic.Int64
 	// met is the time since boot at which other instances became known; zero before.
 	met atomic.Int64
 }
@@ -167,15 +183,16 @@
 	s.mu.Lock()
 	spent, own := s.Limiter.Spent(), s.Book.Own()
 	changedSpent, changedWork := changes(s.toldSpent, spent), changes(s.toldWork, own)
-	if len(changedSpent)+len(changedWork) == 0 {
+	waiting := s.Queue.Waiting()
+	if len(changedSpent)+len(changedWork)+len(waiting)+s.toldWaiting == 0 {
 		s.mu.Unlock()
 		return
 	}
-	s.toldSpent, s.toldWork = spent, own
+	s.toldSpent, s.toldWork, s.toldWaiting = spent, own, len(waiting)
 	s.sequence++
 	m := Message{
 		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: changedSpent, Work: changedWork,
-		Partial: true,
+		Waiting: waiting, Partial: true,
 	}
 	addresses := s.addresses()
 	s.mu.Unlock()
@@ -220,11 +237,7 @@
 }
 
 // Size is the number of instances that are known, this one included.
-func (s *Service) Size() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.peers) + 1
-}
+func (s *Service) Size() int { return int(s.others.Load()) + 1 }
 
 // join asks the seeds for their state at once, then registers in the platform and reads the list of instances. Of two
 // instances that start at the same time, at least one finds the other in the list, and greets it.
@@ -270,6 +283,7 @@
 			continue
 		}
 		s.peers[in.Name] = &peer{instance: in, heard: s.Boot(), silent: true}
+		s.others.Store(int64(len(s.peers)))
 		s.Limiter.Expect(in.Name)
 	}
 }
@@ -279,7 +293,7 @@
 	s.mu.Lock()
 	m := s.whole()
 	m.Stopped = stopped
-	s.toldSpent, s.toldWork = m.Spent, m.Work
+	s.toldSpent, s.toldWork, s.toldWaiting = m.Spent, m.Work, len(m.Waiting)
 	addresses := s.addresses()
 	s.mu.Unlock()
 	s.send(m, addresses)
@@ -291,6 +305,7 @@
 	s.sequence++
 	return Message{
 		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: s.Limiter.Spent(), Work: s.Book.Own(),
+		Waiting: s.Queue.Waiting(),
 	}
 }
 
@@ -332,7 +347,8 @@
 	default:
 		s.Book.Hear(m.Sender.Name, m.Work)
 	}
-	s.Changed()
+	s.Queue.Hear(m.Sender.Name, m.Waiting)
+	s.Queue.Kick()
 }
 
 // answer sends the whole state to an instance that has just started, which must not decide without it for a period.
@@ -351,6 +367,7 @@
 	if p == nil {
 		p = &peer{silent: true}
 		s.peers[m.Sender.Name] = p
+		s.others.Store(int64(len(s.peers)))
 	}
 	if m.Sender.Incarnation < p.instance.Incarnation || m.Sender.Incarnation == p.instance.Incarnation && m.Sequence <= p.sequence {
 		return false, false
@@ -431,6 +448,7 @@
 	for _, name := range silent {
 		s.Logger.Warn().Str("event", "instance.silent").Str("peer", name).Dur("for", lostAfter).Msg("")
 		s.Book.Hear(name, nil)
+		s.Queue.Hear(name, nil)
 	}
 	for _, name := range gone {
 		s.forget(name, "silent")
@@ -440,8 +458,10 @@
 func (s *Service) forget(name, reason string) {
 	s.mu.Lock()
 	delete(s.peers, name)
+	s.others.Store(int64(len(s.peers)))
 	s.mu.Unlock()
 	s.Book.Hear(name, nil)
+	s.Queue.Hear(name, nil)
 	s.Limiter.Forget(name)
 	s.Logger.Info().Str("event", "instance.forgotten").Str("peer", name).Str("reason", reason).Msg("")
 }
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -1,87 +1,141 @@
-// Package waitlist orders requests that wait for a place at an engine. Those that can still be answered on time go first,
-// in order of arrival; late ones are served from what the others leave, and only a bounded number of them waits. A long
-// queue in order of arrival alone would make everyone late.
+// Package waitlist orders requests that wait for a place at an engine, across all instances. Those that can still be
+// answered on time go first, in order of urgency; late ones are served from what the others leave, and only a bounded number
+// of them waits. A long queue in order of arrival alone would make everyone late. Each instance knows what waits elsewhere
+// and leaves the places to it that come before its own, since instances that all try for the same place at the same moment
+// overload the engine.
 package waitlist
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"tanagerwood.dev/api/routing"
 )
 
-// Entry is a waiting request. Times are since boot.
+// Request is a waiting request as instances tell each other.
+type Request struct {
+	Service string `json:"s"`
+	// Tokens is the engine memory that the request needs.
+	Tokens int64 `json:"t"`
+	// OnTimeLeft is how long the request may still wait to be answered on time, in milliseconds; negative if it is late.
+	OnTimeLeft int64 `json:"l"`
+}
+
+// Entry is a waiting request of this instance. Times are since boot.
 type Entry struct {
 	Tokens int64
 	// OnTimeUntil is when the request must leave the list to be answered on time, Latest when it must leave the list at all.
 	OnTimeUntil time.Duration
 	Latest      time.Duration
-	// Notify is called once: when the request may try for a place, or when it has waited for as long as it may.
-	Notify func(refused bool)
+	// Avoid holds the engines that have failed the request.
+	Avoid map[string]bool
+	// Decided is called once, when the request leaves the list by Grant or Expire: with its engine, or nil if it is refused.
+	Decided func(engine *routing.Endpoint)
 }
 
-// List is the list. Its user serialises access.
-type List struct {
-	onTime  []*Entry
-	late    []*Entry
-	maxLate int
+// Other is a waiting request of another instance.
+type Other struct {
+	Tokens      int64
+	OnTimeUntil time.Duration
 }
 
-// New returns a list on which at most maxLate late requests wait.
-func New(maxLate int) *List { return &List{maxLate: maxLate} }
+// List holds this instance's waiting requests for a service. Its user serialises access.
+type List struct {
+	entries []*Entry
+}
 
 // Len is the number of waiting requests.
-func (l *List) Len() int { return len(l.onTime) + len(l.late) }
+func (l *List) Len() int { return len(l.entries) }
 
-// Add enters a request. It is late if its time to be on time is over.
-func (l *List) Add(e *Entry, now time.Duration) {
-	if now > e.OnTimeUntil {
-		l.late = append(l.late, e)
-		return
-	}
-	at, _ := slices.BinarySearchFunc(l.onTime, e, func(a, b *Entry) int { return int(a.OnTimeUntil - b.OnTimeUntil) })
-	l.onTime = slices.Insert(l.onTime, at, e)
+// Add enters a request.
+func (l *List) Add(e *Entry) {
+	at, _ := slices.BinarySearchFunc(l.entries, e, func(a, b *Entry) int { return cmp.Compare(a.OnTimeUntil, b.OnTimeUntil) })
+	l.entries = slices.Insert(l.entries, at, e)
 }
 
 // Remove takes a request off the list and reports whether it was on it.
 func (l *List) Remove(e *Entry) bool {
-	for _, list := range []*[]*Entry{&l.onTime, &l.late} {
-		if i := slices.Index(*list, e); i >= 0 {
-			*list = slices.Delete(*list, i, i+1)
+	i := slices.Index(l.entries, e)
+	if i < 0 {
+		return false
+	}
+	l.entries = slices.Delete(l.entries, i, i+1)
+	return true
+}
+
+// Tell lists the waiting requests for other instances.
+func (l *List) Tell(service string, now time.Duration) []Request {
+	out := make([]Request, len(l.entries))
+	for i, e := range l.entries {
+		out[i] = Request{Service: service, Tokens: e.Tokens, OnTimeLeft: (e.OnTimeUntil - now).Milliseconds()}
+	}
+	return out
+}
+
+// Expire refuses requests that have waited for as long as they may, and late ones beyond maxLate: the newest, which have
+// waited least.
+func (l *List) Expire(now time.Duration, maxLate int) {
+	late := 0
+	var refused []*Entry
+	l.entries = slices.DeleteFunc(l.entries, func(e *Entry) bool {
+		if now > e.OnTimeUntil {
+			late++
+		}
+		if now >= e.Latest || now > e.OnTimeUntil && late > maxLate {
+			refused = append(refused, e)
 			return true
 		}
+		return false
+	})
+	for _, e := range refused {
+		e.Decided(nil)
 	}
-	return false
 }
 
-// Expire moves requests that can no longer be on time to the late ones, and takes those off the list that have waited for
-// as long as they may or are too many. The latter are returned.
-func (l *List) Expire(now time.Duration) (refused []*Entry) {
-	for len(l.onTime) > 0 && now > l.onTime[0].OnTimeUntil {
-		l.late = append(l.late, l.onTime[0])
-		l.onTime = l.onTime[1:]
+// waiting is a request of any instance.
+type waiting struct {
+	late        bool
+	onTimeUntil time.Duration
+	tokens      int64
+	own         *Entry
+}
+
+// Grant goes through the requests of all instances in the order in which they are to be served. The function take finds an
+// engine for a request and counts it as used there, or returns nil if there is none. The first request for which there is
+// none ends the round: places are kept for it. Own requests that get an engine leave the list.
+func (l *List) Grant(now time.Duration, others []Other, take func(tokens int64, own *Entry) *routing.Endpoint) {
+	if len(l.entries) == 0 {
+		return
 	}
-	l.late = slices.DeleteFunc(l.late, func(e *Entry) bool {
-		if now < e.Latest {
-			return false
+	for _, w := range l.order(now, others) {
+		engine := take(w.tokens, w.own)
+		if engine == nil {
+			return
+		}
+		if w.own != nil {
+			l.Remove(w.own)
+			w.own.Decided(engine)
 		}
-		refused = append(refused, e)
-		return true
-	})
-	// The newest late requests have waited least and are told at once.
-	for len(l.late) > l.maxLate {
-		last := len(l.late) - 1
-		refused = append(refused, l.late[last])
-		l.late = l.late[:last]
 	}
-	return refused
 }
 
-// Each calls f for each waiting request in the order in which they are served, until f returns false.
-func (l *List) Each(f func(*Entry) bool) {
-	for _, list := range [][]*Entry{l.onTime, l.late} {
-		for _, e := range slices.Clone(list) {
-			if !f(e) {
-				return
+func (l *List) order(now time.Duration, others []Other) []waiting {
+	all := make([]waiting, 0, len(l.entries)+len(others))
+	for _, e := range l.entries {
+		all = append(all, waiting{late: now > e.OnTimeUntil, onTimeUntil: e.OnTimeUntil, tokens: e.Tokens, own: e})
+	}
+	for _, o := range others {
+		all = append(all, waiting{late: now > o.OnTimeUntil, onTimeUntil: o.OnTimeUntil, tokens: o.Tokens})
+	}
+	slices.SortStableFunc(all, func(a, b waiting) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
 			}
+			return -1
 		}
-	}
+		return cmp.Compare(a.onTimeUntil, b.onTimeUntil)
+	})
+	return all
 }
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -293,7 +293,7 @@
 			},
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*mirror.Mirror](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
-			Book: do.MustInvoke[*work.Book](i), Changed: func() { do.MustInvoke[*dispatch.Dispatcher](i).Kick() },
+			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i),
 			Boot: boot, Logger: logger,
 		}), nil
 	})
