--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -313,3 +313,14 @@
 		return false
 	}
 }
+
+// Idle is the number of idle connections to all peers.
+func (c *Client) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, p := range c.peers {
+		n += len(p.idle)
+	}
+	return n
+}
