Test whole nodes on the stand-ins of the platform

Streams through prefill and decode, lapsed KV caches, lost answers of bookings, resumed and cut streams, callers that leave, limits, configuration changes, outages, leaving endpoints, planned stops, metrics and settings files: each spec names the failure that it guards against.

--- /dev/null
+++ b/router/internal/node/node_test.go
@@ -0,0 +1,422 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"tanagerwood.dev/platform/standin"
+	"tanagerwood.dev/router/internal/node"
+	"tanagerwood.dev/router/internal/settings"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+const patience = 10 * time.Second
+
+// world is an installation of stand-ins with routers in front.
+type world struct {
+	store    *standin.Store
+	storeURL string
+	plain    []*standin.Server
+	prefill  *standin.Server
+	decode   []*standin.Server
+	version  int
+}
+
+const configuration = `{"version":%d,"routes":[
+ {"name":"brief","host":"h.example","path_prefix":"/brief/","kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"gap_aim_ms":300,"service":"m","max_attempts":1},
+ {"name":"digest","host":"h.example","path_prefix":"/digest/","kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"gap_aim_ms":300,"service":"m","max_attempts":2,"resumable":true},
+ {"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"s","max_attempts":1},
+ {"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"s","max_attempts":2}%s],
+ "services":[{"name":"m","max_connections":100,"engine":{"slots":4,"kv_token_capacity":100000,"stride":70,"handle_ttl_s":0.5,"hold_ms":2000}},{"name":"s","max_connections":100}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["key"],"unit":"token_stream","plain_tokens":200,"rate_per_s":1000000,"burst":1000000},
+  {"name":"small","api_keys":["small-key"],"unit":"token_stream","plain_tokens":200,"rate_per_s":100,"burst":1000}]}`
+
+func newWorld() *world {
+	w := &world{store: standin.NewStore(), prefill: standin.NewServer("p-1", "prefill")}
+	server := httptest.NewServer(w.store)
+	DeferCleanup(server.Close)
+	w.storeURL = strings.TrimPrefix(server.URL, "http://")
+	for i := range 2 {
+		w.plain = append(w.plain, standin.NewServer(fmt.Sprint("s-", i), ""))
+		w.decode = append(w.decode, standin.NewServer(fmt.Sprint("d-", i), "decode"))
+	}
+	w.list(w.prefill, "m")
+	for i := range 2 {
+		w.list(w.plain[i], "s")
+		w.list(w.decode[i], "m")
+	}
+	w.configure("")
+	return w
+}
+
+func (w *world) configure(routes string) {
+	w.version++
+	w.store.Put("config", "main", fmt.Sprintf(configuration, w.version, routes))
+}
+
+// list starts a server and enters it in the store.
+func (w *world) list(s *standin.Server, service string) {
+	h := httptest.NewServer(s)
+	DeferCleanup(func() {
+		h.CloseClientConnections()
+		h.Close()
+	})
+	w.store.Put("servers", s.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","stage":%q}`,
+		service, strings.TrimPrefix(h.URL, "http://"), s.Stage))
+}
+
+// router is a running node.
+type router struct {
+	*node.Node
+	settings *settings.Node
+	done     chan error
+}
+
+// freeAddresses returns different addresses on which nothing listens.
+func freeAddresses(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close() // open until all are chosen, so that none is chosen twice
+		out[i] = l.Addr().String()
+	}
+	return out
+}
+
+func (w *world) start(name string) *router {
+	free := freeAddresses(4)
+	s := &settings.Node{
+		Instance: name, Domain: "z", CallerListen: free[0], ReadyListen: free[1], MetricsListen: free[2],
+		PeerListen: free[3], PlatformAddress: w.storeURL, MemoryMB: 134, StopGrace: 8 * time.Second,
+		RetryRatio: 0.2, RetryFixed: 1000, RetryWindow: 10 * time.Second,
+	}
+	r := &router{settings: s, done: make(chan error, 1)}
+	r.Node = node.New(node.Options{Settings: s, Logger: &log.Logger{Writer: &log.IOWriter{Writer: GinkgoWriter}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { r.done <- r.Run(ctx) }()
+	DeferCleanup(cancel)
+	Eventually(r.Ready, patience).Should(BeTrue())
+	return r
+}
+
+var requests atomic.Int64
+
+type answer struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request as a caller does, without retries and on a new connection.
+func (r *router) send(ctx context.Context, method, path, key string, header ...string) answer {
+	a := answer{id: fmt.Sprint("id-", requests.Add(1))}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.settings.CallerListen+path, strings.NewReader("question"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", a.id)
+	req.Header.Set("X-Deadline-Ms", "5000")
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	a.status, a.header, a.body, a.err = resp.StatusCode, resp.Header, string(body), err
+	return a
+}
+
+func (r *router) stream(path string, header ...string) answer {
+	return r.send(context.Background(), http.MethodPost, path, "key", append([]string{"X-Token-Counts", "5000,9100", "X-Model", "m"}, header...)...)
+}
+
+const wholeStream = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
+
+func (w *world) runs() (out []standin.Run) {
+	for _, s := range append(append([]*standin.Server{w.prefill}, w.plain...), w.decode...) {
+		out = append(out, s.Runs()...)
+	}
+	return out
+}
+
+var _ = Describe("a node", func() {
+	var w *world
+	var r *router
+	BeforeEach(func() {
+		w = newWorld()
+		r = w.start("r-1")
+	})
+
+	It("serves a stream through prefill and decode", func() {
+		a := r.stream("/brief/x?y=%2F")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(http.StatusOK))
+		Expect(a.body).To(Equal(wholeStream))
+		Expect(a.header.Get("X-Response-Stamp")).To(HavePrefix("stamp-d-"))
+		runs := w.runs()
+		Expect(runs).To(HaveLen(1))
+		Expect(runs[0].Target).To(Equal("/brief/x?y=%2F"))
+		Expect(runs[0].Body).To(Equal("question"))
+		Expect(runs[0].Tenant).To(Equal("t"))
+		Expect(runs[0].Header.Get("X-Kv-Source")).To(ContainSubstring("/p-1-"))
+		Expect(runs[0].Header.Get("Authorization")).To(BeEmpty())
+	})
+
+	It("serves plain requests and passes the answer on unchanged", func() {
+		a := r.send(context.Background(), http.MethodGet, "/look/a", "key")
+		Expect(a.status).To(Equal(http.StatusOK))
+		Expect(a.body).To(Equal("answer to " + a.id))
+		Expect(a.header.Get("X-Request-Id")).To(Equal(a.id))
+	})
+
+	DescribeTable("refuses", func(path, key string, status int) {
+		a := r.send(context.Background(), http.MethodGet, path, key)
+		Expect(a.status).To(Equal(status))
+		Expect(w.runs()).To(BeEmpty())
+	},
+		Entry("an unknown key", "/look/a", "forged", 401),
+		Entry("an unknown route", "/none/a", "key", 404),
+	)
+
+	// Guards against a booking that is made twice.
+	It("never sends an unsafe request again that may have run", func() {
+		for _, s := range w.plain {
+			s.Behave(func(_ http.ResponseWriter, req *http.Request) bool {
+				s.Run(req)
+				panic(http.ErrAbortHandler) // the answer is lost
+			})
+		}
+		a := r.send(context.Background(), http.MethodPost, "/book/a", "key")
+		Expect(a.status).To(Equal(http.StatusBadGateway))
+		Expect(w.runs()).To(HaveLen(1))
+	})
+
+	It("sends a request again that an endpoint has not run, and a safe one that failed", func() {
+		first := true
+		for _, s := range w.plain {
+			s.Behave(func(rw http.ResponseWriter, req *http.Request) bool {
+				if !first {
+					return false
+				}
+				first = false
+				if req.Method == http.MethodPost {
+					standin.Refuse(rw)
+				} else {
+					rw.WriteHeader(http.StatusInternalServerError)
+				}
+				return true
+			})
+		}
+		Expect(r.send(context.Background(), http.MethodPost, "/book/a", "key").status).To(Equal(http.StatusOK))
+		first = true
+		Expect(r.send(context.Background(), http.MethodGet, "/look/a", "key").status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against an answer of a server that is replaced by a failure of the router's own.
+	It("passes the last failure on when no endpoint succeeds", func() {
+		for _, s := range w.plain {
+			s.Behave(func(rw http.ResponseWriter, _ *http.Request) bool {
+				rw.Header().Set("X-Response-Stamp", "failed-"+s.ID)
+				rw.WriteHeader(http.StatusInternalServerError)
+				return true
+			})
+		}
+		a := r.send(context.Background(), http.MethodGet, "/look/a", "key")
+		Expect(a.status).To(Equal(http.StatusInternalServerError))
+		Expect(a.header.Get("X-Response-Stamp")).To(HavePrefix("failed-"))
+	})
+
+	// Guards against a stream that is lost with its KV cache: the decode engine reads the prompt itself.
+	It("decodes without the KV cache when it has lapsed", func() {
+		for _, s := range w.decode {
+			s.Behave(func(rw http.ResponseWriter, req *http.Request) bool {
+				if req.Header.Get("X-Kv-Source") == "" {
+					return false
+				}
+				standin.Refuse(rw)
+				return true
+			})
+		}
+		a := r.stream("/brief/x")
+		Expect(a.body).To(Equal(wholeStream))
+	})
+
+	It("decodes without a prefill engine when that fails", func() {
+		w.prefill.Behave(func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) })
+		Expect(r.stream("/brief/x").body).To(Equal(wholeStream))
+	})
+
+	breakOff := func() {
+		broken := false
+		for _, s := range w.decode {
+			s.Behave(func(rw http.ResponseWriter, req *http.Request) bool {
+				if broken || req.Header.Get("X-Stage") != "" {
+					return false
+				}
+				broken = true
+				s.Run(req)
+				rw.Header().Set("X-Response-Stamp", "stamp-first")
+				s.Stream(rw, req, 2)
+				_, _ = io.WriteString(rw, "id: 3\nda")
+				_ = http.NewResponseController(rw).Flush()
+				panic(http.ErrAbortHandler)
+			})
+		}
+	}
+
+	// Guards against a piece that is missing or comes twice where a stream goes on (ORDER on bfq trouble-1).
+	It("goes on with a resumable stream after its last event", func() {
+		breakOff()
+		a := r.stream("/digest/x")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(wholeStream))
+		Expect(a.header.Get("X-Response-Stamp")).To(Equal("stamp-first"))
+	})
+
+	// Guards against a stream that broke off and looks complete, or runs twice.
+	It("cuts a stream that may not be resumed", func() {
+		breakOff()
+		a := r.stream("/brief/x")
+		Expect(a.err).To(HaveOccurred())
+		Expect(a.body).NotTo(ContainSubstring("token 3"))
+		Expect(w.runs()).To(HaveLen(1))
+	})
+
+	// Guards against memory that engines hold for callers who left.
+	It("cancels the work of callers that leave", func() {
+		ended := make(chan struct{}, 1)
+		for _, s := range w.decode {
+			s.Behave(func(rw http.ResponseWriter, req *http.Request) bool {
+				if req.Header.Get("X-Stage") != "" || strings.HasPrefix(req.URL.Path, "/-/") {
+					return false
+				}
+				s.Stream(rw, req, 1)
+				<-req.Context().Done()
+				ended <- struct{}{}
+				return true
+			})
+		}
+		conn, err := net.Dial("tcp", r.settings.CallerListen)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "POST /brief/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: gone\r\nX-Deadline-Ms: 9000\r\n"+
+			"Authorization: Bearer key\r\nX-Token-Counts: 5,5\r\nContent-Length: 0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = bufio.NewReader(conn).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.Close()).To(Succeed())
+		Eventually(ended, patience).Should(Receive())
+	})
+
+	It("limits customers, and tells when to come back", func() {
+		var a answer
+		Eventually(func() int {
+			a = r.send(context.Background(), http.MethodGet, "/look/a", "small-key")
+			return a.status
+		}, patience).Should(Equal(http.StatusTooManyRequests))
+		Expect(a.header).To(HaveKey("Retry-After"))
+		Expect(r.send(context.Background(), http.MethodGet, "/look/a", "key").status).To(Equal(http.StatusOK))
+	})
+
+	It("takes a new configuration and keeps it while the store is away", func() {
+		w.configure(`,{"name":"new","host":"h.example","path_prefix":"/new/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"s","public":true}`)
+		get := func() int { return r.send(context.Background(), http.MethodGet, "/new/a", "").status }
+		Eventually(get, patience).Should(Equal(http.StatusOK))
+		w.store.Refuse(http.StatusServiceUnavailable)
+		Consistently(get, "500ms").Should(Equal(http.StatusOK))
+		w.store.Refuse(0)
+	})
+
+	// Guards against requests that reach an endpoint which is leaving.
+	It("sends nothing to endpoints that are leaving", func() {
+		w.store.Put("servers", "s-0", `{"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":"draining"}`)
+		Eventually(func() int {
+			before := len(w.plain[0].Runs())
+			for range 5 {
+				Expect(r.send(context.Background(), http.MethodGet, "/look/a", "key").status).To(Equal(http.StatusOK))
+			}
+			return len(w.plain[0].Runs()) - before
+		}, patience).Should(BeZero())
+	})
+
+	// Guards against a planned stop that cuts requests, or that goes on taking them.
+	It("stops as planned: not ready at once, open streams complete, then no more requests", func() {
+		for _, s := range w.decode {
+			s.EventPause = 300 * time.Millisecond
+		}
+		got := make(chan answer, 1)
+		go func() { got <- r.stream("/brief/x") }()
+		Eventually(w.runs, patience).Should(HaveLen(1))
+		r.Stop()
+		Expect(r.Ready()).To(BeFalse())
+		resp, err := http.Get("http://" + r.settings.ReadyListen + "/-/readiness")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect((<-got).body).To(Equal(wholeStream))
+		Eventually(r.done, patience).Should(Receive(BeNil()))
+		Expect(r.send(context.Background(), http.MethodGet, "/look/a", "key").err).To(HaveOccurred())
+	})
+
+	It("serves metrics", func() {
+		Expect(r.stream("/brief/x").status).To(Equal(http.StatusOK))
+		Eventually(func() string {
+			resp, err := http.Get("http://" + r.settings.MetricsListen + "/metrics")
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return string(body)
+		}, patience).Should(SatisfyAll(ContainSubstring("tanagerwood_requests_answered_total 1"), ContainSubstring("tanagerwood_first_event_milliseconds")))
+	})
+})
+
+var _ = Describe("settings files", func() {
+	// Guards against a file that cannot be read and ends the process or changes anything.
+	It("are read again, and refused as a whole if they cannot be used", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "settings.json")
+		write := func(text string) { Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed()) }
+		good := `{"instance":"i","domain":"z","caller-listen":"127.0.0.1:1","ready-listen":"127.0.0.1:2","peer-listen":"127.0.0.1:3",
+			"platform-address":"127.0.0.1:4","memory-mb":134,"stop-grace":"8s","retry-ratio":"0.2","retry-fixed":"54","seeds":"10.0.0.1:9,10.0.0.2:9"}`
+		write(good)
+		n, err := (&settings.Node{File: file}).Reload()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.StopGrace).To(Equal(8 * time.Second))
+		Expect(n.SeedAddresses()).To(Equal([]string{"10.0.0.1:3", "10.0.0.2:3"}))
+		for _, bad := range []string{
+			`{`, `[]`, strings.Replace(good, `"8s"`, `"8"`, 1), strings.Replace(good, `"i"`, `""`, 1),
+			strings.Replace(good, `134`, `3`, 1), strings.Replace(good, `127.0.0.1:4`, `nowhere`, 1),
+		} {
+			write(bad)
+			_, err := (&settings.Node{File: file}).Reload()
+			Expect(err).To(MatchError(ContainSubstring("last good settings hold")), bad)
+		}
+	})
+})
