Eject an endpoint without an answer only if it answers nothing else

An endpoint is ejected now if it has answered nothing since the unanswered request began. Ruled out: a fault of the endpoints (they answered 30 other requests in the same seconds).

--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -24,8 +24,6 @@
 	otherDomainLoad = 0.1
 	// failureLoad weighs the recent failure rate against the load.
 	failureLoad = 2
-	// hardTimeoutPart is the part of a route's limit after which an endpoint that did not answer counts as unreachable.
-	hardTimeoutPart = 0.4
 )
 
 // plain sends the request to one endpoint after the other until it is answered or may not be repeated.
@@ -146,18 +144,25 @@
 	now := r.Boot()
 	switch {
 	case err == nil:
-		r.Health.Succeeded(ep.ID)
+		r.Health.Succeeded(ep.ID, now)
 	case r.ctx.Err() != nil && now < r.deadline:
 		// The caller is gone, which says nothing about the endpoint.
 	default:
-		unanswered := errors.Is(err, context.DeadlineExceeded) && float64(now-began) > hardTimeoutPart*float64(r.route.Timeout)
-		unreachable := errors.Is(err, routing.ErrMisdirected) || errors.Is(err, routing.ErrNotRun) && health.Unreachable(err)
-		if r.Health.Failed(ep.ID, unanswered || unreachable, now) {
+		if r.failed(ep, err, began, now) {
 			r.Logger.Warn().Str("event", "endpoint.ejected").Str("endpoint", ep.ID).Err(err).Msg("")
 		}
 	}
 }
 
+// failed records a failed send and reports whether it ejects the endpoint.
+func (r *run) failed(ep routing.Endpoint, err error, began, now time.Duration) bool {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return r.Health.Unanswered(ep.ID, began, now)
+	}
+	unreachable := errors.Is(err, routing.ErrMisdirected) || errors.Is(err, routing.ErrNotRun) && health.Unreachable(err)
+	return r.Health.Failed(ep.ID, unreachable, now)
+}
+
 // errFailure is an endpoint's own failure that another endpoint may not have.
 var errFailure = errors.New("the endpoint answered with a failure")
 
--- a/router/internal/domain/health/health.go
+++ b/router/internal/domain/health/health.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -33,15 +34,20 @@
 type Tracker struct {
 	mu      sync.Mutex
 	records map[string]*record
+	// answered is when each endpoint has answered last.
+	answered map[string]time.Duration
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{records: map[string]*record{}} }
+func NewTracker() *Tracker {
+	return &Tracker{records: map[string]*record{}, answered: map[string]time.Duration{}}
+}
 
 // Succeeded records an answer of the endpoint.
-func (t *Tracker) Succeeded(endpoint string) {
+func (t *Tracker) Succeeded(endpoint string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answered[endpoint] = now
 	r := t.records[endpoint]
 	if r == nil {
 		return
@@ -76,6 +82,26 @@
 	return ejected
 }
 
+// Unanswered records a request that got no answer since it began, and reports whether it ejects the endpoint. An endpoint
+// that has answered nothing else in that time cannot be reached. Where it has, the request alone took long.
+func (t *Tracker) Unanswered(endpoint string, began, now time.Duration) (ejected bool) {
+	t.mu.Lock()
+	answered, ever := t.answered[endpoint]
+	t.mu.Unlock()
+	if ever && answered >= began {
+		return false
+	}
+	return t.Failed(endpoint, true, now)
+}
+
+// Forget removes what is known of endpoints that are not in the list any more.
+func (t *Tracker) Forget(listed func(endpoint string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.records, func(id string, _ *record) bool { return !listed(id) })
+	maps.DeleteFunc(t.answered, func(id string, _ time.Duration) bool { return !listed(id) })
+}
+
 // FailureRate returns the recent part of failures, from 0 to 1.
 func (t *Tracker) FailureRate(endpoint string) float64 {
 	t.mu.Lock()
--- a/router/internal/domain/health/health_test.go
+++ b/router/internal/domain/health/health_test.go
@@ -46,6 +46,25 @@
 		Expect(health.Usable(t, all, id, 0)).To(Equal(all))
 	})
 
+	// Guards against requests that take longer than their route allows and eject endpoints that answer all others (found in
+	// incident inc-7394).
+	It("ejects an endpoint for a request without an answer only if it answers nothing else", func() {
+		t := health.NewTracker()
+		t.Succeeded("a", 2*time.Second)
+		Expect(t.Unanswered("a", time.Second, 3*time.Second)).To(BeFalse())
+		Expect(health.Usable(t, all, id, 3*time.Second)).To(Equal(all))
+		Expect(t.Unanswered("a", 2500*time.Millisecond, 4*time.Second)).To(BeTrue())
+		Expect(health.Usable(t, all, id, 4*time.Second)).To(Equal([]string{"b", "c"}))
+		Expect(t.Unanswered("b", time.Second, 4*time.Second)).To(BeTrue(), "it has never answered")
+	})
+
+	It("forgets endpoints that are not listed any more", func() {
+		t := health.NewTracker()
+		t.Failed("a", true, 0)
+		t.Forget(func(string) bool { return false })
+		Expect(t.FailureRate("a")).To(BeZero())
+	})
+
 	It("tells the recent failure rate and forgets it with successes", func() {
 		t := health.NewTracker()
 		Expect(t.FailureRate("a")).To(BeZero())
@@ -54,7 +73,7 @@
 		}
 		Expect(t.FailureRate("a")).To(BeNumerically(">", 0.8))
 		for range 60 {
-			t.Succeeded("a")
+			t.Succeeded("a", 0)
 		}
 		Expect(t.FailureRate("a")).To(BeNumerically("<", 0.02))
 	})
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -195,11 +195,21 @@
 				return
 			case <-ticker.C:
 				endpoints.CloseIdle()
+				n.forgetEndpoints()
 			}
 		}
 	}()
 }
 
+// forgetEndpoints drops the outcomes of endpoints that are gone.
+func (n *Node) forgetEndpoints() {
+	listed := do.MustInvoke[*mirror.Mirror](n.injector).Endpoints().ByID
+	do.MustInvoke[*health.Tracker](n.injector).Forget(func(id string) bool {
+		_, known := listed[id]
+		return known
+	})
+}
+
 type listener struct {
 	address string
 	handler http.Handler
