--- a/router/cmd/tanagerwood/command.go
+++ b/router/cmd/tanagerwood/command.go
@@ -20,7 +20,7 @@
 	"tanagerwood.dev/router/internal/settings"
 )
 
-// Exit codes of all subcommands; docs/operations.md lists them for operators.
+// Exit codes of all subcommands; docs/OPERATIONS.md lists them for operators.
 const (
 	exitOK = subcommands.ExitSuccess
 	// exitProblems: the input is not valid, or the operation was refused.
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -274,7 +274,7 @@
 		return fault.Wrap(err, fault.CallerGone, r.outcome(), "the caller is gone")
 	}
 	if r.begun {
-		return errors.Join(ErrAborted, err)
+		return errors.Join(ErrAborted, fault.Wrap(err, fault.EndpointFailed, openai.Partial, "the answer broke off"))
 	}
 	var typed *fault.Error
 	if errors.As(err, &typed) && typed.Kind != fault.CallerGone {
