--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -88,8 +88,6 @@
 	Endpoint routing.Endpoint
 	// Reservation is nil if the engine grants none.
 	Reservation *routing.Reservation
-	// Waited is how long the request waited for the place.
-	Waited time.Duration
 
 	dispatcher *Dispatcher
 	service    string
@@ -195,7 +193,7 @@
 		}
 		err = d.reserve(ctx, p)
 		if err == nil {
-			p.Waited = d.Boot() - began
+			d.granted(job, p, d.Boot()-began)
 			d.Changed()
 			return p, nil
 		}
@@ -203,6 +201,15 @@
 	}
 }
 
+// granted writes the line of a place with what decided: the engine's work as far as this instance knows it, and how many
+// instances it knows that from.
+func (d *Dispatcher) granted(job *Job, p *Place, waited time.Duration) {
+	known := d.Book.At(p.Endpoint.ID)
+	d.Logger.Info().Str("event", "place.granted").Str("request", job.RequestID).Str("endpoint", p.Endpoint.ID).
+		Int("requests", known.Requests).Int64("tokens", known.Tokens).Int("instances", d.Instances()).
+		Int64("waited_ms", waited.Milliseconds()).Msg("")
+}
+
 // candidates lists the decode engines of a service.
 func (d *Dispatcher) candidates(service string, now time.Duration) []engines.Candidate {
 	endpoints := health.Usable(d.Health, d.State.Stage(service, routing.Decode), endpointID, now)
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -53,12 +53,13 @@
 
 // tryModel makes one attempt: a place at a decode engine, the prefill, and the stream.
 func (r *run) tryModel() error {
+	began := r.Boot()
 	place, err := r.Dispatcher.Place(r.ctx, r.job())
+	r.times.waited += r.Boot() - began
 	if err != nil {
 		return err
 	}
 	defer place.Release()
-	r.times.waited += place.Waited
 	handle, err := r.prefill(place)
 	if err != nil {
 		return err
