--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -40,8 +40,9 @@
 	forgottenAfter = time.Minute
 	// hearTime is how long a new instance waits for the states of the others once it knows them.
 	hearTime = 100 * time.Millisecond
-	// behindFor is how long a peer may know something newer before its copy is fetched; the platform is usually faster.
-	behindFor = 300 * time.Millisecond
+	// behindFor is how long a peer may know something newer before its copy is fetched: longer than the mirror's pause
+	// between calls of the platform.
+	behindFor = 700 * time.Millisecond
 	// fetchTimeout bounds the fetch of a copy.
 	fetchTimeout = time.Second
 	// registerPause is the time between attempts to register.
--- a/router/internal/app/mirror/mirror.go
+++ b/router/internal/app/mirror/mirror.go
@@ -23,6 +23,9 @@
 	// watchTime is how long a watch waits, so that an idle instance makes less than 0.2 calls a second. Connections that go
 	// silent are found by keep-alive probes, and by what other instances know.
 	watchTime = 12 * time.Second
+	// batchPause is the pause after a change, so that changes in quick succession share a call of the platform. It is short
+	// next to the 2 s within which a change must be in force.
+	batchPause = 400 * time.Millisecond
 	// minPause and maxPause bound the pause after a failed call of the platform.
 	minPause = 100 * time.Millisecond
 	maxPause = time.Second
@@ -168,7 +171,11 @@
 			if away {
 				m.logger.Info().Str("event", "platform.regained").Str("feed", what).Dur("away", m.boot()-reached).Msg("")
 			}
+			changed := revision != 0 && revision != next
 			revision, pause, reached, away = next, minPause, m.boot(), false
+			if changed {
+				periodic.Sleep(ctx, batchPause)
+			}
 			continue
 		case interrupted:
 			continue
