Remove instances that are gone from the platform's list; use plain names

Entries of instances that were removed for good stayed in the list, so that every instance that started expected them and counted their share of the rates as spent for a minute. The first of the instances that are heard removes them now (the spec failed before: the entry was still listed). Methods that were called by figures of speech have plain names.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -126,19 +126,19 @@
 
 // Run looks at the waiting requests until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	periodic.Run(ctx, checkPeriod, func(context.Context) { d.Kick() })
+	periodic.Run(ctx, checkPeriod, func(context.Context) { d.Dispatch() })
 }
 
-// Kick grants places that may have become free.
-func (d *Dispatcher) Kick() {
+// Dispatch grants places that may have become free.
+func (d *Dispatcher) Dispatch() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.kickAll()
+	d.dispatchAll()
 }
 
-func (d *Dispatcher) kickAll() {
+func (d *Dispatcher) dispatchAll() {
 	for service := range d.lists {
-		d.kick(service)
+		d.dispatchService(service)
 	}
 }
 
@@ -273,7 +273,7 @@
 	d.mu.Lock()
 	list := d.list(job.Service)
 	list.Add(entry)
-	d.kick(job.Service)
+	d.dispatchService(job.Service)
 	waits := len(granted) == 0
 	waiting := list.Len()
 	d.mu.Unlock()
@@ -331,9 +331,9 @@
 	return l
 }
 
-// kick refuses requests that have waited for too long, and grants the places that are free to the requests of all
+// dispatchService refuses requests that have waited for too long, and grants the places that are free to the requests of all
 // instances in order. As many late requests may wait here as this instance's part of the slots.
-func (d *Dispatcher) kick(service string) {
+func (d *Dispatcher) dispatchService(service string) {
 	list := d.lists[service]
 	if list.Len() == 0 {
 		return
@@ -403,7 +403,7 @@
 		}
 		d.mu.Lock()
 		delete(d.full, p.Endpoint.ID)
-		d.kickAll()
+		d.dispatchAll()
 		d.mu.Unlock()
 	})
 }
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -73,7 +73,7 @@
 			if other != in {
 				other.book.Hear(in.name, own)
 				other.Hear(in.name, waiting)
-				other.Kick()
+				other.Dispatch()
 			}
 		}
 	})
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -40,14 +40,14 @@
 		if err == nil {
 			return nil
 		}
-		if r.hopeless(err) || !r.mayRetry(err) {
+		if r.isFinal(err) || !r.mayRetry(err) {
 			return err
 		}
 	}
 }
 
-// hopeless reports whether another attempt cannot help.
-func (r *run) hopeless(err error) bool {
+// isFinal reports whether another attempt cannot help.
+func (r *run) isFinal(err error) bool {
 	return fault.Is(err, fault.Overloaded) || fault.Is(err, fault.CallerGone) || r.begun && !r.route.Resumable
 }
 
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -93,8 +93,8 @@
 	Waiting() []waitlist.Request
 	// Hear replaces what another instance has told.
 	Hear(instance string, requests []waitlist.Request)
-	// Kick is called after each message that was taken over.
-	Kick()
+	// Dispatch is called after each message that was taken over.
+	Dispatch()
 }
 
 // Deps are what a Service works with.
@@ -134,7 +134,7 @@
 	// toldWaiting is the number of waiting requests in the last message.
 	toldWaiting int
 
-	nudges chan struct{}
+	announced chan struct{}
 	// others is the number of peers, which is read while other locks are held.
 	others atomic.Int64
 	// met is the time since boot at which other instances became known; zero before.
@@ -143,13 +143,13 @@
 
 // New returns a service.
 func New(d Deps) *Service {
-	return &Service{Deps: d, peers: map[string]*peer{}, nudges: make(chan struct{}, 1)}
+	return &Service{Deps: d, peers: map[string]*peer{}, announced: make(chan struct{}, 1)}
 }
 
-// Nudge has the changes told at once.
-func (s *Service) Nudge() {
+// Announce has the changes told at once.
+func (s *Service) Announce() {
 	select {
-	case s.nudges <- struct{}{}:
+	case s.announced <- struct{}{}:
 	default:
 	}
 }
@@ -161,19 +161,19 @@
 	wg.Go(func() { s.tellChanges(ctx) })
 	for ctx.Err() == nil {
 		s.Tell(false)
-		s.tend()
+		s.expirePeers()
 		periodic.Sleep(ctx, s.period())
 	}
 	wg.Wait()
 }
 
-// tellChanges sends partial messages after nudges. Nudges within a short time share a message.
+// tellChanges sends partial messages after announced. Nudges within a short time share a message.
 func (s *Service) tellChanges(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.nudges:
+		case <-s.announced:
 		}
 		periodic.Sleep(ctx, changeDelay)
 		s.tellPartial()
@@ -260,14 +260,14 @@
 	if err != nil {
 		return err
 	}
-	s.meet(list)
+	s.addInstances(list)
 	s.Tell(false)
 	s.Logger.Info().Str("event", "instance.registered").Int("instances", len(list)).Msg("")
 	return nil
 }
 
-// meet makes instances known from a list.
-func (s *Service) meet(list []routing.Instance) {
+// addInstances makes instances known from a list.
+func (s *Service) addInstances(list []routing.Instance) {
 	s.met.CompareAndSwap(0, int64(s.Boot()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -341,7 +341,7 @@
 		s.Book.Hear(m.Sender.Name, m.Work)
 	}
 	s.Queue.Hear(m.Sender.Name, m.Waiting)
-	s.Queue.Kick()
+	s.Queue.Dispatch()
 }
 
 // answer sends the whole state to an instance that has just started, which must not decide without it for a period.
@@ -407,7 +407,7 @@
 		return
 	}
 	s.Mirror.Adopt(state.Copy, address)
-	s.meet(state.Instances)
+	s.addInstances(state.Instances)
 	s.Tell(false)
 }
 
@@ -422,8 +422,8 @@
 	return state
 }
 
-// tend notes silent instances and forgets those that are gone.
-func (s *Service) tend() {
+// expirePeers notes silent instances and forgets those that are gone.
+func (s *Service) expirePeers() {
 	now, period := s.Boot(), s.period()
 	s.Limiter.SetSilence(silentPeriods * period)
 	var silent, gone []string
@@ -445,6 +445,31 @@
 	}
 	for _, name := range gone {
 		s.forget(name, "silent")
+		if s.first() {
+			go s.unlist(name)
+		}
+	}
+}
+
+// first reports whether this instance has the smallest name of those that are heard, so that one of them acts for all.
+func (s *Service) first() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.peers {
+		if !p.silent && name < s.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// unlist removes an instance that is gone from the platform's list, where instances that start would expect it. One that
+// was cut off only goes on, since the others hear it without the list.
+func (s *Service) unlist(name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if err := s.Registry.RemoveInstance(ctx, name); err != nil {
+		s.Logger.Warn().Str("event", "instance.not_unlisted").Str("peer", name).Err(err).Msg("")
 	}
 }
 
--- a/router/internal/app/gossip/gossip_test.go
+++ b/router/internal/app/gossip/gossip_test.go
@@ -27,6 +27,7 @@
 	cut      map[string]bool
 	listed   map[string]routing.Instance
 	storeErr error
+	removals int
 }
 
 type node struct {
@@ -64,7 +65,13 @@
 	return out, n.storeErr
 }
 
-func (n *network) RemoveInstance(context.Context, string) error { return nil }
+func (n *network) RemoveInstance(_ context.Context, name string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.removals++
+	delete(n.listed, name)
+	return nil
+}
 
 func (n *network) reach(from, to string) *node {
 	n.mu.Lock()
@@ -107,7 +114,7 @@
 	q.heard[instance] = len(requests)
 }
 
-func (queue) Kick() {}
+func (queue) Dispatch() {}
 
 func (n *node) heardFrom(instance string) int {
 	n.mu.Lock()
@@ -186,7 +193,7 @@
 		a.mu.Lock()
 		a.waiting = []waitlist.Request{{Service: "m"}}
 		a.mu.Unlock()
-		a.Nudge()
+		a.Announce()
 		time.Sleep(10 * time.Millisecond)
 		if got := b.book.At("e"); got.Tokens != 7000 || b.heardFrom("a") != 1 {
 			t.Error("not told:", got, b.heardFrom("a"))
@@ -195,7 +202,7 @@
 		a.mu.Lock()
 		a.waiting = nil
 		a.mu.Unlock()
-		a.Nudge()
+		a.Announce()
 		time.Sleep(10 * time.Millisecond)
 		if got := b.book.At("e"); got != (work.Amount{}) || b.heardFrom("a") != 0 {
 			t.Error("the end was not told:", got, b.heardFrom("a"))
@@ -223,7 +230,7 @@
 				}
 				if ok, _ := nd.limiter.Take(customer, 500, time.Since(start)+30*365*24*time.Hour); ok {
 					admitted += 500
-					nd.Nudge()
+					nd.Announce()
 				}
 			}
 		}
@@ -260,10 +267,17 @@
 		if got := a.book.At("e").Requests; got != 0 || a.Size() != 2 {
 			t.Error("a silent one still counts as an instance, its work does not:", got, a.Size())
 		}
+		d := n.start(t, "d", 1)
 		time.Sleep(time.Minute)
-		if a.Size() != 1 {
+		if a.Size() != 2 {
 			t.Error("a silent instance is forgotten in the end")
 		}
+		n.mu.Lock()
+		if _, listed := n.listed["b"]; listed || n.removals != 1 {
+			t.Error("it is to be removed from the list, once:", n.listed, n.removals)
+		}
+		n.mu.Unlock()
+		d.stop()
 		a.stop()
 	})
 }
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -308,7 +308,7 @@
 			Engines: do.MustInvoke[*platform.Endpoints](i), State: state{do.MustInvoke[*mirror.Mirror](i)},
 			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
 			Instances: func() int { return do.MustInvoke[*gossip.Service](i).Size() },
-			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Nudge() }, Boot: boot, Logger: logger,
+			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Announce() }, Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*forward.Path, error) {
@@ -319,7 +319,7 @@
 			Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
 			Instances: func() int { return do.MustInvoke[*gossip.Service](i).Size() },
 			Joined:    func() bool { return do.MustInvoke[*gossip.Service](i).Joined() },
-			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Nudge() }, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
+			Random:    rand.Float64, Changed: func() { do.MustInvoke[*gossip.Service](i).Announce() }, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*front.Handler, error) {
