--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -40,6 +40,7 @@
 		e.checkLeaving(s)
 	}
 	e.checkUnasked()
+	e.checkOrders()
 	e.checkRollback()
 	e.checkQuota()
 	e.checkGone()
@@ -249,6 +250,15 @@
 	}
 }
 
+// checkOrders: a server is ordered by one instance at most, and only once.
+func (e *evidence) checkOrders() {
+	for id, b := range e.servers {
+		if orders := b.server.Orders(); len(orders) > 1 {
+			e.add("one order", "", "%s got %d orders, from %s and %s", id, len(orders), orders[0].Holder, orders[1].Holder)
+		}
+	}
+}
+
 // checkQuota: the limited customer gets no more than its rate and burst allow.
 func (e *evidence) checkQuota() {
 	type use struct{ sent, ran time.Time }
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -104,6 +104,12 @@
 		}),
 		Entry("a leaving server that gets requests", "leaving servers", func(e *evidence, _ *sent) { e.servers["c1"].leaving = at(7) }),
 		Entry("a request that nobody sent", "unasked", func(e *evidence, s *sent) { e.runs["x"] = e.runs[s.id] }),
+		Entry("two orders to a server", "one order", func(e *evidence, _ *sent) {
+			engine := standin.NewServer("p1", "prefill")
+			e.servers["p1"] = &serverBoot{server: engine}
+			engine.Obey(standin.Order{Stage: "decode", Holder: "router-1"})
+			Eventually(func() int { return engine.Obey(standin.Order{Stage: "prefill", Holder: "router-2"}) }).Should(Equal(http.StatusAccepted))
+		}),
 		Entry("a customer above its rate", "rate", func(e *evidence, _ *sent) {
 			for range 60 {
 				e.served(limited, "limited-"+time.Duration(len(e.sent)).String(), "c1", 11)
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -88,7 +88,10 @@
 			{Name: "brief", Prefix: "/brief/", Service: modelService, Kind: standin.Streaming, Timeout: streamTimeout, Attempts: 1},
 			{Name: "digest", Prefix: "/digest/", Service: modelService, Kind: standin.Streaming, Timeout: streamTimeout, Attempts: 2, Resumable: true},
 		},
-		Services: []standin.Service{{Name: counterService}, {Name: otherService}, {Name: modelService, Slots: engineSlots, Lease: lease}},
+		Services: []standin.Service{
+			{Name: counterService}, {Name: otherService},
+			{Name: modelService, Slots: engineSlots, Lease: lease, SwitchTime: switchTime},
+		},
 		Customers: []standin.Customer{
 			{Name: plantName, Keys: []string{plantKey}, Rate: plenty, Burst: plenty},
 			{Name: limitedName, Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedRate},
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -24,6 +24,7 @@
 	plainSlots   = 6
 	engineSlots  = 6
 	lease        = time.Second
+	switchTime   = time.Second
 	// lapse is how long the entry of a crashed server stays in the store.
 	lapse = 1500 * time.Millisecond
 )
@@ -42,8 +43,10 @@
 type serverBoot struct {
 	server  *standin.Server
 	service string
-	http    *http.Server
-	path    *Proxy
+	// stage is what the server says of itself.
+	stage string
+	http  *http.Server
+	path  *Proxy
 	// leaving is when the store acknowledged that the server is leaving; zero if it did not say so.
 	leaving time.Time
 	// gone is when it crashed or exited.
@@ -52,7 +55,7 @@
 
 func (m *machine) entry(b *serverBoot, leaving bool) standin.Entry {
 	return standin.Entry{
-		ID: b.server.ID, Service: m.service, Address: b.path.Address(), Domain: m.domain, Stage: m.stage, Slots: b.server.Slots, Leaving: leaving,
+		ID: b.server.ID, Service: m.service, Address: b.path.Address(), Domain: m.domain, Stage: b.stage, Slots: b.server.Slots, Leaving: leaving,
 	}
 }
 
@@ -74,13 +77,25 @@
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
-	b := &serverBoot{server: server, service: m.service, http: &http.Server{Handler: server}, path: path}
-	go b.http.Serve(l) //nolint:errcheck // ends when the server is closed
+	b := &serverBoot{server: server, service: m.service, stage: m.stage, http: &http.Server{Handler: server}, path: path}
 	m.current, m.boots = b, append(m.boots, b)
+	server.SwitchTime = switchTime
+	server.Switched = func(stage string) { m.switched(b, stage) }
 	m.store.Enter(m.entry(b, false))
+	go b.http.Serve(l) //nolint:errcheck // ends when the server is closed
 	return nil
 }
 
+// switched enters the new stage of a server, unless it has crashed or is leaving.
+func (m *machine) switched(b *serverBoot, stage string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current == b {
+		b.stage = stage
+		m.store.Enter(m.entry(b, false))
+	}
+}
+
 // now returns the current server, or nil while none runs.
 func (m *machine) now() *serverBoot {
 	m.mu.Lock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -130,7 +130,7 @@
 	for _, group := range []struct {
 		service, stage string
 		count          int
-	}{{counterService, "", 3}, {otherService, "", 2}, {modelService, "prefill", 2}, {modelService, "decode", 3}} {
+	}{{counterService, "", 3}, {otherService, "", 2}, {modelService, "prefill", 4}, {modelService, "decode", 3}} {
 		name := group.service
 		if group.stage != "" {
 			name = group.stage
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +16,7 @@
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/domain/work"
 )
@@ -49,29 +48,6 @@
 	registerPause = 500 * time.Millisecond
 )
 
-// Message is what an instance tells the others.
-type Message struct {
-	Sender   routing.Instance `json:"sender"`
-	Sequence uint64           `json:"seq"`
-	// Config and Endpoints are the revisions that the sender knows.
-	Config    uint64                 `json:"config"`
-	Endpoints uint64                 `json:"endpoints"`
-	Spent     map[string]int64       `json:"spent,omitempty"`
-	Work      map[string]work.Amount `json:"work,omitempty"`
-	// Waiting lists the sender's requests that wait for a place, also in partial messages.
-	Waiting []waitlist.Request `json:"waiting,omitempty"`
-	// Stopped is set in the last message of an instance that stops as planned.
-	Stopped bool `json:"stopped,omitempty"`
-	// Partial messages hold only what has changed since the sender's last message.
-	Partial bool `json:"partial,omitempty"`
-}
-
-// State is what an instance gives to one that asks.
-type State struct {
-	Copy      mirror.Copy        `json:"copy"`
-	Instances []routing.Instance `json:"instances"`
-}
-
 // Transport carries messages. Addresses are IP:PORT.
 type Transport interface {
 	// Send sends a message that may get lost.
@@ -107,10 +83,12 @@
 	Limiter   *sharedlimit.Limiter
 	Book      *work.Book
 	Queue     Queue
+	Marks     *stages.Marks
 	Boot      func() time.Duration
 	Logger    *log.Logger
 }
 
+// peer is what is known of another instance.
 type peer struct {
 	instance routing.Instance
 	sequence uint64
@@ -167,57 +145,6 @@
 	wg.Wait()
 }
 
-// tellChanges sends partial messages after announced. Nudges within a short time share a message.
-func (s *Service) tellChanges(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.announced:
-		}
-		periodic.Sleep(ctx, changeDelay)
-		s.tellPartial()
-	}
-}
-
-func (s *Service) tellPartial() {
-	config, endpoints := s.Mirror.Revisions()
-	s.mu.Lock()
-	spent, own := s.Limiter.Spent(), s.Book.Own()
-	changedSpent, changedWork := changes(s.toldSpent, spent), changes(s.toldWork, own)
-	waiting := s.Queue.Waiting()
-	if len(changedSpent)+len(changedWork)+len(waiting)+s.toldWaiting == 0 {
-		s.mu.Unlock()
-		return
-	}
-	s.toldSpent, s.toldWork, s.toldWaiting = spent, own, len(waiting)
-	s.sequence++
-	m := Message{
-		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: changedSpent, Work: changedWork,
-		Waiting: waiting, Partial: true,
-	}
-	addresses := s.addresses()
-	s.mu.Unlock()
-	s.send(m, addresses)
-}
-
-// changes returns the entries of now that differ from those of before. Entries that are missing have become zero.
-func changes[V comparable](before, now map[string]V) map[string]V {
-	out := map[string]V{}
-	for key, value := range now {
-		if old, known := before[key]; !known || old != value {
-			out[key] = value
-		}
-	}
-	var zero V
-	for key := range before {
-		if _, left := now[key]; !left {
-			out[key] = zero
-		}
-	}
-	return out
-}
-
 func (s *Service) period() time.Duration {
 	return max(basePeriod, time.Duration(s.Size())*periodPerPeer)
 }
@@ -280,210 +207,3 @@
 		s.Limiter.Expect(in.Name)
 	}
 }
-
-// Tell sends the present state to all other instances.
-func (s *Service) Tell(stopped bool) {
-	s.mu.Lock()
-	m := s.whole()
-	m.Stopped = stopped
-	s.toldSpent, s.toldWork, s.toldWaiting = m.Spent, m.Work, len(m.Waiting)
-	addresses := s.addresses()
-	s.mu.Unlock()
-	s.send(m, addresses)
-}
-
-// whole returns the whole state; s.mu is held.
-func (s *Service) whole() Message {
-	config, endpoints := s.Mirror.Revisions()
-	s.sequence++
-	return Message{
-		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: s.Limiter.Spent(), Work: s.Book.Own(),
-		Waiting: s.Queue.Waiting(),
-	}
-}
-
-// addresses lists the peers' addresses; s.mu is held.
-func (s *Service) addresses() []string {
-	addresses := make([]string, 0, len(s.peers))
-	for _, p := range s.peers {
-		addresses = append(addresses, p.instance.Address)
-	}
-	return addresses
-}
-
-func (s *Service) send(m Message, addresses []string) {
-	for _, address := range addresses {
-		if err := s.Transport.Send(address, m); err != nil && !errors.Is(err, net.ErrClosed) {
-			s.Logger.Debug().Str("event", "message.not_sent").Str("to", address).Err(err).Msg("")
-		}
-	}
-}
-
-// Hear takes a message over.
-func (s *Service) Hear(m Message) {
-	now := s.Boot()
-	newer, started := s.heard(m, now)
-	if started {
-		s.answer(m.Sender.Address)
-	}
-	if !newer {
-		return
-	}
-	s.Limiter.Hear(m.Sender.Name, m.Sender.Incarnation, m.Spent, m.Partial, now)
-	switch {
-	case m.Stopped:
-		s.forget(m.Sender.Name, "stopped")
-	case m.Partial:
-		s.Book.Update(m.Sender.Name, m.Work)
-	case m.Work == nil:
-		s.Book.Hear(m.Sender.Name, map[string]work.Amount{})
-	default:
-		s.Book.Hear(m.Sender.Name, m.Work)
-	}
-	s.Queue.Hear(m.Sender.Name, m.Waiting)
-	s.Queue.Dispatch()
-}
-
-// answer sends the whole state to an instance that has just started, which must not decide without it for a period.
-func (s *Service) answer(address string) {
-	s.mu.Lock()
-	m := s.whole()
-	s.mu.Unlock()
-	s.send(m, []string{address})
-}
-
-// heard enters the sender and reports whether the message is its newest, and whether it is the first of its life.
-func (s *Service) heard(m Message, now time.Duration) (newer, started bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.peers[m.Sender.Name]
-	if p == nil {
-		p = &peer{silent: true}
-		s.peers[m.Sender.Name] = p
-		s.others.Store(int64(len(s.peers)))
-	}
-	if m.Sender.Incarnation < p.instance.Incarnation || m.Sender.Incarnation == p.instance.Incarnation && m.Sequence <= p.sequence {
-		return false, false
-	}
-	started = m.Sender.Incarnation != p.instance.Incarnation || p.sequence == 0
-	if p.silent || started {
-		s.Logger.Info().Str("event", "instance.heard").Str("peer", m.Sender.Name).Uint64("incarnation", m.Sender.Incarnation).Msg("")
-	}
-	p.instance, p.sequence, p.heard, p.silent = m.Sender, m.Sequence, now, false
-	s.compare(p, m, now)
-	return true, started
-}
-
-// compare fetches the peer's copy if it has known something newer for a while, or if this instance knows nothing.
-func (s *Service) compare(p *peer, m Message, now time.Duration) {
-	config, endpoints := s.Mirror.Revisions()
-	if m.Config <= config && m.Endpoints <= endpoints {
-		p.behind = 0
-		return
-	}
-	if p.behind == 0 {
-		p.behind = now
-	}
-	if s.fetching || config > 0 && now-p.behind < behindFor {
-		return
-	}
-	s.fetching = true
-	p.behind = now
-	s.Mirror.Refresh()
-	address := p.instance.Address // copied, as later messages replace it under s.mu
-	go func() {
-		s.fetch(context.Background(), address)
-		s.mu.Lock()
-		s.fetching = false
-		s.mu.Unlock()
-	}()
-}
-
-func (s *Service) fetch(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	state, err := s.Transport.Fetch(ctx, address)
-	if err != nil {
-		s.Logger.Info().Str("event", "state.not_fetched").Str("from", address).Err(err).Msg("")
-		return
-	}
-	s.Mirror.Adopt(state.Copy, address)
-	s.addInstances(state.Instances)
-	s.Tell(false)
-}
-
-// State is what another instance gets that asks.
-func (s *Service) State() State {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	state := State{Copy: s.Mirror.Copy(), Instances: []routing.Instance{s.Self}}
-	for _, p := range s.peers {
-		state.Instances = append(state.Instances, p.instance)
-	}
-	return state
-}
-
-// expirePeers notes silent instances and forgets those that are gone.
-func (s *Service) expirePeers() {
-	now, period := s.Boot(), s.period()
-	s.Limiter.SetSilence(silentPeriods * period)
-	var silent, gone []string
-	s.mu.Lock()
-	for name, p := range s.peers {
-		switch {
-		case now-p.heard > forgottenAfter:
-			gone = append(gone, name)
-		case now-p.heard > max(lostAfter, lostPeriods*period) && !p.silent:
-			p.silent = true
-			silent = append(silent, name)
-		}
-	}
-	s.mu.Unlock()
-	for _, name := range silent {
-		s.Logger.Warn().Str("event", "instance.silent").Str("peer", name).Dur("for", lostAfter).Msg("")
-		s.Book.Hear(name, nil)
-		s.Queue.Hear(name, nil)
-	}
-	for _, name := range gone {
-		s.forget(name, "silent")
-		if s.first() {
-			go s.unlist(name)
-		}
-	}
-}
-
-// first reports whether this instance has the smallest name of those that are heard, so that one of them acts for all.
-func (s *Service) first() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, p := range s.peers {
-		if !p.silent && name < s.Self.Name {
-			return false
-		}
-	}
-	return true
-}
-
-// unlist removes an instance that is gone from the platform's list, where instances that start would expect it. One that
-// was cut off only goes on, since the others hear it without the list.
-func (s *Service) unlist(name string) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	if err := s.Registry.RemoveInstance(ctx, name); err != nil {
-		s.Logger.Warn().Str("event", "instance.not_unlisted").Str("peer", name).Err(err).Msg("")
-	}
-}
-
-func (s *Service) forget(name, reason string) {
-	s.mu.Lock()
-	delete(s.peers, name)
-	s.others.Store(int64(len(s.peers)))
-	s.mu.Unlock()
-	s.Book.Hear(name, nil)
-	s.Queue.Hear(name, nil)
-	s.Limiter.Forget(name)
-	s.Logger.Info().Str("event", "instance.forgotten").Str("peer", name).Str("reason", reason).Msg("")
-}
-
-// Leave tells the others that this instance stops.
-func (s *Service) Leave() { s.Tell(true) }
--- a/router/internal/app/gossip/gossip_test.go
+++ b/router/internal/app/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/domain/work"
 )
@@ -42,6 +43,7 @@
 	mu      sync.Mutex
 	waiting []waitlist.Request
 	heard   map[string]int
+	marks   *stages.Marks
 }
 
 func newNetwork() *network {
@@ -148,11 +150,11 @@
 	t.Helper()
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	boot := func() time.Duration { return time.Since(start) + 30*365*24*time.Hour }
-	nd := &node{network: n, address: name, book: work.NewBook(), limiter: sharedlimit.New(), heard: map[string]int{}}
+	nd := &node{network: n, address: name, book: work.NewBook(), limiter: sharedlimit.New(), marks: stages.NewMarks(), heard: map[string]int{}}
 	nd.mirror = mirror.New(idle{}, quiet, boot)
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
-		Mirror: nd.mirror, Limiter: nd.limiter, Book: nd.book, Queue: queue{nd}, Boot: boot, Logger: quiet,
+		Mirror: nd.mirror, Limiter: nd.limiter, Book: nd.book, Queue: queue{nd}, Marks: nd.marks, Boot: boot, Logger: quiet,
 	})
 	n.mu.Lock()
 	n.nodes[name] = nd
@@ -331,3 +333,30 @@
 		a.stop()
 	})
 }
+
+// Guards against requests that other instances send to an engine which is changing its stage, and against two instances
+// that both believe they act for all.
+func TestTellsEnginesThatAreChanging(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		a, b := n.start(t, "a", 1), n.start(t, "b", 1)
+		time.Sleep(time.Second)
+		if !a.Leads() || b.Leads() {
+			t.Error("leads:", a.Leads(), b.Leads())
+		}
+		a.marks.Set("p1", routing.Decode, a.Boot()+6*time.Second)
+		time.Sleep(time.Second)
+		if to, ok := b.marks.Changing("p1", routing.Prefill, b.Boot()); !ok || to != routing.Decode {
+			t.Error("not told:", to, ok)
+		}
+		a.stop()
+		time.Sleep(4 * time.Second)
+		if !b.Leads() {
+			t.Error("nobody leads after the end of the first")
+		}
+		time.Sleep(2 * time.Second)
+		if _, ok := b.marks.Changing("p1", routing.Prefill, b.Boot()); ok {
+			t.Error("the mark of an instance that ended still holds")
+		}
+	})
+}
--- /dev/null
+++ b/router/internal/app/gossip/peers.go
@@ -0,0 +1,179 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/work"
+)
+
+// Hear takes a message over.
+func (s *Service) Hear(m Message) {
+	now := s.Boot()
+	newer, started := s.heard(m, now)
+	if started {
+		s.answer(m.Sender.Address)
+	}
+	if !newer {
+		return
+	}
+	s.Limiter.Hear(m.Sender.Name, m.Sender.Incarnation, m.Spent, m.Partial, now)
+	switch {
+	case m.Stopped:
+		s.forget(m.Sender.Name, "stopped")
+	case m.Partial:
+		s.Book.Update(m.Sender.Name, m.Work)
+	case m.Work == nil:
+		s.Book.Hear(m.Sender.Name, map[string]work.Amount{})
+	default:
+		s.Book.Hear(m.Sender.Name, m.Work)
+	}
+	if !m.Partial {
+		s.Marks.Hear(m.Sender.Name, m.Changing, now)
+	}
+	s.Queue.Hear(m.Sender.Name, m.Waiting)
+	s.Queue.Dispatch()
+}
+
+// answer sends the whole state to an instance that has just started, which must not decide without it for a period.
+func (s *Service) answer(address string) {
+	s.mu.Lock()
+	m := s.whole()
+	s.mu.Unlock()
+	s.send(m, []string{address})
+}
+
+// heard enters the sender and reports whether the message is its newest, and whether it is the first of its life.
+func (s *Service) heard(m Message, now time.Duration) (newer, started bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peers[m.Sender.Name]
+	if p == nil {
+		p = &peer{silent: true}
+		s.peers[m.Sender.Name] = p
+		s.others.Store(int64(len(s.peers)))
+	}
+	if m.Sender.Incarnation < p.instance.Incarnation || m.Sender.Incarnation == p.instance.Incarnation && m.Sequence <= p.sequence {
+		return false, false
+	}
+	started = m.Sender.Incarnation != p.instance.Incarnation || p.sequence == 0
+	if p.silent || started {
+		s.Logger.Info().Str("event", "instance.heard").Str("peer", m.Sender.Name).Uint64("incarnation", m.Sender.Incarnation).Msg("")
+	}
+	p.instance, p.sequence, p.heard, p.silent = m.Sender, m.Sequence, now, false
+	s.compare(p, m, now)
+	return true, started
+}
+
+// compare fetches the peer's copy if it has known something newer for a while, or if this instance knows nothing.
+func (s *Service) compare(p *peer, m Message, now time.Duration) {
+	config, endpoints := s.Mirror.Revisions()
+	if m.Config <= config && m.Endpoints <= endpoints {
+		p.behind = 0
+		return
+	}
+	if p.behind == 0 {
+		p.behind = now
+	}
+	if s.fetching || config > 0 && now-p.behind < behindFor {
+		return
+	}
+	s.fetching = true
+	p.behind = now
+	s.Mirror.Refresh()
+	address := p.instance.Address // copied, as later messages replace it under s.mu
+	go func() {
+		s.fetch(context.Background(), address)
+		s.mu.Lock()
+		s.fetching = false
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Service) fetch(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	state, err := s.Transport.Fetch(ctx, address)
+	if err != nil {
+		s.Logger.Info().Str("event", "state.not_fetched").Str("from", address).Err(err).Msg("")
+		return
+	}
+	s.Mirror.Adopt(state.Copy, address)
+	s.addInstances(state.Instances)
+	s.Tell(false)
+}
+
+// State is what another instance gets that asks.
+func (s *Service) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := State{Copy: s.Mirror.Copy(), Instances: []routing.Instance{s.Self}}
+	for _, p := range s.peers {
+		state.Instances = append(state.Instances, p.instance)
+	}
+	return state
+}
+
+// expirePeers notes silent instances and forgets those that are gone.
+func (s *Service) expirePeers() {
+	now, period := s.Boot(), s.period()
+	s.Limiter.SetSilence(silentPeriods * period)
+	var silent, gone []string
+	s.mu.Lock()
+	for name, p := range s.peers {
+		switch {
+		case now-p.heard > forgottenAfter:
+			gone = append(gone, name)
+		case now-p.heard > max(lostAfter, lostPeriods*period) && !p.silent:
+			p.silent = true
+			silent = append(silent, name)
+		}
+	}
+	s.mu.Unlock()
+	for _, name := range silent {
+		s.Logger.Warn().Str("event", "instance.silent").Str("peer", name).Dur("for", lostAfter).Msg("")
+		s.Book.Hear(name, nil)
+		s.Queue.Hear(name, nil)
+	}
+	for _, name := range gone {
+		s.forget(name, "silent")
+		if s.Leads() {
+			go s.unlist(name)
+		}
+	}
+}
+
+// Leads reports whether this instance acts for all: it has the smallest name of those that are heard. Instances that do not
+// hear each other may lead at the same time.
+func (s *Service) Leads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.peers {
+		if !p.silent && name < s.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// unlist removes an instance that is gone from the platform's list, where instances that start would expect it. One that
+// was cut off only goes on, since the others hear it without the list.
+func (s *Service) unlist(name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if err := s.Registry.RemoveInstance(ctx, name); err != nil {
+		s.Logger.Warn().Str("event", "instance.not_unlisted").Str("peer", name).Err(err).Msg("")
+	}
+}
+
+func (s *Service) forget(name, reason string) {
+	s.mu.Lock()
+	delete(s.peers, name)
+	s.others.Store(int64(len(s.peers)))
+	s.mu.Unlock()
+	s.Book.Hear(name, nil)
+	s.Queue.Hear(name, nil)
+	s.Limiter.Forget(name)
+	s.Logger.Info().Str("event", "instance.forgotten").Str("peer", name).Str("reason", reason).Msg("")
+}
--- /dev/null
+++ b/router/internal/app/restage/restage.go
@@ -0,0 +1,199 @@
+// Package restage orders engines to change between reading prompts and decoding, so that neither stage idles while requests
+// wait for the other.
+//
+// The instance that leads watches the work and orders; every engine gets at most one order in its life. An exclusive entry
+// on the platform decides which instance sends it, and gives its fencing token: two orders to one engine can neither overlap
+// nor overtake each other, also if instances disagree on who leads, or an order takes effect late.
+package restage
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/domain/engines"
+	"tanagerwood.dev/router/internal/domain/stages"
+	"tanagerwood.dev/router/internal/domain/work"
+)
+
+const (
+	// checkPeriod is the time between samples of the work, which changes within some 100 ms, the time of reading a prompt.
+	checkPeriod = 200 * time.Millisecond
+	// lateEffect is how much longer than the engine's switch time a change may take until requests go to the engine again:
+	// orders may be carried out seconds late.
+	lateEffect = 5 * time.Second
+	// claimValidity is how old a claim may be when its order is sent. An instance that was suspended in between drops it.
+	claimValidity = time.Second
+	// orderTimeout bounds an order, which engines answer at once.
+	orderTimeout = time.Second
+	// unlistedFor is how long an engine must be off the list until its claim is removed: longer than entries lapse for
+	// while the platform's store is away.
+	unlistedFor = time.Minute
+)
+
+// Claims keeps the entries that decide which instance may order an engine.
+type Claims interface {
+	// ClaimEngine creates the engine's entry and returns its fencing token. It fails if there is one.
+	ClaimEngine(ctx context.Context, endpoint, instance string) (token uint64, err error)
+	// RemoveClaim removes the entry of an engine that is gone.
+	RemoveClaim(ctx context.Context, endpoint string) error
+}
+
+// Orders sends orders to engines. Errors that wrap routing.ErrNotRun say that the order is not and will not be carried out.
+type Orders interface {
+	OrderStage(ctx context.Context, ep routing.Endpoint, to routing.Stage, instance string, token uint64) error
+}
+
+// State gives the configuration and the engines in force, without those that are changing.
+type State interface {
+	Services() []*routing.Service
+	Stage(service string, stage routing.Stage) []routing.Endpoint
+	// Changing counts the engines of a service that are changing to the stage.
+	Changing(service string, to routing.Stage) int
+	Listed(endpoint string) bool
+}
+
+// Deps are what a Service works with.
+type Deps struct {
+	// Self is this instance's name, which orders carry as their holder.
+	Self   string
+	State  State
+	Book   *work.Book
+	Marks  *stages.Marks
+	Claims Claims
+	Orders Orders
+	// Leads reports whether this instance is the one that acts.
+	Leads func() bool
+	// Changed is called when marks have changed.
+	Changed func()
+	Boot    func() time.Duration
+	Logger  *log.Logger
+}
+
+// Service watches the work and orders engines. Its methods must not run at the same time.
+type Service struct {
+	Deps
+
+	planners map[string]*stages.Planner
+	// ordered holds the engines that this instance has tried to claim. The time is since when the engine is off the list,
+	// zero while it is on it.
+	ordered map[string]time.Duration
+	// claimed are those of ordered whose claim is this instance's.
+	claimed map[string]bool
+}
+
+// New returns a service.
+func New(d Deps) *Service {
+	return &Service{Deps: d, planners: map[string]*stages.Planner{}, ordered: map[string]time.Duration{}, claimed: map[string]bool{}}
+}
+
+// Run checks until ctx ends.
+func (s *Service) Run(ctx context.Context) { periodic.Run(ctx, checkPeriod, s.Check) }
+
+// Check samples the work and orders at most one engine of each service.
+func (s *Service) Check(ctx context.Context) {
+	s.forget(ctx)
+	if !s.Leads() {
+		clear(s.planners) // what this instance has seen ends here; it may lead again much later
+		return
+	}
+	now := s.Boot()
+	for _, service := range s.State.Services() {
+		if service.Engine != nil && service.Engine.SwitchTime > 0 {
+			s.checkService(ctx, service, now)
+		}
+	}
+}
+
+func (s *Service) checkService(ctx context.Context, service *routing.Service, now time.Duration) {
+	planner := s.planners[service.Name]
+	if planner == nil {
+		planner = &stages.Planner{}
+		s.planners[service.Name] = planner
+	}
+	pool := stages.Pool{
+		Readers: s.engines(service.Name, routing.Prefill), Decoders: s.engines(service.Name, routing.Decode),
+		ToRead: s.State.Changing(service.Name, routing.Prefill), ToDecode: s.State.Changing(service.Name, routing.Decode),
+	}
+	planner.Observe(now, pool, engines.Size{Slots: service.Engine.Slots, Tokens: service.Engine.MemoryTokens})
+	if e, to, ok := planner.Next(now, pool); ok {
+		s.order(ctx, e.Endpoint, to, service.Engine.SwitchTime, pool)
+	}
+}
+
+func (s *Service) engines(service string, stage routing.Stage) []stages.Engine {
+	var out []stages.Engine
+	for _, ep := range s.State.Stage(service, stage) {
+		_, ordered := s.ordered[ep.ID]
+		out = append(out, stages.Engine{Endpoint: ep, Work: s.Book.At(ep.ID), Orderable: !ordered})
+	}
+	return out
+}
+
+// order claims the engine and sends the order. The engine is never claimed again, whatever comes of it: a claim without an
+// answer may have been made, and an order without one may still be carried out.
+func (s *Service) order(ctx context.Context, ep routing.Endpoint, to routing.Stage, switchTime time.Duration, pool stages.Pool) {
+	s.ordered[ep.ID] = 0
+	line := func(err error) *log.Entry {
+		e := s.Logger.Info()
+		if err != nil {
+			e = s.Logger.Warn().Err(err)
+		}
+		return e.Str("endpoint", ep.ID).Str("to", string(to)).Int("readers", len(pool.Readers)).Int("decoders", len(pool.Decoders)).
+			Int("to_read", pool.ToRead).Int("to_decode", pool.ToDecode)
+	}
+	began := s.Boot()
+	token, err := s.Claims.ClaimEngine(ctx, ep.ID, s.Self)
+	if err != nil {
+		line(err).Str("event", "stage.not_claimed").Msg("the engine keeps its stage")
+		return
+	}
+	s.claimed[ep.ID] = true
+	if age := s.Boot() - began; age > claimValidity {
+		line(nil).Str("event", "stage.claim_too_old").Dur("age", age).Msg("the engine keeps its stage")
+		return
+	}
+	s.Marks.Set(ep.ID, to, s.Boot()+switchTime+lateEffect)
+	s.Changed()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err = s.Orders.OrderStage(ctx, ep, to, s.Self, token)
+	if errors.Is(err, routing.ErrNotRun) {
+		s.Marks.Drop(ep.ID)
+		s.Changed()
+		line(err).Str("event", "stage.refused").Uint64("token", token).Msg("")
+		return
+	}
+	line(err).Str("event", "stage.ordered").Uint64("token", token).Msg("")
+}
+
+// forget removes the claims of engines that are gone.
+func (s *Service) forget(ctx context.Context) {
+	now := s.Boot()
+	for id, since := range s.ordered {
+		switch {
+		case s.State.Listed(id):
+			s.ordered[id] = 0
+		case since == 0:
+			s.ordered[id] = now
+		case now-since > unlistedFor:
+			s.remove(ctx, id)
+		}
+	}
+}
+
+func (s *Service) remove(ctx context.Context, id string) {
+	if s.claimed[id] {
+		if err := s.Claims.RemoveClaim(ctx, id); err != nil {
+			s.Logger.Warn().Str("event", "stage.claim_not_removed").Str("endpoint", id).Err(err).Msg("trying again")
+			s.ordered[id] = s.Boot()
+			return
+		}
+	}
+	delete(s.claimed, id)
+	delete(s.ordered, id)
+}
--- /dev/null
+++ b/router/internal/app/restage/restage_test.go
@@ -0,0 +1,187 @@
+package restage_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/app/restage"
+	"tanagerwood.dev/router/internal/domain/stages"
+	"tanagerwood.dev/router/internal/domain/work"
+)
+
+func TestRestage(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "restage")
+}
+
+// fleet is a platform with engines, and a service that decides about them.
+type fleet struct {
+	now      time.Duration
+	listed   map[string]routing.Endpoint
+	book     *work.Book
+	marks    *stages.Marks
+	leads    bool
+	claims   map[string]string
+	claimErr error
+	// claimTakes is how long a claim takes.
+	claimTakes time.Duration
+	orders     []string
+	orderErr   error
+	removed    []string
+	service    *restage.Service
+}
+
+func newFleet(readers, decoders int) *fleet {
+	f := &fleet{listed: map[string]routing.Endpoint{}, book: work.NewBook(), marks: stages.NewMarks(), leads: true, claims: map[string]string{}}
+	for i := range readers {
+		f.list(fmt.Sprint("p", i), routing.Prefill)
+	}
+	for i := range decoders {
+		id := fmt.Sprint("d", i)
+		f.list(id, routing.Decode)
+		f.book.Begin(id, work.Amount{Requests: 10})
+	}
+	f.book.Begin("p0", work.Amount{Requests: 1, Tokens: 5000})
+	f.service = restage.New(restage.Deps{
+		Self: "i-1", State: f, Book: f.book, Marks: f.marks, Claims: f, Orders: f, Leads: func() bool { return f.leads },
+		Changed: func() {}, Boot: func() time.Duration { return f.now }, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	})
+	return f
+}
+
+func (f *fleet) list(id string, stage routing.Stage) {
+	f.listed[id] = routing.Endpoint{ID: id, Service: "m", Stage: stage, Domain: "z"}
+}
+
+func (f *fleet) Services() []*routing.Service {
+	return []*routing.Service{{Name: "m", Engine: &routing.Engine{Slots: 12, MemoryTokens: 100_000, SwitchTime: 6 * time.Second}}, {Name: "plain"}}
+}
+
+func (f *fleet) Stage(_ string, stage routing.Stage) (out []routing.Endpoint) {
+	for _, ep := range f.listed {
+		if _, changing := f.marks.Changing(ep.ID, ep.Stage, f.now); ep.Stage == stage && !changing {
+			out = append(out, ep)
+		}
+	}
+	return out
+}
+
+func (f *fleet) Changing(_ string, to routing.Stage) (n int) {
+	for _, ep := range f.listed {
+		if next, changing := f.marks.Changing(ep.ID, ep.Stage, f.now); changing && next == to {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) Listed(id string) bool {
+	_, ok := f.listed[id]
+	return ok
+}
+
+func (f *fleet) ClaimEngine(_ context.Context, endpoint, instance string) (uint64, error) {
+	f.now += f.claimTakes
+	if f.claimErr != nil {
+		return 0, f.claimErr
+	}
+	if f.claims[endpoint] != "" {
+		return 0, errors.New("conflict")
+	}
+	f.claims[endpoint] = instance
+	return uint64(len(f.claims)), nil
+}
+
+func (f *fleet) RemoveClaim(_ context.Context, endpoint string) error {
+	f.removed = append(f.removed, endpoint)
+	return nil
+}
+
+func (f *fleet) OrderStage(_ context.Context, ep routing.Endpoint, to routing.Stage, instance string, token uint64) error {
+	f.orders = append(f.orders, fmt.Sprintf("%s %s to %s with token %d", instance, ep.ID, to, token))
+	return f.orderErr
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 200 * time.Millisecond {
+		f.service.Check(context.Background())
+	}
+}
+
+var _ = Describe("the service", func() {
+	It("orders the engines that the work does not need, each once, with a token of its own", func() {
+		f := newFleet(6, 12)
+		f.run(9 * time.Second)
+		Expect(f.orders).To(HaveLen(3))
+		Expect(f.orders[0]).To(Equal("i-1 p1 to decode with token 1"))
+		Expect(f.orders).To(ContainElement("i-1 p2 to decode with token 2"))
+		Expect(f.Stage("m", routing.Prefill)).To(HaveLen(3))
+	})
+
+	// Guards against two holders that order one engine, which engines may not notice.
+	It("orders no engine that another instance has claimed, and claims none twice", func() {
+		f := newFleet(6, 12)
+		for i := range 6 {
+			f.claims[fmt.Sprint("p", i)] = "i-2"
+		}
+		f.run(30 * time.Second)
+		Expect(f.orders).To(BeEmpty())
+	})
+
+	It("does nothing unless it leads", func() {
+		f := newFleet(6, 12)
+		f.leads = false
+		f.run(10 * time.Second)
+		Expect(f.orders).To(BeEmpty())
+	})
+
+	// Guards against an order after a suspension, when another instance may have acted on newer work.
+	It("drops a claim that took too long", func() {
+		f := newFleet(6, 12)
+		f.claimTakes = 2 * time.Second
+		f.run(20 * time.Second)
+		Expect(f.orders).To(BeEmpty())
+	})
+
+	It("uses an engine again that refused, and never orders it again", func() {
+		f := newFleet(4, 12)
+		f.orderErr = fmt.Errorf("%w: status 409", routing.ErrNotRun)
+		f.run(20 * time.Second)
+		Expect(f.orders).To(HaveLen(4))
+		Expect(f.Stage("m", routing.Prefill)).To(HaveLen(4))
+	})
+
+	// Guards against requests to an engine that carries an order out late (applied_late).
+	It("keeps requests from an engine whose order got no answer, for a bounded time", func() {
+		f := newFleet(4, 12)
+		f.orderErr = errors.New("reset")
+		f.run(8 * time.Second)
+		Expect(f.orders).To(HaveLen(1))
+		Expect(f.Stage("m", routing.Prefill)).To(HaveLen(3))
+		f.leads = false
+		f.run(10 * time.Second)
+		Expect(f.Stage("m", routing.Prefill)).To(HaveLen(4))
+	})
+
+	It("removes its claims of engines that are gone, after a while", func() {
+		f := newFleet(4, 12)
+		f.run(6 * time.Second)
+		Expect(f.orders).To(HaveLen(1))
+		for id := range f.claims {
+			delete(f.listed, id)
+		}
+		f.run(50 * time.Second)
+		Expect(f.removed).To(BeEmpty())
+		f.run(20 * time.Second)
+		Expect(f.removed).To(HaveLen(1))
+	})
+})
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -68,8 +68,8 @@
 	return c.Work.Tokens+tokens <= size.Tokens || c.Work.Requests == 0
 }
 
-// use is the part of the engine that is in use, of slots or memory, whichever is scarcer.
-func (c Candidate) use(size Size) float64 {
+// Use is the part of the engine that is in use, of slots or memory, whichever is scarcer.
+func (c Candidate) Use(size Size) float64 {
 	slots := float64(c.Work.Requests) / float64(max(1, size.Slots))
 	memory := float64(c.Work.Tokens) / float64(max(1, size.Tokens))
 	return max(slots, memory)
@@ -83,7 +83,7 @@
 		if !c.fits(size, tokens) {
 			continue
 		}
-		use := c.use(size) + failurePenalty*c.FailureRate
+		use := c.Use(size) + failurePenalty*c.FailureRate
 		if c.Endpoint.Domain != domain {
 			use += otherDomainUse
 		}
--- a/router/internal/domain/routetable/routetable.go
+++ b/router/internal/domain/routetable/routetable.go
@@ -17,6 +17,7 @@
 	hosts     map[string][]*routing.Route
 	customers map[string]*routing.Customer
 	services  map[string]*routing.Service
+	listed    []*routing.Service
 }
 
 // New indexes a configuration, which must not change afterwards.
@@ -41,6 +42,7 @@
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
+		t.listed = append(t.listed, &c.Services[i])
 	}
 	return t
 }
@@ -61,6 +63,9 @@
 // Customer returns the customer that holds the key, or nil.
 func (t *Table) Customer(key string) *routing.Customer { return t.customers[key] }
 
+// Services lists all services in the order of the configuration.
+func (t *Table) Services() []*routing.Service { return t.listed }
+
 // Service returns the service of the name, or nil.
 func (t *Table) Service(name string) *routing.Service { return t.services[name] }
 
--- /dev/null
+++ b/router/internal/domain/stages/stages_test.go
@@ -0,0 +1,163 @@
+package stages_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/engines"
+	"tanagerwood.dev/router/internal/domain/stages"
+	"tanagerwood.dev/router/internal/domain/work"
+)
+
+func TestStages(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "stages")
+}
+
+var size = engines.Size{Slots: 12, Tokens: 100_000}
+
+// pool has readers of which some are reading, and decoders with the given requests each.
+func pool(readers, reading, decoders, requests int) stages.Pool {
+	var p stages.Pool
+	for i := range readers {
+		p.Readers = append(p.Readers, engine(fmt.Sprint("p", i), i < reading))
+	}
+	for i := range decoders {
+		e := engine(fmt.Sprint("d", i), false)
+		e.Work.Requests = requests
+		p.Decoders = append(p.Decoders, e)
+	}
+	return p
+}
+
+func engine(id string, busy bool) stages.Engine {
+	e := stages.Engine{Endpoint: routing.Endpoint{ID: id, Domain: "z"}, Orderable: true}
+	if busy {
+		e.Work = work.Amount{Requests: 1, Tokens: 5000}
+	}
+	return e
+}
+
+// play observes the pool five times a second and does what Next asks, as if engines changed at once. It returns the
+// number of readers in the end.
+func play(p *stages.Planner, from, seconds float64, reading, decoding float64, readers, decoders int) int {
+	for at := from; at < from+seconds; at += 0.2 {
+		now := time.Duration(at * float64(time.Second))
+		busy := min(readers, int(reading+0.5))
+		each := min(size.Slots, int(decoding*float64(size.Slots)/float64(decoders)))
+		state := pool(readers, busy, decoders, each)
+		p.Observe(now, state, size)
+		if _, to, ok := p.Next(now, state); ok && to == routing.Decode {
+			readers, decoders = readers-1, decoders+1
+		} else if ok {
+			readers, decoders = readers+1, decoders-1
+		}
+	}
+	return readers
+}
+
+var _ = Describe("a planner", func() {
+	// Guards against requests that wait for decode slots while prefill engines idle (grown sites: 10 of 28 engines read
+	// prompts, of which the work keeps 3 busy, and the decode slots are full).
+	DescribeTable("has as many engines read as the work needs", func(reading, decoding float64, readers, decoders, want int) {
+		Expect(play(&stages.Planner{}, 1, 20, reading, decoding, readers, decoders)).To(Equal(want))
+	},
+		Entry("too many read", 3.0, 15.0, 10, 18, 6),
+		Entry("a small service keeps three", 1.0, 5.0, 4, 5, 3),
+		Entry("enough read", 3.0, 9.0, 3, 6, 3),
+		Entry("too few read", 3.0, 2.0, 3, 9, 4),
+		Entry("decode slots are free", 3.0, 5.0, 10, 18, 10),
+		Entry("an idle service stays as it is", 0.0, 0.1, 10, 18, 10),
+		Entry("a service of few engines stays as it is", 1.0, 3.0, 3, 2, 3),
+	)
+
+	// Guards against orders before the first request: the configuration is known before the engines are (bfq scale-2, 4 s
+	// before its traffic).
+	It("orders nothing without work, also when it begins with no engines", func() {
+		p := &stages.Planner{}
+		p.Observe(time.Second, stages.Pool{}, size)
+		for at := range 60 {
+			now := 2*time.Second + time.Duration(at)*200*time.Millisecond
+			p.Observe(now, pool(4, 0, 5, 0), size)
+			_, _, ok := p.Next(now, pool(4, 0, 5, 0))
+			Expect(ok).To(BeFalse())
+		}
+	})
+
+	It("waits until the work is known", func() {
+		p := &stages.Planner{}
+		Expect(play(p, 1, 3.8, 3, 15, 10, 18)).To(Equal(10))
+	})
+
+	// Guards against streams that are driven from their engine for a burst of prompts.
+	It("takes an engine from decoding only if reading stays short", func() {
+		p := &stages.Planner{}
+		Expect(play(p, 1, 4, 3, 2, 3, 9)).To(Equal(3))
+	})
+
+	It("chooses an engine without an order, in the domain that has most, with the least work", func() {
+		p := &stages.Planner{}
+		state := pool(8, 0, 18, 10)
+		state.Readers[0].Endpoint.Domain = "other"
+		state.Readers[1].Orderable = false
+		state.Readers[2].Work = work.Amount{Requests: 1, Tokens: 900}
+		for at := range 20 {
+			p.Observe(time.Duration(at+1)*200*time.Millisecond, state, size)
+		}
+		e, to, ok := p.Next(5*time.Second, state)
+		Expect(ok).To(BeTrue())
+		Expect(to).To(Equal(routing.Decode))
+		Expect(e.Endpoint.ID).To(Equal("p3"))
+	})
+
+	// Guards against more orders while engines are still changing.
+	It("counts engines that are changing", func() {
+		p := &stages.Planner{}
+		state := pool(6, 3, 18, 10)
+		state.ToDecode = 4
+		for at := range 20 {
+			p.Observe(time.Duration(at+1)*200*time.Millisecond, state, size)
+		}
+		_, _, ok := p.Next(5*time.Second, state)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("marks", func() {
+	It("hold until the engine has the stage, or their time is over", func() {
+		m := stages.NewMarks()
+		m.Set("p1", routing.Decode, 10*time.Second)
+		to, ok := m.Changing("p1", routing.Prefill, time.Second)
+		Expect(ok).To(BeTrue())
+		Expect(to).To(Equal(routing.Decode))
+		for _, gone := range []struct {
+			stage routing.Stage
+			now   time.Duration
+		}{{routing.Decode, time.Second}, {routing.Prefill, 10 * time.Second}} {
+			_, ok := m.Changing("p1", gone.stage, gone.now)
+			Expect(ok).To(BeFalse())
+		}
+		m.Drop("p1")
+		_, ok = m.Changing("p1", routing.Prefill, time.Second)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("are told to other instances, whose clocks differ", func() {
+		m, other := stages.NewMarks(), stages.NewMarks()
+		m.Set("p1", routing.Decode, 10*time.Second)
+		other.Hear("i", m.Own(4*time.Second), time.Minute)
+		_, ok := other.Changing("p1", routing.Prefill, time.Minute+5*time.Second)
+		Expect(ok).To(BeTrue())
+		_, ok = other.Changing("p1", routing.Prefill, time.Minute+6*time.Second)
+		Expect(ok).To(BeFalse())
+		Expect(m.Own(10 * time.Second)).To(BeEmpty())
+		other.Hear("i", nil, time.Minute)
+		_, ok = other.Changing("p1", routing.Prefill, time.Minute)
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -30,9 +30,11 @@
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/app/restage"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/work"
 	"tanagerwood.dev/router/internal/settings"
 )
@@ -90,6 +92,7 @@
 	mirror     *mirror.Mirror
 	peers      *gossip.Service
 	dispatcher *dispatch.Dispatcher
+	restager   *restage.Service
 	handler    *front.Handler
 	endpoints  *platform.Endpoints
 	health     *health.Tracker
@@ -102,6 +105,7 @@
 		mirror:     do.MustInvoke[*mirror.Mirror](n.injector),
 		peers:      do.MustInvoke[*gossip.Service](n.injector),
 		dispatcher: do.MustInvoke[*dispatch.Dispatcher](n.injector),
+		restager:   do.MustInvoke[*restage.Service](n.injector),
 		handler:    do.MustInvoke[*front.Handler](n.injector),
 		endpoints:  do.MustInvoke[*platform.Endpoints](n.injector),
 		health:     do.MustInvoke[*health.Tracker](n.injector),
@@ -214,6 +218,7 @@
 	go p.mirror.Run(ctx)
 	go p.peers.Run(ctx)
 	go p.dispatcher.Run(ctx)
+	go p.restager.Run(ctx)
 	go n.watchSettings(ctx)
 	go periodic.Run(ctx, idleCheck, func(context.Context) {
 		p.endpoints.CloseIdle()
@@ -282,8 +287,37 @@
 	}
 }
 
-// state joins what the request path reads of the mirror.
-type state struct{ *mirror.Mirror }
+// state joins what the components read of the configuration and the endpoints.
+type state struct {
+	*mirror.Mirror
+	marks *stages.Marks
+	boot  func() time.Duration
+}
+
+// Services implements restage.State.
+func (s state) Services() []*routing.Service {
+	if t := s.Table(); t != nil {
+		return t.Services()
+	}
+	return nil
+}
+
+// Changing implements restage.State.
+func (s state) Changing(service string, to routing.Stage) (count int) {
+	now := s.boot()
+	for _, ep := range s.Endpoints().ByID {
+		if next, ok := s.marks.Changing(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// Listed implements restage.State.
+func (s state) Listed(endpoint string) bool {
+	_, ok := s.Endpoints().ByID[endpoint]
+	return ok
+}
 
 // Service implements dispatch.State.
 func (s state) Service(name string) *routing.Service {
@@ -293,11 +327,15 @@
 	return nil
 }
 
-// Stage implements dispatch.State and forward.State.
+// Stage implements dispatch.State, forward.State and restage.State.
 func (s state) Stage(service string, stage routing.Stage) []routing.Endpoint {
 	var out []routing.Endpoint
+	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
-		if ep.Service == service && ep.Stage == stage && !ep.Leaving {
+		if ep.Service != service || ep.Stage != stage || ep.Leaving {
+			continue
+		}
+		if _, changing := s.marks.Changing(ep.ID, stage, now); !changing {
 			out = append(out, ep)
 		}
 	}
@@ -318,11 +356,15 @@
 	do.ProvideValue(i, work.NewBook())
 	do.ProvideValue(i, sharedlimit.New())
 	do.ProvideValue(i, health.NewTracker())
+	do.ProvideValue(i, stages.NewMarks())
 	do.ProvideValue(i, platform.NewStore(s.PlatformAddress, silence))
 	do.ProvideValue(i, platform.NewEndpoints(endpointDial, silence, maxIdle))
 	do.Provide(i, func(i do.Injector) (*mirror.Mirror, error) {
 		return mirror.New(do.MustInvoke[*platform.Store](i), logger, boot), nil
 	})
+	do.Provide(i, func(i do.Injector) (state, error) {
+		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), marks: do.MustInvoke[*stages.Marks](i), boot: boot}, nil
+	})
 	do.Provide(i, func(i do.Injector) (*gossip.Service, error) {
 		return gossip.New(gossip.Deps{
 			Self: routing.Instance{
@@ -330,7 +372,7 @@
 			},
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*mirror.Mirror](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
-			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i),
+			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Marks: do.MustInvoke[*stages.Marks](i),
 			Boot: boot, Logger: logger,
 		}), nil
 	})
@@ -340,7 +382,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(dispatch.Deps{
-			Engines: do.MustInvoke[*platform.Endpoints](i), State: state{do.MustInvoke[*mirror.Mirror](i)},
+			Engines: do.MustInvoke[*platform.Endpoints](i), State: do.MustInvoke[state](i),
 			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
 			Instances: n.instances,
 			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger,
@@ -348,7 +390,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*forward.Path, error) {
 		return forward.New(forward.Deps{
-			State: state{do.MustInvoke[*mirror.Mirror](i)}, Calls: do.MustInvoke[*platform.Endpoints](i),
+			State: do.MustInvoke[state](i), Calls: do.MustInvoke[*platform.Endpoints](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Budget: do.MustInvoke[*retrybudget.Budget](i), Book: do.MustInvoke[*work.Book](i),
 			Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
@@ -357,6 +399,15 @@
 			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
+	do.Provide(i, func(i do.Injector) (*restage.Service, error) {
+		peers := do.MustInvoke[*gossip.Service](i)
+		return restage.New(restage.Deps{
+			Self: s.Instance, State: do.MustInvoke[state](i), Book: do.MustInvoke[*work.Book](i), Marks: do.MustInvoke[*stages.Marks](i),
+			Claims: do.MustInvoke[*platform.Store](i), Orders: do.MustInvoke[*platform.Endpoints](i),
+			Leads:   func() bool { return peers.Joined() && peers.Leads() && n.phase() == front.Serving },
+			Changed: func() { peers.Tell(false) }, Boot: boot, Logger: logger,
+		}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*front.Handler, error) {
 		return front.New(front.Deps{
 			Decoder: platform.Callers{}, Path: do.MustInvoke[*forward.Path](i), Boot: boot, Logger: logger,
