Tell other instances the outcomes at endpoints that fail

Cause (incident inc-d1de): each instance finds out by itself that an endpoint loses answers and pays with requests that may not be repeated; 49 bookings in 4 s at two endpoints with seven instances, and more with more instances. Each whole state carries the decayed failures and requests at failing endpoints; the failure rate that the choice of endpoints weighs is that of all instances. Instances that tell nothing count as answered, so a single broken path does not condemn an endpoint. Ruled out: sharing ejections, which end after 0.5 s and would come back one by one.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -208,7 +208,7 @@
 	out := make([]engines.Candidate, 0, len(endpoints))
 	for _, ep := range endpoints {
 		out = append(out, engines.Candidate{
-			Endpoint: ep, Work: d.Book.At(ep.ID), FailureRate: d.Health.FailureRate(ep.ID), Full: now < d.full[ep.ID],
+			Endpoint: ep, Work: d.Book.At(ep.ID), FailureRate: d.Health.FailureRate(ep.ID, now), Full: now < d.full[ep.ID],
 		})
 	}
 	return out
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -56,7 +56,7 @@
 	for i := range instances {
 		in := &instance{name: fmt.Sprint("i", i), fleet: f, book: work.NewBook()}
 		in.Dispatcher = dispatch.New(dispatch.Deps{
-			Engines: f, State: f, Book: in.book, Health: health.NewTracker(), Instances: func() int { return instances },
+			Engines: f, State: f, Book: in.book, Health: health.NewTracker(func() int { return 1 }), Instances: func() int { return instances },
 			Random: random.Float64, Changed: in.tell, Boot: func() time.Duration { return time.Since(start) + time.Hour },
 			Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		})
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -127,10 +127,11 @@
 }
 
 func (r *run) pickPrefill(domain string, tokens int64) (routing.Endpoint, bool) {
-	usable := health.Usable(r.Health, r.State.Stage(r.service.Name, routing.Prefill), endpointID, r.Boot())
+	now := r.Boot()
+	usable := health.Usable(r.Health, r.State.Stage(r.service.Name, routing.Prefill), endpointID, now)
 	candidates := make([]engines.Candidate, len(usable))
 	for i, ep := range usable {
-		candidates[i] = engines.Candidate{Endpoint: ep, Work: r.Book.At(ep.ID), FailureRate: r.Health.FailureRate(ep.ID)}
+		candidates[i] = engines.Candidate{Endpoint: ep, Work: r.Book.At(ep.ID), FailureRate: r.Health.FailureRate(ep.ID, now)}
 	}
 	best := engines.Prefill(candidates, tokens, domain)
 	if best < 0 {
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -71,13 +71,14 @@
 // pickPlain chooses the least loaded endpoint that this request has not tried.
 func (r *run) pickPlain() (routing.Endpoint, bool) {
 	all := r.State.Stage(r.service.Name, "")
-	usable := health.Usable(r.Health, all, endpointID, r.Boot())
+	now := r.Boot()
+	usable := health.Usable(r.Health, all, endpointID, now)
 	best, bestLoad := -1, 0.0
 	for i, ep := range usable {
 		if r.tried[ep.ID] {
 			continue
 		}
-		load := float64(r.Book.At(ep.ID).Requests+1)/float64(max(1, ep.Slots)) + failureLoad*r.Health.FailureRate(ep.ID)
+		load := float64(r.Book.At(ep.ID).Requests+1)/float64(max(1, ep.Slots)) + failureLoad*r.Health.FailureRate(ep.ID, now)
 		if ep.Domain != r.Domain {
 			load += otherDomainLoad
 		}
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
@@ -91,6 +92,7 @@
 	Book      *work.Book
 	Queue     Queue
 	Marks     *stages.Marks
+	Health    *health.Tracker
 	Boot      func() time.Duration
 	Logger    *log.Logger
 }
--- a/router/internal/app/gossip/gossip_test.go
+++ b/router/internal/app/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/mirror"
+	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
@@ -47,6 +48,7 @@
 	waiting []waitlist.Request
 	heard   map[string]int
 	marks   *stages.Marks
+	health  *health.Tracker
 }
 
 func newNetwork() *network {
@@ -167,11 +169,11 @@
 	t.Helper()
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	boot := func() time.Duration { return time.Since(start) + 30*365*24*time.Hour }
-	nd := &node{network: n, address: name, book: work.NewBook(), limiter: sharedlimit.New(), marks: stages.NewMarks(), heard: map[string]int{}}
+	nd := &node{network: n, address: name, book: work.NewBook(), limiter: sharedlimit.New(), marks: stages.NewMarks(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
 	nd.mirror = mirror.New(platform, quiet, boot)
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
-		Mirror: nd.mirror, Limiter: nd.limiter, Book: nd.book, Queue: queue{nd}, Marks: nd.marks, Boot: boot, Logger: quiet,
+		Mirror: nd.mirror, Limiter: nd.limiter, Book: nd.book, Queue: queue{nd}, Marks: nd.marks, Health: nd.health, Boot: boot, Logger: quiet,
 	})
 	n.mu.Lock()
 	n.nodes[name] = nd
@@ -362,7 +364,11 @@
 			t.Error("leads:", a.Leads(), b.Leads())
 		}
 		a.marks.Set("p1", routing.Decode, a.Boot()+6*time.Second)
+		a.health.Failed("s1", false, a.Boot())
 		time.Sleep(time.Second)
+		if b.health.FailureRate("s1", b.Boot()) == 0 {
+			t.Error("failures are not told")
+		}
 		if to, ok := b.marks.Changing("p1", routing.Prefill, b.Boot()); !ok || to != routing.Decode {
 			t.Error("not told:", to, ok)
 		}
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -8,6 +8,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/domain/work"
@@ -26,6 +27,8 @@
 	Waiting []waitlist.Request `json:"waiting,omitempty"`
 	// Changing lists the engines that the sender has ordered to change their stage; it is not in partial messages.
 	Changing []stages.Mark `json:"changing,omitempty"`
+	// Outcomes are those at endpoints that have failed lately; they are not in partial messages.
+	Outcomes map[string]health.Outcomes `json:"outcomes,omitempty"`
 	// Stopped is set in the last message of an instance that stops as planned.
 	Stopped bool `json:"stopped,omitempty"`
 	// Partial messages hold only what has changed since the sender's last message.
@@ -102,11 +105,12 @@
 
 // whole returns the whole state; s.mu is held.
 func (s *Service) whole() Message {
+	now := s.Boot()
 	config, endpoints := s.Mirror.Revisions()
 	s.sequence++
 	return Message{
 		Sender: s.Self, Sequence: s.sequence, Config: config, Endpoints: endpoints, Spent: s.Limiter.Spent(), Work: s.Book.Own(),
-		Waiting: s.Queue.Waiting(), Changing: s.Marks.Own(s.Boot()),
+		Waiting: s.Queue.Waiting(), Changing: s.Marks.Own(now), Outcomes: s.Health.Tell(now),
 	}
 }
 
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -31,6 +31,7 @@
 	}
 	if !m.Partial {
 		s.Marks.Hear(m.Sender.Name, m.Changing, now)
+		s.Health.Hear(m.Sender.Name, m.Outcomes, now)
 	}
 	s.Queue.Hear(m.Sender.Name, m.Waiting)
 	s.Queue.Dispatch()
@@ -180,5 +181,6 @@
 	s.Book.Hear(name, nil)
 	s.Queue.Hear(name, nil)
 	s.Limiter.Forget(name)
+	s.Health.Hear(name, nil, s.Boot())
 	s.Logger.Info().Str("event", "instance.forgotten").Str("peer", name).Str("reason", reason).Msg("")
 }
--- a/router/internal/domain/health/health.go
+++ b/router/internal/domain/health/health.go
@@ -36,11 +36,19 @@
 	records map[string]*record
 	// answered is when each endpoint has answered last.
 	answered map[string]time.Duration
+	// own are this instance's recent outcomes, told those of the others by instance and endpoint.
+	own  map[string]counted
+	told map[string]map[string]counted
+	// instances is the number of instances that use the endpoints.
+	instances func() int
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker {
-	return &Tracker{records: map[string]*record{}, answered: map[string]time.Duration{}}
+// NewTracker returns an empty tracker for a fleet of the given size.
+func NewTracker(instances func() int) *Tracker {
+	return &Tracker{
+		records: map[string]*record{}, answered: map[string]time.Duration{}, own: map[string]counted{},
+		told: map[string]map[string]counted{}, instances: instances,
+	}
 }
 
 // Succeeded records an answer of the endpoint.
@@ -48,6 +56,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.answered[endpoint] = now
+	t.count(endpoint, 0, now)
 	r := t.records[endpoint]
 	if r == nil {
 		return
@@ -69,6 +78,7 @@
 		r = &record{}
 		t.records[endpoint] = r
 	}
+	t.count(endpoint, 1, now)
 	r.inRow++
 	r.rate += weight * (1 - r.rate)
 	if r.inRow < ejectAfter && !hard {
@@ -100,16 +110,18 @@
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.records, func(id string, _ *record) bool { return !listed(id) })
 	maps.DeleteFunc(t.answered, func(id string, _ time.Duration) bool { return !listed(id) })
+	maps.DeleteFunc(t.own, func(id string, _ counted) bool { return !listed(id) })
 }
 
-// FailureRate returns the recent part of failures, from 0 to 1.
-func (t *Tracker) FailureRate(endpoint string) float64 {
+// FailureRate returns the recent part of failures, from 0 to 1: what this instance saw, or what all saw, whichever is more.
+func (t *Tracker) FailureRate(endpoint string, now time.Duration) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	rate := t.pooled(endpoint, now)
 	if r := t.records[endpoint]; r != nil {
-		return r.rate
+		rate = max(rate, r.rate)
 	}
-	return 0
+	return rate
 }
 
 // Unreachable reports whether an error shows that an endpoint could not be reached.
--- a/router/internal/domain/health/health_test.go
+++ b/router/internal/domain/health/health_test.go
@@ -1,6 +1,7 @@
 package health_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,11 +18,15 @@
 
 func id(s string) string { return s }
 
+func newTracker(instances int) *health.Tracker {
+	return health.NewTracker(func() int { return instances })
+}
+
 var _ = Describe("the health of endpoints", func() {
 	all := []string{"a", "b", "c"}
 
 	It("ejects an endpoint after failures in a row, for a while", func() {
-		t := health.NewTracker()
+		t := newTracker(1)
 		t.Failed("a", false, 0)
 		t.Failed("a", false, 0)
 		Expect(health.Usable(t, all, id, 0)).To(Equal(all))
@@ -31,7 +36,7 @@
 	})
 
 	It("ejects an endpoint that cannot be reached at once, and longer each time", func() {
-		t := health.NewTracker()
+		t := newTracker(1)
 		t.Failed("a", true, 0)
 		Expect(health.Usable(t, all, id, 600*time.Millisecond)).To(Equal(all))
 		t.Failed("a", true, time.Second)
@@ -40,7 +45,7 @@
 
 	// Guards against a fault of the whole fleet that empties a service.
 	It("never ejects more than half", func() {
-		t := health.NewTracker()
+		t := newTracker(1)
 		t.Failed("a", true, 0)
 		t.Failed("b", true, 0)
 		Expect(health.Usable(t, all, id, 0)).To(Equal(all))
@@ -49,7 +54,7 @@
 	// Guards against requests that take longer than their route allows and eject endpoints that answer all others (found in
 	// incident inc-7394).
 	It("ejects an endpoint for a request without an answer only if it answers nothing else", func() {
-		t := health.NewTracker()
+		t := newTracker(1)
 		t.Succeeded("a", 2*time.Second)
 		Expect(t.Unanswered("a", time.Second, 3*time.Second)).To(BeFalse())
 		Expect(health.Usable(t, all, id, 3*time.Second)).To(Equal(all))
@@ -59,22 +64,67 @@
 	})
 
 	It("forgets endpoints that are not listed any more", func() {
-		t := health.NewTracker()
+		t := newTracker(1)
 		t.Failed("a", true, 0)
 		t.Forget(func(string) bool { return false })
-		Expect(t.FailureRate("a")).To(BeZero())
+		Expect(t.FailureRate("a", 0)).To(BeZero())
 	})
 
 	It("tells the recent failure rate and forgets it with successes", func() {
-		t := health.NewTracker()
-		Expect(t.FailureRate("a")).To(BeZero())
+		t := newTracker(1)
+		Expect(t.FailureRate("a", 0)).To(BeZero())
 		for range 20 {
 			t.Failed("a", false, 0)
 		}
-		Expect(t.FailureRate("a")).To(BeNumerically(">", 0.8))
+		Expect(t.FailureRate("a", 0)).To(BeNumerically(">", 0.8))
 		for range 60 {
 			t.Succeeded("a", 0)
 		}
-		Expect(t.FailureRate("a")).To(BeNumerically("<", 0.02))
+		Expect(t.FailureRate("a", 0)).To(BeNumerically("<", 0.02))
+	})
+})
+
+var _ = Describe("the outcomes of other instances", func() {
+	// tell has some of the instances see failures among ten requests each, the others none.
+	tell := func(t *health.Tracker, instances, failures int) {
+		for i := range instances {
+			other := newTracker(1)
+			for n := range 10 {
+				if n < failures {
+					other.Failed("a", false, 0)
+				} else {
+					other.Succeeded("a", 0)
+				}
+			}
+			t.Hear(fmt.Sprint("i", i), other.Tell(0), 0)
+		}
+	}
+
+	// Guards against every instance of a fleet losing requests to an endpoint that the others know to fail (incident inc-d1de:
+	// 49 bookings lost at two endpoints in 4 s).
+	It("count before this instance has lost a request", func() {
+		t := newTracker(8)
+		t.Succeeded("a", 0)
+		tell(t, 7, 5)
+		Expect(t.FailureRate("a", 0)).To(BeNumerically("~", 0.5, 0.02))
+		Expect(t.FailureRate("b", 0)).To(BeZero())
+	})
+
+	// Guards against one instance that cannot reach an endpoint and keeps all others from it.
+	It("hardly count if a single instance fails", func() {
+		t := newTracker(8)
+		for range 10 {
+			t.Succeeded("a", 0)
+		}
+		tell(t, 1, 10)
+		Expect(t.FailureRate("a", 0)).To(BeNumerically("<", 0.15))
+	})
+
+	It("are forgotten with time, and when the instance tells of none", func() {
+		t := newTracker(8)
+		tell(t, 7, 5)
+		Expect(t.FailureRate("a", 30*time.Second)).To(BeZero())
+		tell(t, 7, 0)
+		Expect(t.FailureRate("a", 0)).To(BeZero())
 	})
 })
--- /dev/null
+++ b/router/internal/domain/health/shared.go
@@ -0,0 +1,92 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// window is the time constant with which outcomes lose their weight: faults of endpoints last some seconds.
+	window = 3 * time.Second
+	// leastFailures is the decayed number of failures from which an endpoint's outcomes are told to other instances.
+	leastFailures = 0.5
+)
+
+// Outcomes are the numbers of recent failures and of all recent requests at an endpoint. Older ones weigh less.
+type Outcomes struct {
+	Failed float64 `json:"f"`
+	All    float64 `json:"n"`
+}
+
+func (o Outcomes) plus(p Outcomes) Outcomes { return Outcomes{o.Failed + p.Failed, o.All + p.All} }
+
+// counted are outcomes as of a time since boot.
+type counted struct {
+	Outcomes
+	at time.Duration
+}
+
+// now returns what the outcomes still weigh.
+func (c counted) now(now time.Duration) Outcomes {
+	keep := math.Exp(-float64(now-c.at) / float64(window))
+	return Outcomes{keep * c.Failed, keep * c.All}
+}
+
+// count adds an outcome; t.mu is held.
+func (t *Tracker) count(endpoint string, failed float64, now time.Duration) {
+	t.own[endpoint] = counted{t.own[endpoint].now(now).plus(Outcomes{failed, 1}), now}
+}
+
+// Tell lists this instance's outcomes at endpoints that have failed lately, for the other instances.
+func (t *Tracker) Tell(now time.Duration) map[string]Outcomes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out map[string]Outcomes
+	for endpoint, c := range t.own {
+		o := c.now(now)
+		if o.Failed < leastFailures {
+			continue
+		}
+		if out == nil {
+			out = map[string]Outcomes{}
+		}
+		out[endpoint] = Outcomes{round(o.Failed), round(o.All)}
+	}
+	return out
+}
+
+// round keeps messages short.
+func round(v float64) float64 { return math.Round(v*10) / 10 }
+
+// Hear replaces the outcomes that another instance has told.
+func (t *Tracker) Hear(instance string, told map[string]Outcomes, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(told) == 0 {
+		delete(t.told, instance)
+		return
+	}
+	heard := make(map[string]counted, len(told))
+	for endpoint, o := range told {
+		heard[endpoint] = counted{o, now}
+	}
+	t.told[instance] = heard
+}
+
+// pooled returns the failure rate of the endpoint over all instances, if others have told of failures; t.mu is held. Instances that have told nothing are
+// taken to have had as many requests as this one, all of them answered. A single instance whose own path to the endpoint is
+// broken so changes little.
+func (t *Tracker) pooled(endpoint string, now time.Duration) float64 {
+	sum := t.own[endpoint].now(now)
+	own, tellers := sum.All, 0
+	for _, heard := range t.told {
+		if c, ok := heard[endpoint]; ok {
+			sum = sum.plus(c.now(now))
+			tellers++
+		}
+	}
+	if tellers == 0 || sum.Failed < leastFailures {
+		return 0
+	}
+	return sum.Failed / (sum.All + own*float64(max(0, t.instances()-tellers-1)))
+}
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -355,7 +355,7 @@
 	do.ProvideValue(i, newRegistry(n.options.DroppedLines))
 	do.ProvideValue(i, work.NewBook())
 	do.ProvideValue(i, sharedlimit.New())
-	do.ProvideValue(i, health.NewTracker())
+	do.ProvideValue(i, health.NewTracker(n.instances))
 	do.ProvideValue(i, stages.NewMarks())
 	do.ProvideValue(i, platform.NewStore(s.PlatformAddress, silence))
 	do.ProvideValue(i, platform.NewEndpoints(endpointDial, silence, maxIdle))
@@ -373,7 +373,7 @@
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*mirror.Mirror](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Marks: do.MustInvoke[*stages.Marks](i),
-			Boot: boot, Logger: logger,
+			Health: do.MustInvoke[*health.Tracker](i), Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*retrybudget.Budget, error) {
