Find the ends of events whose lines end with CR LF

Cause, found by reading: only an empty line of LF counted as the end of an event, so a stream with CR LF was held back to its end, or failed after 1 MB; the last single byte of a stream was dropped. The format allows both line ends.

--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +9,7 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
+	"tanagerwood.dev/router/internal/domain/sse"
 )
 
 // relayBuffer is the size of one read of a stream. Events have some hundred bytes.
@@ -18,8 +18,6 @@
 // maxEventBytes bounds an event that is kept until it is complete.
 const maxEventBytes = 1 << 20
 
-var eventEnd = []byte("\n\n")
-
 // relay passes a stream on as its events arrive. Only complete events are passed on, so that a stream that breaks off can
 // go on at another endpoint.
 func (r *run) relay(answer *routing.Answer, place *dispatch.Place, began time.Duration) error {
@@ -39,10 +37,10 @@
 		ended := errors.Is(err, io.EOF)
 		complete := len(rest)
 		if !ended {
-			complete = bytes.LastIndex(rest, eventEnd) + len(eventEnd)
+			complete = sse.Complete(rest)
 		}
-		if complete >= len(eventEnd) {
-			place.Progress(bytes.Count(rest[:complete], eventEnd))
+		if complete > 0 {
+			place.Progress(sse.Count(rest[:complete]))
 			if err := r.pieces(answer, rest[:complete], began); err != nil {
 				return err
 			}
@@ -65,7 +63,7 @@
 		return err
 	}
 	if r.route.Resumable {
-		r.call.ResumeAfter = lastEventID(events, r.call.ResumeAfter)
+		r.call.ResumeAfter = sse.LastID(events, r.call.ResumeAfter)
 	}
 	if r.times.firstEvent == 0 {
 		r.times.firstEvent = r.Boot() - began
@@ -84,13 +82,3 @@
 
 // endStream ends a stream that is complete; it may have had no event at all.
 func (r *run) endStream(answer *routing.Answer) error { return r.beginStream(answer) }
-
-// lastEventID returns the id of the last of the events that has one, or the one before.
-func lastEventID(events []byte, before string) string {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			before = string(bytes.TrimSpace(value))
-		}
-	}
-	return before
-}
--- /dev/null
+++ b/router/internal/domain/sse/sse_test.go
@@ -0,0 +1,70 @@
+package sse_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"tanagerwood.dev/router/internal/domain/sse"
+)
+
+// Guards against events that are passed on in part, or held back until the stream ends because their lines end with CR LF.
+func TestComplete(t *testing.T) {
+	for _, c := range []struct {
+		stream      string
+		whole, ends int
+	}{
+		{"", 0, 0},
+		{"id: 1\ndata: a\n\nid: 2\nda", 15, 1},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 30, 2},
+		{"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda", 18, 1},
+		{"data: a\n\r\ndata: b\r\n\r\n", 21, 2},
+		{"data: a\n", 0, 0},
+		{"data: a\r\n\r", 0, 0},
+	} {
+		if got := sse.Complete([]byte(c.stream)); got != c.whole {
+			t.Errorf("%q: complete to %d, not %d", c.stream, got, c.whole)
+		}
+		if got := sse.Count([]byte(c.stream)); got != c.ends {
+			t.Errorf("%q: %d events, not %d", c.stream, got, c.ends)
+		}
+	}
+}
+
+// Guards against a stream that goes on after the wrong event.
+func TestLastID(t *testing.T) {
+	for stream, want := range map[string]string{
+		"": "7", "data: id: 9\n\n": "7", "id: 8\ndata: a\n\nid:9\r\ndata: b\r\n\r\ndata: c\n\n": "9",
+	} {
+		if got := sse.LastID([]byte(stream), "7"); got != want {
+			t.Errorf("%q: id %q, not %q", stream, got, want)
+		}
+	}
+}
+
+// Guards against bytes that get lost, or events that are cut, depending on how a stream arrives.
+func FuzzComplete(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3"), uint8(3))
+	f.Add([]byte("\n\n\n\r\n\r\n\n"), uint8(1))
+	f.Fuzz(func(t *testing.T, stream []byte, size uint8) {
+		var rest, passed []byte
+		for chunk := range bytes.SplitSeq(stream, nil) { // a byte or a character at a time
+			rest = append(rest, chunk...)
+			if len(rest)%(int(size)+1) != 0 {
+				continue
+			}
+			n := sse.Complete(rest)
+			if piece := string(rest[:n]); n > 0 && !strings.HasSuffix(piece, "\n\n") && !strings.HasSuffix(piece, "\n\r\n") {
+				t.Errorf("%q does not end with an event", piece)
+			}
+			passed = append(passed, rest[:n]...)
+			rest = append(rest[:0], rest[n:]...)
+		}
+		if whole := string(passed) + string(rest); whole != string(stream) {
+			t.Errorf("%q became %q", stream, whole)
+		}
+		if n := sse.Complete(rest); len(rest)%(int(size)+1) == 0 && n != 0 {
+			t.Errorf("%d bytes of whole events are held back", n)
+		}
+	})
+}
