Compute from logs how full the decode engines were while requests waited

tanagerlab slotuse reads the lines of all instances and gives taken slots, slots, waiting and refused requests for each 2 s, and the part of the slots that streams had in the windows in which requests waited: the ratio of the capacity that was reached.

--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&reportCommand{}, "experiments")
 	subcommands.Register(&capacityCommand{}, "experiments")
 	subcommands.Register(&soakCommand{}, "experiments")
+	subcommands.Register(&slotUseCommand{}, "experiments")
 	subcommands.Register(&costCommand{}, "experiments")
 	subcommands.Register(&endpointsCommand{}, "stand-ins")
 	flag.Parse()
--- /dev/null
+++ b/lab/internal/slotuse/slotuse.go
@@ -0,0 +1,195 @@
+// Package slotuse computes from the log lines of "tanagerwood node" how full the decode engines were while requests waited for
+// them, which is how much of the capacity of an overloaded time was used.
+package slotuse
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+// Window is the time over which use is averaged; streams last some seconds.
+const Window = 2 * time.Second
+
+// overloaded is the mean number of waiting requests from which a window counts as overloaded.
+const overloaded = 1
+
+// Use is the use in one window.
+type Use struct {
+	Begin time.Time
+	// Taken is the mean number of slots with a stream, Slots that of all decode engines in the list.
+	Taken, Slots float64
+	// Waiting is the mean number of requests that waited for a slot, Refused the number of those that got none.
+	Waiting float64
+	Refused int
+}
+
+// Overloaded reports whether requests waited for slots.
+func (u Use) Overloaded() bool { return u.Waiting >= overloaded }
+
+// Result is the use over a log.
+type Result struct {
+	Windows []Use
+}
+
+// Ratio returns the part of the slots that streams had in the overloaded windows, and the number of these windows.
+func (r Result) Ratio() (ratio float64, windows int) {
+	var taken, slots float64
+	for _, u := range r.Windows {
+		if u.Overloaded() {
+			taken, slots, windows = taken+u.Taken, slots+u.Slots, windows+1
+		}
+	}
+	if slots == 0 {
+		return 0, windows
+	}
+	return taken / slots, windows
+}
+
+// line is what is read of a log line.
+type line struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Endpoint string    `json:"endpoint"`
+	Stage    string    `json:"stage"`
+	Prompt   int64     `json:"prompt"`
+	TookMS   float64   `json:"took_ms"`
+	WaitedMS float64   `json:"waited_ms"`
+	// PrefillMS is the time of the prefill, during which the slot is reserved.
+	PrefillMS float64 `json:"prefill_ms"`
+	Kind      string  `json:"kind"`
+}
+
+type span struct{ from, to time.Time }
+
+// reader collects what the lines tell.
+type reader struct {
+	streams, waits []span
+	refusals       []time.Time
+	// decoding is since when an engine is listed as one that decodes; engines are the times that have ended.
+	decoding    map[string]time.Time
+	engines     []span
+	first, last time.Time
+}
+
+// Read computes the use from log lines, which may have a prefix before the JSON object. Slots is the number of slots of each
+// engine.
+func Read(in io.Reader, slots int) (Result, error) {
+	r := &reader{decoding: map[string]time.Time{}}
+	lines := bufio.NewReader(in)
+	for {
+		raw, err := lines.ReadBytes('\n')
+		if i := bytes.IndexByte(raw, '{'); i >= 0 {
+			var l line
+			// Other programs' lines may lie between those of the router.
+			if json.Unmarshal(raw[i:], &l) == nil && !l.Time.IsZero() {
+				r.take(l)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return Result{}, fmt.Errorf("reading the log: %w", err)
+		}
+	}
+	if len(r.streams) == 0 {
+		return Result{}, errors.New("the log has no streams; give the lines of \"tanagerwood node\" at log level info")
+	}
+	return r.result(float64(slots)), nil
+}
+
+func (r *reader) take(l line) {
+	if r.first.IsZero() || l.Time.Before(r.first) {
+		r.first = l.Time
+	}
+	if l.Time.After(r.last) {
+		r.last = l.Time
+	}
+	switch l.Event {
+	case "endpoint.listed":
+		r.listed(l)
+	case "endpoint.gone":
+		r.gone(l)
+	case "request.ended":
+		r.ended(l)
+	}
+}
+
+// listed notes an engine. All instances tell of it; the first line counts.
+func (r *reader) listed(l line) {
+	if l.Stage != "decode" {
+		r.gone(l)
+		return
+	}
+	if _, known := r.decoding[l.Endpoint]; !known {
+		r.decoding[l.Endpoint] = l.Time
+	}
+}
+
+func (r *reader) gone(l line) {
+	if since, known := r.decoding[l.Endpoint]; known {
+		r.engines = append(r.engines, span{since, l.Time})
+		delete(r.decoding, l.Endpoint)
+	}
+}
+
+func (r *reader) ended(l line) {
+	if l.Prompt == 0 {
+		return
+	}
+	began := l.Time.Add(-millis(l.TookMS))
+	placed := began.Add(millis(l.WaitedMS))
+	if l.WaitedMS > 0 {
+		r.waits = append(r.waits, span{began, placed})
+	}
+	switch {
+	case l.Kind == "overloaded":
+		r.refusals = append(r.refusals, l.Time)
+	case l.PrefillMS > 0:
+		r.streams = append(r.streams, span{placed, l.Time})
+	}
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (r *reader) result(slots float64) Result {
+	for _, since := range r.decoding {
+		r.engines = append(r.engines, span{since, r.last})
+	}
+	count := int(math.Ceil(float64(r.last.Sub(r.first)) / float64(Window)))
+	out := Result{Windows: make([]Use, count)}
+	for n := range out.Windows {
+		begin := r.first.Add(time.Duration(n) * Window)
+		w := span{begin, begin.Add(Window)}
+		u := Use{Begin: begin, Taken: w.mean(r.streams), Slots: slots * w.mean(r.engines), Waiting: w.mean(r.waits)}
+		for _, at := range r.refusals {
+			if !at.Before(w.from) && at.Before(w.to) {
+				u.Refused++
+			}
+		}
+		out.Windows[n] = u
+	}
+	return out
+}
+
+// mean returns the mean number of spans that were open in the window.
+func (w span) mean(spans []span) float64 {
+	var sum time.Duration
+	for _, s := range spans {
+		from, to := s.from, s.to
+		if from.Before(w.from) {
+			from = w.from
+		}
+		if to.After(w.to) {
+			to = w.to
+		}
+		sum += max(0, to.Sub(from))
+	}
+	return float64(sum) / float64(w.to.Sub(w.from))
+}
