--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -84,23 +84,6 @@
 	Avoid map[string]bool
 }
 
-// Place is a place at a decode engine. Release must be called.
-type Place struct {
-	Endpoint routing.Endpoint
-	// Reservation is nil if the engine grants none.
-	Reservation *routing.Reservation
-
-	dispatcher *Dispatcher
-	service    string
-	demand     routing.Demand
-	amount     work.Amount
-	// made is the output as of the last progress, in tokens; perEvent the tokens in an event of the engine's streams.
-	made     int64
-	perEvent int64
-	used     bool
-	once     sync.Once
-}
-
 // Dispatcher finds places. It is safe for concurrent use.
 type Dispatcher struct {
 	Deps
@@ -307,17 +290,6 @@
 	return fault.Wrap(ctx.Err(), fault.CallerGone, openai.NotRun, "the caller is gone")
 }
 
-// newPlace enters the work in the book, so that requests that come at the same time see it.
-func (d *Dispatcher) newPlace(job *Job, ep routing.Endpoint) *Place {
-	p := &Place{Endpoint: ep, dispatcher: d, service: job.Service, demand: job.Demand,
-		amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand, 0)}}
-	if _, engine := d.size(job.Service); engine != nil {
-		p.perEvent = engine.EventTokens
-	}
-	d.Book.Begin(ep.ID, p.amount)
-	return p
-}
-
 func (d *Dispatcher) returnTime() time.Duration {
 	return minReturn + time.Duration(d.Random()*float64(maxReturn-minReturn))
 }
@@ -378,40 +350,3 @@
 	}
 	return out
 }
-
-// Use marks the reservation as used, so that Release does not give it back.
-func (p *Place) Use() { p.used = true }
-
-// Progress counts events of the stream, so that the memory that the request uses is known.
-func (p *Place) Progress(events int) {
-	p.made += int64(events) * p.perEvent
-	tokens := engines.Memory(p.demand, p.made)
-	if grown := tokens - p.amount.Tokens; grown >= progressStep || grown <= -progressStep {
-		p.dispatcher.Book.Begin(p.Endpoint.ID, work.Amount{Tokens: grown})
-		p.amount.Tokens = tokens
-	}
-}
-
-// Release ends the work at the place.
-func (p *Place) Release() {
-	p.once.Do(func() {
-		d := p.dispatcher
-		d.Book.End(p.Endpoint.ID, p.amount)
-		d.Changed()
-		if p.Reservation != nil && !p.used {
-			go d.giveBack(*p.Reservation)
-		}
-		d.mu.Lock()
-		delete(d.full, p.Endpoint.ID)
-		d.dispatchAll()
-		d.mu.Unlock()
-	})
-}
-
-func (d *Dispatcher) giveBack(r routing.Reservation) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	if err := d.Engines.Release(ctx, r); err != nil {
-		d.Logger.Info().Str("event", "reservation.not_released").Str("endpoint", r.Endpoint.ID).Err(err).Msg("it lapses by itself")
-	}
-}
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -15,27 +14,16 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
 
 	"tanagerwood.dev/api/h1"
-	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/platform"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/adapter/front"
 	"tanagerwood.dev/router/internal/adapter/operators"
 	"tanagerwood.dev/router/internal/adapter/peerudp"
-	"tanagerwood.dev/router/internal/app/dispatch"
-	"tanagerwood.dev/router/internal/app/forward"
 	"tanagerwood.dev/router/internal/app/gossip"
-	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
-	"tanagerwood.dev/router/internal/app/restage"
-	"tanagerwood.dev/router/internal/domain/health"
-	"tanagerwood.dev/router/internal/domain/retrybudget"
-	"tanagerwood.dev/router/internal/domain/sharedlimit"
-	"tanagerwood.dev/router/internal/domain/stages"
-	"tanagerwood.dev/router/internal/domain/work"
 	"tanagerwood.dev/router/internal/settings"
 )
 
@@ -86,34 +74,6 @@
 	stopOnce  sync.Once
 }
 
-// parts are the components that are used while the node runs. They are resolved once: the injector is not safe for
-// concurrent use.
-type parts struct {
-	mirror     *mirror.Mirror
-	peers      *gossip.Service
-	dispatcher *dispatch.Dispatcher
-	restager   *restage.Service
-	handler    *front.Handler
-	endpoints  *platform.Endpoints
-	health     *health.Tracker
-	budget     *retrybudget.Budget
-	metrics    metrics.Registry
-}
-
-func (n *Node) resolve() *parts {
-	return &parts{
-		mirror:     do.MustInvoke[*mirror.Mirror](n.injector),
-		peers:      do.MustInvoke[*gossip.Service](n.injector),
-		dispatcher: do.MustInvoke[*dispatch.Dispatcher](n.injector),
-		restager:   do.MustInvoke[*restage.Service](n.injector),
-		handler:    do.MustInvoke[*front.Handler](n.injector),
-		endpoints:  do.MustInvoke[*platform.Endpoints](n.injector),
-		health:     do.MustInvoke[*health.Tracker](n.injector),
-		budget:     do.MustInvoke[*retrybudget.Budget](n.injector),
-		metrics:    do.MustInvoke[metrics.Registry](n.injector),
-	}
-}
-
 // New assembles a node. Nothing runs before Run.
 func New(o Options) *Node {
 	n := &Node{options: o, stop: make(chan struct{})}
@@ -286,133 +246,3 @@
 		n.options.Logger.Warn().Str("event", "metrics.not_sent").Err(err).Msg("")
 	}
 }
-
-// state joins what the components read of the configuration and the endpoints.
-type state struct {
-	*mirror.Mirror
-	marks *stages.Marks
-	boot  func() time.Duration
-}
-
-// Services implements restage.State.
-func (s state) Services() []*routing.Service {
-	if t := s.Table(); t != nil {
-		return t.Services()
-	}
-	return nil
-}
-
-// Changing implements restage.State.
-func (s state) Changing(service string, to routing.Stage) (count int) {
-	now := s.boot()
-	for _, ep := range s.Endpoints().ByID {
-		if next, ok := s.marks.Changing(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving {
-			count++
-		}
-	}
-	return count
-}
-
-// Listed implements restage.State.
-func (s state) Listed(endpoint string) bool {
-	_, ok := s.Endpoints().ByID[endpoint]
-	return ok
-}
-
-// Service implements dispatch.State.
-func (s state) Service(name string) *routing.Service {
-	if t := s.Table(); t != nil {
-		return t.Service(name)
-	}
-	return nil
-}
-
-// Stage implements dispatch.State, forward.State and restage.State.
-func (s state) Stage(service string, stage routing.Stage) []routing.Endpoint {
-	var out []routing.Endpoint
-	now := s.boot()
-	for _, ep := range s.Endpoints().ByID {
-		if ep.Service != service || ep.Stage != stage || ep.Leaving {
-			continue
-		}
-		if _, changing := s.marks.Changing(ep.ID, stage, now); !changing {
-			out = append(out, ep)
-		}
-	}
-	return out
-}
-
-// instances is the number of instances that share the work. The functions here are called only while the node runs; they
-// break the cycle between the peers and the components that the peers need.
-func (n *Node) instances() int { return n.parts.Load().peers.Size() }
-
-// announce has the other instances told at once what has changed.
-func (n *Node) announce() { n.parts.Load().peers.Announce() }
-
-func (n *Node) newInjector() do.Injector {
-	i := do.New()
-	s, logger, boot := n.options.Settings, n.options.Logger, clock.System{}.Boot
-	do.ProvideValue(i, newRegistry(n.options.DroppedLines))
-	do.ProvideValue(i, work.NewBook())
-	do.ProvideValue(i, sharedlimit.New())
-	do.ProvideValue(i, health.NewTracker(n.instances))
-	do.ProvideValue(i, stages.NewMarks())
-	do.ProvideValue(i, platform.NewStore(s.PlatformAddress, silence))
-	do.ProvideValue(i, platform.NewEndpoints(endpointDial, silence, maxIdle))
-	do.Provide(i, func(i do.Injector) (*mirror.Mirror, error) {
-		return mirror.New(do.MustInvoke[*platform.Store](i), logger, boot), nil
-	})
-	do.Provide(i, func(i do.Injector) (state, error) {
-		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), marks: do.MustInvoke[*stages.Marks](i), boot: boot}, nil
-	})
-	do.Provide(i, func(i do.Injector) (*gossip.Service, error) {
-		return gossip.New(gossip.Deps{
-			Self: routing.Instance{
-				Name: s.Instance, Address: s.PeerListen, Domain: s.Domain, Incarnation: uint64(time.Now().UnixNano()),
-			},
-			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
-			Mirror: do.MustInvoke[*mirror.Mirror](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
-			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Marks: do.MustInvoke[*stages.Marks](i),
-			Health: do.MustInvoke[*health.Tracker](i), Boot: boot, Logger: logger,
-		}), nil
-	})
-	do.Provide(i, func(i do.Injector) (*retrybudget.Budget, error) {
-		return retrybudget.New(retrybudget.Settings{Ratio: s.RetryRatio, Fixed: s.RetryFixed, Window: s.RetryWindow},
-			n.instances), nil
-	})
-	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
-		return dispatch.New(dispatch.Deps{
-			Engines: do.MustInvoke[*platform.Endpoints](i), State: do.MustInvoke[state](i),
-			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
-			Instances: n.instances,
-			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger,
-		}), nil
-	})
-	do.Provide(i, func(i do.Injector) (*forward.Path, error) {
-		return forward.New(forward.Deps{
-			State: do.MustInvoke[state](i), Calls: do.MustInvoke[*platform.Endpoints](i),
-			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
-			Budget: do.MustInvoke[*retrybudget.Budget](i), Book: do.MustInvoke[*work.Book](i),
-			Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
-			Instances: n.instances,
-			Joined:    func() bool { return n.parts.Load().peers.Joined() },
-			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
-		}), nil
-	})
-	do.Provide(i, func(i do.Injector) (*restage.Service, error) {
-		peers := do.MustInvoke[*gossip.Service](i)
-		return restage.New(restage.Deps{
-			Self: s.Instance, State: do.MustInvoke[state](i), Book: do.MustInvoke[*work.Book](i), Marks: do.MustInvoke[*stages.Marks](i),
-			Claims: do.MustInvoke[*platform.Store](i), Orders: do.MustInvoke[*platform.Endpoints](i),
-			Leads:   func() bool { return peers.Joined() && peers.Leads() && n.phase() == front.Serving },
-			Changed: func() { peers.Tell(false) }, Boot: boot, Logger: logger,
-		}), nil
-	})
-	do.Provide(i, func(i do.Injector) (*front.Handler, error) {
-		return front.New(front.Deps{
-			Decoder: platform.Callers{}, Path: do.MustInvoke[*forward.Path](i), Boot: boot, Logger: logger,
-			BodyMemory: int64(bodyPart * float64(s.MemoryMB) * (1 << 20)), Stop: n.phase,
-		}), nil
-	})
-	return i
-}
