Draw few kinds of faults for each soak run, and load it more

Cause: faults of 19 kinds every 1.2 s left hardly any time in which timed promises are checked, and work of 20 ms was seldom met by one. A plan now draws from a fifth of the kinds, work takes 60 ms, half of the requests of a disturbed server suffer, and callers are 32.

--- a/lab/cmd/tanagerlab/soak.go
+++ b/lab/cmd/tanagerlab/soak.go
@@ -52,7 +52,7 @@
 	f.IntVar(&c.parallel, "parallel", 1, "`number` of runs at a time")
 	f.DurationVar(&c.length, "length", 15*time.Second, "`time` for which faults are played")
 	f.IntVar(&c.instances, "instances", 4, "`number` of router instances in a run")
-	f.IntVar(&c.callers, "callers", 16, "`number` of callers in a run")
+	f.IntVar(&c.callers, "callers", 32, "`number` of callers in a run")
 }
 
 // Execute implements subcommands.Command.
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -29,7 +29,7 @@
 var mix = []struct {
 	kind   kind
 	weight int
-}{{look, 6}, {book, 6}, {brief, 4}, {digest, 4}, {moved, 3}, {newest, 4}, {visitor, 3}, {forged, 1}, {limited, 5}}
+}{{look, 4}, {book, 10}, {brief, 5}, {digest, 4}, {moved, 3}, {newest, 4}, {visitor, 3}, {forged, 1}, {limited, 5}}
 
 // unrepeatable reports whether a request of the kind may run at most once.
 func (k kind) unrepeatable() bool { return k == book || k == brief }
@@ -63,7 +63,7 @@
 	// moveShare is how often a caller goes to another instance without a reason.
 	moveShare = 0.04
 	// meanThink is the mean pause of a caller between requests.
-	meanThink = 60 * time.Millisecond
+	meanThink = 20 * time.Millisecond
 )
 
 // sent is a request with what its caller saw.
--- a/lab/soak/parts_test.go
+++ b/lab/soak/parts_test.go
@@ -19,13 +19,17 @@
 
 	It("play every fault, in order, within the length", func() {
 		seen := map[Fault]bool{}
-		p := NewPlan(1, 30*time.Minute)
-		for n, a := range p.Actions {
-			seen[a.Fault] = true
-			Expect(a.At).To(BeNumerically("<", p.Length))
-			if n > 0 {
-				Expect(a.At).To(BeNumerically(">=", p.Actions[n-1].At))
+		for seed := range uint64(100) {
+			p := NewPlan(seed, time.Minute)
+			kinds := map[Fault]bool{}
+			for n, a := range p.Actions {
+				seen[a.Fault], kinds[a.Fault] = true, true
+				Expect(a.At).To(BeNumerically("<", p.Length))
+				if n > 0 {
+					Expect(a.At).To(BeNumerically(">=", p.Actions[n-1].At))
+				}
 			}
+			Expect(len(kinds)).To(BeNumerically("<", len(weights)), "a plan leaves some faults out")
 		}
 		for _, w := range weights {
 			Expect(seen).To(HaveKey(w.fault))
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -36,11 +36,14 @@
 	Storm      Fault = "configuration-storm"
 )
 
-// weights are the relative frequencies of the faults. Changes of the configuration are frequent, as they are in operation.
-var weights = []struct {
+// weighted is a fault with its relative frequency.
+type weighted struct {
 	fault  Fault
 	weight int
-}{
+}
+
+// weights are the relative frequencies of the faults. Changes of the configuration are frequent, as they are in operation.
+var weights = []weighted{
 	{Kill, 4}, {KillAll, 1}, {Freeze, 4}, {Stop, 4}, {Roll, 2}, {Reload, 2}, {StoreCut, 3}, {StoreDown, 2}, {StoreSlow, 2},
 	{StoreLost, 2}, {StoreReset, 2}, {Crash, 4}, {Release, 4}, {Disturb, 6}, {PathCut, 3}, {PathReset, 3}, {PathSlow, 2},
 	{Change, 6}, {Storm, 1},
@@ -49,8 +52,12 @@
 const (
 	// quiet is the time before the first fault, in which the checks see undisturbed traffic.
 	quiet = 3 * time.Second
-	// meanPause is the mean time between faults, so that faults of the usual length overlap about half of the time.
+	// meanPause is the mean time between faults, so that faults of the usual length often overlap.
 	meanPause = 1200 * time.Millisecond
+	// kindShare is the share of the kinds of faults that a plan draws from, and minKinds their least number. Few kinds in a run
+	// leave the times undisturbed in which the other promises are checked; different seeds combine different ones.
+	kindShare = 0.2
+	minKinds  = 2
 	// shortest and longest bound how long a fault lasts; the longest exceeds the time after which peers and connections
 	// are given up (2 s).
 	shortest = 200 * time.Millisecond
@@ -83,13 +90,14 @@
 func NewPlan(seed uint64, length time.Duration) Plan {
 	random := rand.New(rand.NewPCG(seed, 1))
 	p := Plan{Seed: seed, Length: length}
+	kinds := drawKinds(random)
 	for at := quiet; ; {
 		at += time.Duration(random.ExpFloat64() * float64(meanPause))
 		if at >= length {
 			break
 		}
 		p.Actions = append(p.Actions, Action{
-			At: at, Fault: draw(random), For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
+			At: at, Fault: draw(random, kinds), For: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
 			Target: random.IntN(1 << 16), Variant: random.IntN(1 << 16),
 		})
 	}
@@ -97,17 +105,28 @@
 	return p
 }
 
-func draw(random *rand.Rand) Fault {
+// drawKinds draws the kinds of faults of a plan.
+func drawKinds(random *rand.Rand) []weighted {
+	var kinds []weighted
+	for _, n := range random.Perm(len(weights)) {
+		if len(kinds) < minKinds || random.Float64() < kindShare {
+			kinds = append(kinds, weights[n])
+		}
+	}
+	return kinds
+}
+
+func draw(random *rand.Rand, kinds []weighted) Fault {
 	sum := 0
-	for _, w := range weights {
-		sum += w.weight
+	for _, k := range kinds {
+		sum += k.weight
 	}
 	n := random.IntN(sum)
-	for _, w := range weights {
-		if n < w.weight {
-			return w.fault
+	for _, k := range kinds {
+		if n < k.weight {
+			return k.fault
 		}
-		n -= w.weight
+		n -= k.weight
 	}
 	panic("soak: the weights do not add up")
 }
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -20,8 +20,8 @@
 
 	streamEvents = 12
 	eventPause   = 50 * time.Millisecond
-	plainWork    = 20 * time.Millisecond
-	plainSlots   = 6
+	plainWork    = 60 * time.Millisecond
+	plainSlots   = 12
 	engineSlots  = 6
 	lease        = time.Second
 	switchTime   = time.Second
@@ -153,7 +153,7 @@
 
 const (
 	// troubleShare is the share of requests that a disturbed server treats badly.
-	troubleShare = 0.3
+	troubleShare = 0.5
 	// slowPath is the delay of a slow path, each way.
 	slowPath = 60 * time.Millisecond
 )
