Let exported KV cache of the stand-in engine expire by the time, not by its timer

Cause, by reading: with an expiry of 1 ns the spec needs every transfer to fail, but the cache stayed fetchable until its timer ran, which a busy machine delays; no other path leads to 200 there. Not reproduced: 12 runs of the spec alone pass before and after. Fetches now compare the time themselves.

--- a/lab/standin/engine/kv.go
+++ b/lab/standin/engine/kv.go
@@ -21,6 +21,7 @@
 func (e *Engine) export(en *entry) {
 	e.mu.Lock()
 	en.phase = engine.PhaseExport
+	en.exportedUntil = time.Now().Add(e.opts.KVExpiry)
 	e.mu.Unlock()
 	expiry := time.AfterFunc(e.opts.KVExpiry, func() {
 		e.mu.Lock()
@@ -71,11 +72,13 @@
 	<-en.released
 }
 
+// startFetch returns the entry of exported KV cache that has not expired. The time decides, as the timer that releases the
+// cache fires late on a busy machine.
 func (e *Engine) startFetch(id string) *entry {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for en := range e.entries {
-		if en.id == id && en.phase == engine.PhaseExport && !en.fetching && en.ctx.Err() == nil {
+		if en.id == id && en.phase == engine.PhaseExport && !en.fetching && en.ctx.Err() == nil && time.Now().Before(en.exportedUntil) {
 			en.fetching = true
 			return en
 		}
--- a/lab/standin/engine/memory.go
+++ b/lab/standin/engine/memory.go
@@ -33,6 +33,8 @@
 	output   int64
 	max      int64
 	fetching bool
+	// exportedUntil is when exported KV cache expires.
+	exportedUntil time.Time
 	// computed is how many prompt tokens were prefilled for this entry.
 	computed int64
 	// seed determines the output; kvKey names the text whose KV cache is held, which includes a continuation.
