--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -26,10 +26,7 @@
 )
 
 // mix is the relative frequency of the kinds.
-var mix = []struct {
-	kind   kind
-	weight int
-}{{look, 4}, {book, 10}, {brief, 5}, {digest, 4}, {moved, 3}, {newest, 4}, {visitor, 3}, {forged, 1}, {limited, 5}}
+var mix = []weighted[kind]{{look, 4}, {book, 10}, {brief, 5}, {digest, 4}, {moved, 3}, {newest, 4}, {visitor, 3}, {forged, 1}, {limited, 5}}
 
 // unrepeatable reports whether a request of the kind may run at most once.
 func (k kind) unrepeatable() bool { return k == book || k == brief }
@@ -110,7 +107,7 @@
 		if at == nil || random.Float64() < moveShare {
 			at = l.balancer.pick(random)
 		}
-		s := l.send(caller, at, drawKind(random), random)
+		s := l.send(caller, at, draw(random, mix), random)
 		if s.answer.Err != nil || s.answer.NotRun() {
 			at = nil
 		}
@@ -127,21 +124,6 @@
 	}
 }
 
-func drawKind(random *rand.Rand) kind {
-	sum := 0
-	for _, m := range mix {
-		sum += m.weight
-	}
-	n := random.IntN(sum)
-	for _, m := range mix {
-		if n < m.weight {
-			return m.kind
-		}
-		n -= m.weight
-	}
-	panic("soak: the weights of the kinds do not add up")
-}
-
 // send sends one request and records it.
 func (l *load) send(caller *standin.Caller, at *instance, k kind, random *rand.Rand) *sent {
 	s, q := l.prepare(at, k)
--- a/lab/soak/parts_test.go
+++ b/lab/soak/parts_test.go
@@ -32,7 +32,7 @@
 			Expect(len(kinds)).To(BeNumerically("<", len(weights)), "a plan leaves some faults out")
 		}
 		for _, w := range weights {
-			Expect(seen).To(HaveKey(w.fault))
+			Expect(seen).To(HaveKey(w.what))
 		}
 	})
 })
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -36,14 +36,30 @@
 	Storm      Fault = "configuration-storm"
 )
 
-// weighted is a fault with its relative frequency.
-type weighted struct {
-	fault  Fault
+// weighted is a choice with its relative frequency.
+type weighted[T any] struct {
+	what   T
 	weight int
 }
 
+// draw chooses one by the weights.
+func draw[T any](random *rand.Rand, choices []weighted[T]) T {
+	sum := 0
+	for _, c := range choices {
+		sum += c.weight
+	}
+	n := random.IntN(sum)
+	for _, c := range choices {
+		if n < c.weight {
+			return c.what
+		}
+		n -= c.weight
+	}
+	panic("soak: the weights do not add up")
+}
+
 // weights are the relative frequencies of the faults. Changes of the configuration are frequent, as they are in operation.
-var weights = []weighted{
+var weights = []weighted[Fault]{
 	{Kill, 4}, {KillAll, 1}, {Freeze, 4}, {Stop, 4}, {Roll, 2}, {Reload, 2}, {StoreCut, 3}, {StoreDown, 2}, {StoreSlow, 2},
 	{StoreLost, 2}, {StoreReset, 2}, {Crash, 4}, {Release, 4}, {Disturb, 6}, {PathCut, 3}, {PathReset, 3}, {PathSlow, 2},
 	{Change, 6}, {Storm, 1},
@@ -106,8 +122,8 @@
 }
 
 // drawKinds draws the kinds of faults of a plan.
-func drawKinds(random *rand.Rand) []weighted {
-	var kinds []weighted
+func drawKinds(random *rand.Rand) []weighted[Fault] {
+	var kinds []weighted[Fault]
 	for _, n := range random.Perm(len(weights)) {
 		if len(kinds) < minKinds || random.Float64() < kindShare {
 			kinds = append(kinds, weights[n])
@@ -116,21 +132,6 @@
 	return kinds
 }
 
-func draw(random *rand.Rand, kinds []weighted) Fault {
-	sum := 0
-	for _, k := range kinds {
-		sum += k.weight
-	}
-	n := random.IntN(sum)
-	for _, k := range kinds {
-		if n < k.weight {
-			return k.fault
-		}
-		n -= k.weight
-	}
-	panic("soak: the weights do not add up")
-}
-
 // String tells the plan, one line an action.
 func (p Plan) String() string {
 	var b strings.Builder
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -90,7 +90,7 @@
 		w.load.run(loadCtx, o.Callers)
 	}()
 	w.play(ctx)
-	unrecovered := w.recover(ctx)
+	unrecovered := w.awaitRecovery(ctx)
 	stopLoad()
 	<-loadDone
 	left := w.awaitIdle(ctx)
@@ -368,8 +368,8 @@
 	return nil
 }
 
-// recover waits until every instance serves each kind of request, and returns those that do not within the bound.
-func (w *world) recover(ctx context.Context) (failing []string) {
+// awaitRecovery waits until every instance serves each kind of request, and returns those that do not within the bound.
+func (w *world) awaitRecovery(ctx context.Context) (failing []string) {
 	ctx, cancel := context.WithTimeout(ctx, w.options.Bounds.Recovery)
 	defer cancel()
 	random := rand.New(rand.NewPCG(w.options.Plan.Seed, 0))
