Wait for the transfer before a spec of the stand-in engine cuts it

Cause: it cancelled as soon as the request was in phase import, which begins before the prefill engine has answered; a request that is cancelled earlier has fetched nothing and is not counted as cut. The engine now tells the transfers under way, and the spec waits for one; what it checks is unchanged.

--- a/lab/standin/engine/engine_test.go
+++ b/lab/standin/engine/engine_test.go
@@ -190,6 +190,8 @@
 			stalled <- err
 		}()
 		Eventually(func() string { return phaseOf(d.Requests()) }, limit).Should(Equal(string(api.PhaseImport)))
+		// The phase begins before the fetch; only a transfer that is under way can be cut.
+		Eventually(func() int { return d.Stats().Transfers }, limit).Should(Equal(1))
 		cancel()
 		Eventually(stalled, limit).Should(Receive(HaveOccurred()))
 		Eventually(func() int { return d.Stats().Requests + p.Stats().Requests }, limit).Should(BeZero())
--- a/lab/standin/engine/kv.go
+++ b/lab/standin/engine/kv.go
@@ -115,6 +115,8 @@
 		_, _ = io.Copy(io.Discard, resp.Body) // returns early only if the prefill engine dies or cancels
 		lost()
 	}()
+	e.countTransfers(1)
+	defer e.countTransfers(-1)
 	if !e.carry(ctx, bytes) {
 		e.countCut(en)
 		return refusal(http.StatusBadGateway, "kv_lost", "the transfer was cut; repeat the prefill")
@@ -126,6 +128,12 @@
 	return nil
 }
 
+func (e *Engine) countTransfers(change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Transfers += change
+}
+
 // countCut counts a prompt that was prefilled and fetched and whose answer will not be completed here.
 func (e *Engine) countCut(en *entry) {
 	e.mu.Lock()
