--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -28,13 +28,13 @@
 	// AnswersCompleted were sent whole; AnswersCut ended early after their prompts of CutPromptTokens were fetched or
 	// prefilled here.
 	AnswersCompleted int64 `json:"answers_completed"`
-	// Transfers is the number of transfers of KV cache that are under way: the prefill engine has answered.
-	Transfers int `json:"transfers"`
 	AnswersCut       int64 `json:"answers_cut"`
 	CutPromptTokens  int64 `json:"cut_prompt_tokens"`
 	// Refused requests found no slot or memory; Cancels are acknowledged or dropped cancels that found something held.
 	Refused int64 `json:"refused"`
 	Cancels int64 `json:"cancels"`
+	// Transfers is the number of transfers of KV cache that are under way: the prefill engine has answered.
+	Transfers int `json:"transfers"`
 	// UsedBlocks, UsedSlots and Requests are held now.
 	UsedBlocks int64 `json:"used_blocks"`
 	UsedSlots  int   `json:"used_slots"`
