Sum shared outcomes when they are heard, not for each request

Cause, found by reading the change: every choice of an endpoint looped over all instances that had told of failures, under the tracker's lock. Change: the sums by endpoint are kept when a message arrives; decay is linear, so what an instance told before is taken out of the sum. The rates are the same (spec 'count once, also if they are told again and again'); the other specs are unchanged.

--- a/router/internal/domain/health/health.go
+++ b/router/internal/domain/health/health.go
@@ -39,6 +39,8 @@
 	// own are this instance's recent outcomes, told those of the others by instance and endpoint.
 	own  map[string]counted
 	told map[string]map[string]counted
+	// pools are the sums of told by endpoint.
+	pools map[string]pool
 	// instances is the number of instances that use the endpoints.
 	instances func() int
 }
@@ -47,7 +49,7 @@
 func NewTracker(instances func() int) *Tracker {
 	return &Tracker{
 		records: map[string]*record{}, answered: map[string]time.Duration{}, own: map[string]counted{},
-		told: map[string]map[string]counted{}, instances: instances,
+		told: map[string]map[string]counted{}, pools: map[string]pool{}, instances: instances,
 	}
 }
 
--- a/router/internal/domain/health/health_test.go
+++ b/router/internal/domain/health/health_test.go
@@ -120,6 +120,19 @@
 		Expect(t.FailureRate("a", 0)).To(BeNumerically("<", 0.15))
 	})
 
+	// Guards against sums that keep what an instance has told before.
+	It("count once, also if they are told again and again", func() {
+		t, once := newTracker(8), newTracker(8)
+		for at := range 20 {
+			now := time.Duration(at) * 100 * time.Millisecond
+			t.Hear("i1", map[string]health.Outcomes{"a": {Failed: 5, All: 10}}, now)
+		}
+		once.Hear("i1", map[string]health.Outcomes{"a": {Failed: 5, All: 10}}, 1900*time.Millisecond)
+		Expect(t.FailureRate("a", 2*time.Second)).To(BeNumerically("~", once.FailureRate("a", 2*time.Second), 1e-9))
+		t.Hear("i1", nil, 2*time.Second)
+		Expect(t.FailureRate("a", 2*time.Second)).To(BeZero())
+	})
+
 	It("are forgotten with time, and when the instance tells of none", func() {
 		t := newTracker(8)
 		tell(t, 7, 5)
--- a/router/internal/domain/health/shared.go
+++ b/router/internal/domain/health/shared.go
@@ -20,6 +20,8 @@
 
 func (o Outcomes) plus(p Outcomes) Outcomes { return Outcomes{o.Failed + p.Failed, o.All + p.All} }
 
+func (o Outcomes) negated() Outcomes { return Outcomes{-o.Failed, -o.All} }
+
 // counted are outcomes as of a time since boot.
 type counted struct {
 	Outcomes
@@ -58,35 +60,55 @@
 // round keeps messages short.
 func round(v float64) float64 { return math.Round(v*10) / 10 }
 
-// Hear replaces the outcomes that another instance has told.
+// pool is the sum of what other instances have told about an endpoint, with the number of those that tell.
+type pool struct {
+	counted
+	tellers int
+}
+
+// Hear replaces the outcomes that another instance has told. The sums are kept here, because requests read them.
 func (t *Tracker) Hear(instance string, told map[string]Outcomes, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for endpoint, c := range t.told[instance] {
+		t.addToPool(endpoint, c.now(now).negated(), -1, now)
+	}
+	delete(t.told, instance)
 	if len(told) == 0 {
-		delete(t.told, instance)
 		return
 	}
 	heard := make(map[string]counted, len(told))
 	for endpoint, o := range told {
 		heard[endpoint] = counted{o, now}
+		t.addToPool(endpoint, o, 1, now)
 	}
 	t.told[instance] = heard
 }
 
-// pooled returns the failure rate of the endpoint over all instances, if others have told of failures; t.mu is held. Instances that have told nothing are
-// taken to have had as many requests as this one, all of them answered. A single instance whose own path to the endpoint is
-// broken so changes little.
+// addToPool adds outcomes and tellers to the sum of an endpoint; t.mu is held.
+func (t *Tracker) addToPool(endpoint string, o Outcomes, tellers int, now time.Duration) {
+	p := t.pools[endpoint]
+	p.counted = counted{p.now(now).plus(o), now}
+	p.tellers += tellers
+	if p.tellers == 0 {
+		delete(t.pools, endpoint)
+		return
+	}
+	t.pools[endpoint] = p
+}
+
+// pooled returns the failure rate of the endpoint over all instances, if others have told of failures; t.mu is held. Instances
+// that have told nothing are taken to have had as many requests as this one, all of them answered. A single instance whose
+// own path to the endpoint is broken so changes little.
 func (t *Tracker) pooled(endpoint string, now time.Duration) float64 {
-	sum := t.own[endpoint].now(now)
-	own, tellers := sum.All, 0
-	for _, heard := range t.told {
-		if c, ok := heard[endpoint]; ok {
-			sum = sum.plus(c.now(now))
-			tellers++
-		}
+	p, told := t.pools[endpoint]
+	if !told {
+		return 0
 	}
-	if tellers == 0 || sum.Failed < leastFailures {
+	own := t.own[endpoint].now(now)
+	sum := p.now(now).plus(own)
+	if sum.Failed < leastFailures {
 		return 0
 	}
-	return sum.Failed / (sum.All + own*float64(max(0, t.instances()-tellers-1)))
+	return sum.Failed / (sum.All + own.All*float64(max(0, t.instances()-p.tellers-1)))
 }
