Build messages from one part

Cause, found by reading the change: the whole state and the changes were two literals with the same fields, and a periodic message computed both to throw one away. Change: one function builds what all messages hold; the others add to it. Ruled out: leaving the choice to a flag of one function. Result: the specs of gossip pass unchanged; every message holds what it held.

--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -73,7 +73,7 @@
 func (s *Service) tellChanged() {
 	s.mu.Lock()
 	l := s.ledger()
-	m := s.partial(l)
+	m := s.changed(l)
 	if len(m.Spent)+len(m.Work)+len(m.Waiting)+s.toldWaiting == 0 {
 		s.mu.Unlock()
 		return
@@ -85,15 +85,25 @@
 func (s *Service) tellPeriodic() {
 	s.mu.Lock()
 	l := s.ledger()
-	m := s.whole(l)
-	if s.periods%wholeEvery != 0 {
-		changed := s.partial(l)
-		m.Spent, m.Work, m.Partial = changed.Spent, changed.Work, true
+	var m Message
+	if s.periods%wholeEvery == 0 {
+		m = s.whole(l)
+	} else {
+		m = s.addPeriodic(s.changed(l))
 	}
 	s.periods++
 	s.tellAll(m, l)
 }
 
+// Tell sends the whole state to all other instances.
+func (s *Service) Tell(stopped bool) {
+	s.mu.Lock()
+	l := s.ledger()
+	m := s.whole(l)
+	m.Stopped = stopped
+	s.tellAll(m, l)
+}
+
 // tellAll sends a message that tells the ledger to all other instances and releases s.mu.
 func (s *Service) tellAll(m Message, l ledger) {
 	s.told, s.toldWaiting = l, len(m.Waiting)
@@ -105,13 +115,32 @@
 	s.send(m, addresses)
 }
 
-// partial returns what has changed since the last message; s.mu is held.
-func (s *Service) partial(l ledger) Message {
+// message returns what all messages hold but those that ask.
+func (s *Service) message() Message {
 	config, endpoints := s.Mirror.Revisions()
-	return Message{
-		Sender: s.Self, Config: config, Endpoints: endpoints, Partial: true, Waiting: s.Queue.Waiting(),
-		Spent: changes(s.told.spent, l.spent), Work: changes(s.told.work, l.work),
-	}
+	return Message{Sender: s.Self, Config: config, Endpoints: endpoints, Waiting: s.Queue.Waiting()}
+}
+
+// changed returns what has changed since the last message; s.mu is held.
+func (s *Service) changed(l ledger) Message {
+	m := s.message()
+	m.Partial = true
+	m.Spent, m.Work = changes(s.told.spent, l.spent), changes(s.told.work, l.work)
+	return m
+}
+
+// whole returns the whole state.
+func (s *Service) whole(l ledger) Message {
+	m := s.message()
+	m.Spent, m.Work = l.spent, l.work
+	return s.addPeriodic(m)
+}
+
+// addPeriodic adds what only periodic messages hold.
+func (s *Service) addPeriodic(m Message) Message {
+	now := s.Boot()
+	m.Periodic, m.Changing, m.Outcomes = true, s.Marks.Own(now), s.Health.Tell(now)
+	return m
 }
 
 // changes returns the entries of now that differ from those of before. Entries that are missing have become zero.
@@ -131,25 +160,6 @@
 	return out
 }
 
-// Tell sends the whole state to all other instances.
-func (s *Service) Tell(stopped bool) {
-	s.mu.Lock()
-	l := s.ledger()
-	m := s.whole(l)
-	m.Stopped = stopped
-	s.tellAll(m, l)
-}
-
-// whole returns the whole state; s.mu is held.
-func (s *Service) whole(l ledger) Message {
-	now := s.Boot()
-	config, endpoints := s.Mirror.Revisions()
-	return Message{
-		Sender: s.Self, Config: config, Endpoints: endpoints, Periodic: true, Spent: l.spent, Work: l.work,
-		Waiting: s.Queue.Waiting(), Changing: s.Marks.Own(now), Outcomes: s.Health.Tell(now),
-	}
-}
-
 // addresses lists the peers' addresses; s.mu is held.
 func (s *Service) addresses() []string {
 	addresses := make([]string, 0, len(s.peers))
