Discard a refresh that a list has answered

Cause: since lists are no longer interrupted, a refresh that came while one was read stayed in its channel and ended the next watch at once, a priced call of the platform for nothing. Change: the list takes the signal. Ruled out: not sending the signal during a list, which needs the state of both feeds in Refresh. Before: 4 watches after a refresh at the start (TestListsAnswerRefreshes), after: 2.

--- a/router/internal/app/mirror/mirror.go
+++ b/router/internal/app/mirror/mirror.go
@@ -168,6 +168,7 @@
 		next, interrupted, err := uint64(0), false, error(nil)
 		if revision == 0 {
 			next, err = list(ctx)
+			discard(restart)
 		} else {
 			next, interrupted, err = interruptible(ctx, restart, func(ctx context.Context) (uint64, error) { return watch(ctx, revision) })
 		}
@@ -198,6 +199,14 @@
 	}
 }
 
+// discard drops a refresh that came while a list was read, which answers it.
+func discard(restart <-chan struct{}) {
+	select {
+	case <-restart:
+	default:
+	}
+}
+
 // interruptible makes a call that ends early when the channel delivers.
 func interruptible(ctx context.Context, c <-chan struct{}, call func(context.Context) (uint64, error)) (next uint64, interrupted bool, err error) {
 	own, cancel := context.WithCancel(ctx)
--- a/router/internal/app/mirror/mirror_test.go
+++ b/router/internal/app/mirror/mirror_test.go
@@ -296,3 +296,20 @@
 		}
 	})
 }
+
+// Guards against a watch that is ended and made again because of a refresh that came while the list was being read: the list
+// is newer, and every call is priced.
+func TestListsAnswerRefreshes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		m := mirror.New(f, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, func() time.Duration { return time.Hour })
+		m.Refresh()
+		go m.Run(t.Context())
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.watches != 2 {
+			t.Error("watches of the two feeds:", f.watches)
+		}
+	})
+}
