--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -15,9 +15,9 @@
 
 func at(seconds float64) time.Time { return origin.Add(time.Duration(seconds * float64(time.Second))) }
 
-// sound returns evidence of a system that keeps all promises: versions 1, 2 and 3 acknowledged at 0 s, 20 s and 40 s, of
+// healthyRun returns evidence of a system that keeps all promises: versions 1, 2 and 3 acknowledged at 0 s, 20 s and 40 s, of
 // which 2 moves the route and takes the visitor's key, and one request at 10 s.
-func sound() (*evidence, *sent) {
+func healthyRun() (*evidence, *sent) {
 	e := &evidence{
 		bounds: DefaultBounds(), faults: &timeline{}, runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{},
 		versions: []version{
@@ -60,7 +60,7 @@
 
 var _ = Describe("the checks", func() {
 	It("accept a system that keeps its promises", func() {
-		e, _ := sound()
+		e, _ := healthyRun()
 		e.served(moved, "moved-1", "o1", 30)
 		e.served(newest, "newest-1", "c1", 30).version = 2
 		e.refused(visitor, "visitor-1", http.StatusUnauthorized, 30)
@@ -70,7 +70,7 @@
 
 	// Guards against checks that see nothing: each breach has to be found, under its own promise.
 	DescribeTable("find", func(promise string, breach func(*evidence, *sent)) {
-		e, s := sound()
+		e, s := healthyRun()
 		breach(e, s)
 		Expect(e.check()).To(ContainElement(HaveField("Promise", promise)))
 	},
@@ -107,8 +107,8 @@
 		Entry("two orders to a server", "one order", func(e *evidence, _ *sent) {
 			engine := standin.NewServer("p1", "prefill")
 			e.servers["p1"] = &serverBoot{server: engine}
-			engine.Obey(standin.Order{Stage: "decode", Holder: "router-1"})
-			Eventually(func() int { return engine.Obey(standin.Order{Stage: "prefill", Holder: "router-2"}) }).Should(Equal(http.StatusAccepted))
+			engine.Accept(standin.Order{Stage: "decode", Holder: "router-1"})
+			Eventually(func() int { return engine.Accept(standin.Order{Stage: "prefill", Holder: "router-2"}) }).Should(Equal(http.StatusAccepted))
 		}),
 		Entry("a customer above its rate", "rate", func(e *evidence, _ *sent) {
 			for range 60 {
@@ -137,7 +137,7 @@
 
 	// Guards against verdicts on what the promises except.
 	DescribeTable("accept, as it is not promised,", func(exempt func(*evidence, *sent)) {
-		e, s := sound()
+		e, s := healthyRun()
 		exempt(e, s)
 		Expect(e.check()).To(BeEmpty())
 	},
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -15,8 +15,8 @@
 	visitorKey, visitorName = "visitor-key", "visitor"
 	forgedKey               = "forged-key"
 
-	// plenty is a rate and burst that no run reaches; limitedRate is a tenth of what callers ask.
-	plenty      = 10_000_000
+	// unlimited is a rate and burst that no run reaches; limitedRate is a tenth of what callers ask.
+	unlimited   = 10_000_000
 	limitedRate = 15_000
 
 	streamTimeout = 10 * time.Second
@@ -93,9 +93,9 @@
 			{Name: modelService, Slots: engineSlots, Lease: lease, SwitchTime: switchTime},
 		},
 		Customers: []standin.Customer{
-			{Name: plantName, Keys: []string{plantKey}, Rate: plenty, Burst: plenty},
+			{Name: plantName, Keys: []string{plantKey}, Rate: unlimited, Burst: unlimited},
 			{Name: limitedName, Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedRate},
-			{Name: visitorName, Keys: []string{}, Rate: plenty, Burst: plenty},
+			{Name: visitorName, Keys: []string{}, Rate: unlimited, Burst: unlimited},
 		},
 	}
 	for n := max(1, v.number-keptVersions+1); n <= v.number; n++ {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -28,7 +28,7 @@
 	StoreReset Fault = "store-history-lost"
 	Crash      Fault = "server-crash"
 	Release    Fault = "server-release"
-	Disturb    Fault = "server-trouble"
+	Misbehave  Fault = "server-misbehavior"
 	PathCut    Fault = "server-path-cut"
 	PathReset  Fault = "server-path-reset"
 	PathSlow   Fault = "server-path-slow"
@@ -61,13 +61,13 @@
 // weights are the relative frequencies of the faults. Changes of the configuration are frequent, as they are in operation.
 var weights = []weighted[Fault]{
 	{Kill, 4}, {KillAll, 1}, {Freeze, 4}, {Stop, 4}, {Roll, 2}, {Reload, 2}, {StoreCut, 3}, {StoreDown, 2}, {StoreSlow, 2},
-	{StoreLost, 2}, {StoreReset, 2}, {Crash, 4}, {Release, 4}, {Disturb, 6}, {PathCut, 3}, {PathReset, 3}, {PathSlow, 2},
+	{StoreLost, 2}, {StoreReset, 2}, {Crash, 4}, {Release, 4}, {Misbehave, 6}, {PathCut, 3}, {PathReset, 3}, {PathSlow, 2},
 	{Change, 6}, {Storm, 1},
 }
 
 const (
-	// quiet is the time before the first fault, in which the checks see undisturbed traffic.
-	quiet = 3 * time.Second
+	// warmUp is the time before the first fault, in which the checks see undisturbed traffic.
+	warmUp = 3 * time.Second
 	// meanPause is the mean time between faults, so that faults of the usual length often overlap.
 	meanPause = 1200 * time.Millisecond
 	// kindShare is the share of the kinds of faults that a plan draws from, and minKinds their least number. Few kinds in a run
@@ -107,7 +107,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	p := Plan{Seed: seed, Length: length}
 	kinds := drawKinds(random)
-	for at := quiet; ; {
+	for at := warmUp; ; {
 		at += time.Duration(random.ExpFloat64() * float64(meanPause))
 		if at >= length {
 			break
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -148,18 +148,18 @@
 	return errors.Join(err, m.end(b))
 }
 
-// troubles are the forms of Disturb.
-var troubles = []standin.Trouble{standin.LostAnswers, standin.Failures, standin.ExtraAnswers, standin.CutAnswers, standin.Refusals}
+// misbehaviors are the forms of Misbehave.
+var misbehaviors = []standin.Misbehavior{standin.LostAnswers, standin.Failures, standin.ExtraAnswers, standin.CutAnswers, standin.Refusals}
 
 const (
-	// troubleShare is the share of requests that a disturbed server treats badly.
-	troubleShare = 0.5
+	// misbehaviorShare is the share of requests that a disturbed server treats badly.
+	misbehaviorShare = 0.5
 	// slowPath is the delay of a slow path, each way.
 	slowPath = 60 * time.Millisecond
 )
 
 func disturb(b *serverBoot, variant int, pause time.Duration) {
-	b.server.Disturb(troubles[variant%len(troubles)], troubleShare, rand.Float64)
+	b.server.Misbehave(misbehaviors[variant%len(misbehaviors)], misbehaviorShare, rand.Float64)
 	time.Sleep(pause)
 	b.server.Behave(nil)
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -352,7 +352,7 @@
 		return nil
 	}
 	switch a.Fault {
-	case Disturb:
+	case Misbehave:
 		disturb(b, a.Variant, a.For)
 	case PathReset:
 		b.path.Reset()
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -89,18 +89,18 @@
 
 // Deps are what a Service works with.
 type Deps struct {
-	Self      routing.Instance
-	Seeds     []string
-	Transport Transport
-	Registry  Registry
-	Mirror    *mirror.Mirror
-	Limiter   *sharedlimit.Limiter
-	Book      *work.Book
-	Queue     Queue
-	Marks     *stages.Marks
-	Health    *health.Tracker
-	Boot      func() time.Duration
-	Logger    *log.Logger
+	Self        routing.Instance
+	Seeds       []string
+	Transport   Transport
+	Registry    Registry
+	Mirror      *mirror.Mirror
+	Limiter     *sharedlimit.Limiter
+	Book        *work.Book
+	Queue       Queue
+	Transitions *stages.Transitions
+	Health      *health.Tracker
+	Boot        func() time.Duration
+	Logger      *log.Logger
 }
 
 // peer is what is known of another instance.
--- a/router/internal/app/gossip/gossip_test.go
+++ b/router/internal/app/gossip/gossip_test.go
@@ -61,11 +61,11 @@
 	mirror  *mirror.Mirror
 	stop    context.CancelFunc
 
-	mu      sync.Mutex
-	waiting []waitlist.Request
-	heard   map[string]int
-	marks   *stages.Marks
-	health  *health.Tracker
+	mu          sync.Mutex
+	waiting     []waitlist.Request
+	heard       map[string]int
+	transitions *stages.Transitions
+	health      *health.Tracker
 }
 
 func newNetwork() *network {
@@ -193,11 +193,11 @@
 	t.Helper()
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	boot := func() time.Duration { return time.Since(start) + 30*365*24*time.Hour }
-	nd := &node{network: n, address: name, book: work.NewBook(), limiter: sharedlimit.New(), marks: stages.NewMarks(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
+	nd := &node{network: n, address: name, book: work.NewBook(), limiter: sharedlimit.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
 	nd.mirror = mirror.New(platform, quiet, boot)
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
-		Mirror: nd.mirror, Limiter: nd.limiter, Book: nd.book, Queue: queue{nd}, Marks: nd.marks, Health: nd.health, Boot: boot, Logger: quiet,
+		Mirror: nd.mirror, Limiter: nd.limiter, Book: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Boot: boot, Logger: quiet,
 	})
 	n.mu.Lock()
 	n.nodes[name] = nd
@@ -387,13 +387,13 @@
 		if !a.Leads() || b.Leads() {
 			t.Error("leads:", a.Leads(), b.Leads())
 		}
-		a.marks.Set("p1", routing.Decode, a.Boot()+6*time.Second)
+		a.transitions.Set("p1", routing.Decode, a.Boot()+6*time.Second)
 		a.health.Failed("s1", false, a.Boot())
 		time.Sleep(time.Second)
 		if b.health.FailureRate("s1", b.Boot()) == 0 {
 			t.Error("failures are not told")
 		}
-		if to, ok := b.marks.Changing("p1", routing.Prefill, b.Boot()); !ok || to != routing.Decode {
+		if to, ok := b.transitions.Changing("p1", routing.Prefill, b.Boot()); !ok || to != routing.Decode {
 			t.Error("not told:", to, ok)
 		}
 		a.stop()
@@ -402,8 +402,8 @@
 			t.Error("nobody leads after the end of the first")
 		}
 		time.Sleep(2 * time.Second)
-		if _, ok := b.marks.Changing("p1", routing.Prefill, b.Boot()); ok {
-			t.Error("the mark of an instance that ended still holds")
+		if _, ok := b.transitions.Changing("p1", routing.Prefill, b.Boot()); ok {
+			t.Error("the transition of an instance that ended still holds")
 		}
 	})
 }
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -29,7 +29,7 @@
 	// Waiting lists the sender's requests that wait for a place, also in partial messages.
 	Waiting []waitlist.Request `json:"waiting,omitempty"`
 	// Changing lists the engines that the sender has ordered to change their stage, in periodic messages.
-	Changing []stages.Mark `json:"changing,omitempty"`
+	Changing []stages.Transition `json:"changing,omitempty"`
 	// Outcomes are those at endpoints that have failed lately, in periodic messages.
 	Outcomes map[string]health.Outcomes `json:"outcomes,omitempty"`
 	// Stopped is set in the last message of an instance that stops as planned.
@@ -139,7 +139,7 @@
 // addPeriodic adds what only periodic messages hold.
 func (s *Service) addPeriodic(m Message) Message {
 	now := s.Boot()
-	m.Periodic, m.Changing, m.Outcomes = true, s.Marks.Own(now), s.Health.Tell(now)
+	m.Periodic, m.Changing, m.Outcomes = true, s.Transitions.Own(now), s.Health.Tell(now)
 	return m
 }
 
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -40,7 +40,7 @@
 		s.Book.Hear(m.Sender.Name, m.Work)
 	}
 	if m.Periodic {
-		s.Marks.Hear(m.Sender.Name, m.Changing, now)
+		s.Transitions.Hear(m.Sender.Name, m.Changing, now)
 		s.Health.Hear(m.Sender.Name, m.Outcomes, now)
 	}
 	s.Queue.Hear(m.Sender.Name, m.Waiting)
--- a/router/internal/app/restage/restage.go
+++ b/router/internal/app/rebalance/rebalance.go
@@ -1,10 +1,10 @@
-// Package restage orders engines to change between reading prompts and decoding, so that neither stage idles while requests
-// wait for the other.
+// Package rebalance orders engines to change between the prefill and the decode stage, so that neither idles while requests wait
+// for the other.
 //
 // The instance that leads watches the work and orders; every engine gets at most one order in its life. An exclusive entry
 // on the platform decides which instance sends it, and gives its fencing token: two orders to one engine can neither overlap
 // nor overtake each other, also if instances disagree on who leads, or an order takes effect late.
-package restage
+package rebalance
 
 import (
 	"context"
@@ -60,15 +60,15 @@
 // Deps are what a Service works with.
 type Deps struct {
 	// Self is this instance's name, which orders carry as their holder.
-	Self   string
-	State  State
-	Book   *work.Book
-	Marks  *stages.Marks
-	Claims Claims
-	Orders Orders
+	Self        string
+	State       State
+	Book        *work.Book
+	Transitions *stages.Transitions
+	Claims      Claims
+	Orders      Orders
 	// Leads reports whether this instance is the one that acts.
 	Leads func() bool
-	// Changed is called when marks have changed.
+	// Changed is called when transitions have changed.
 	Changed func()
 	Boot    func() time.Duration
 	Logger  *log.Logger
@@ -116,8 +116,8 @@
 		s.planners[service.Name] = planner
 	}
 	pool := stages.Pool{
-		Readers: s.engines(service.Name, routing.Prefill), Decoders: s.engines(service.Name, routing.Decode),
-		ToRead: s.State.Changing(service.Name, routing.Prefill), ToDecode: s.State.Changing(service.Name, routing.Decode),
+		Prefill: s.engines(service.Name, routing.Prefill), Decode: s.engines(service.Name, routing.Decode),
+		ToPrefill: s.State.Changing(service.Name, routing.Prefill), ToDecode: s.State.Changing(service.Name, routing.Decode),
 	}
 	planner.Observe(now, pool, engines.Size{Slots: service.Engine.Slots, Tokens: service.Engine.MemoryTokens})
 	if e, to, ok := planner.Next(now, pool); ok {
@@ -143,8 +143,8 @@
 		if err != nil {
 			e = s.Logger.Warn().Err(err)
 		}
-		return e.Str("endpoint", ep.ID).Str("to", string(to)).Int("readers", len(pool.Readers)).Int("decoders", len(pool.Decoders)).
-			Int("to_read", pool.ToRead).Int("to_decode", pool.ToDecode)
+		return e.Str("endpoint", ep.ID).Str("to", string(to)).Int("prefill", len(pool.Prefill)).Int("decode", len(pool.Decode)).
+			Int("to_prefill", pool.ToPrefill).Int("to_decode", pool.ToDecode)
 	}
 	began := s.Boot()
 	token, err := s.Claims.ClaimEngine(ctx, ep.ID, s.Self)
@@ -157,13 +157,13 @@
 		line(nil).Str("event", "stage.claim_too_old").Dur("age", age).Msg("the engine keeps its stage")
 		return
 	}
-	s.Marks.Set(ep.ID, to, s.Boot()+switchTime+lateEffect)
+	s.Transitions.Set(ep.ID, to, s.Boot()+switchTime+lateEffect)
 	s.Changed()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err = s.Orders.OrderStage(ctx, ep, to, s.Self, token)
 	if errors.Is(err, routing.ErrNotRun) {
-		s.Marks.Drop(ep.ID)
+		s.Transitions.Drop(ep.ID)
 		s.Changed()
 		line(err).Str("event", "stage.refused").Uint64("token", token).Msg("")
 		return
--- a/router/internal/app/restage/restage_test.go
+++ b/router/internal/app/rebalance/rebalance_test.go
@@ -1,4 +1,4 @@
-package restage_test
+package rebalance_test
 
 import (
 	"context"
@@ -13,35 +13,35 @@
 	"github.com/phuslu/log"
 
 	"tanagerwood.dev/api/routing"
-	"tanagerwood.dev/router/internal/app/restage"
+	"tanagerwood.dev/router/internal/app/rebalance"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/work"
 )
 
-func TestRestage(t *testing.T) {
+func TestRebalance(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "restage")
+	RunSpecs(t, "rebalance")
 }
 
 // fleet is a platform with engines, and a service that decides about them.
 type fleet struct {
-	now      time.Duration
-	listed   map[string]routing.Endpoint
-	book     *work.Book
-	marks    *stages.Marks
-	leads    bool
-	claims   map[string]string
-	claimErr error
+	now         time.Duration
+	listed      map[string]routing.Endpoint
+	book        *work.Book
+	transitions *stages.Transitions
+	leads       bool
+	claims      map[string]string
+	claimErr    error
 	// claimTakes is how long a claim takes.
 	claimTakes time.Duration
 	orders     []string
 	orderErr   error
 	removed    []string
-	service    *restage.Service
+	service    *rebalance.Service
 }
 
 func newFleet(readers, decoders int) *fleet {
-	f := &fleet{listed: map[string]routing.Endpoint{}, book: work.NewBook(), marks: stages.NewMarks(), leads: true, claims: map[string]string{}}
+	f := &fleet{listed: map[string]routing.Endpoint{}, book: work.NewBook(), transitions: stages.NewTransitions(), leads: true, claims: map[string]string{}}
 	for i := range readers {
 		f.list(fmt.Sprint("p", i), routing.Prefill)
 	}
@@ -51,8 +51,8 @@
 		f.book.Begin(id, work.Amount{Requests: 10})
 	}
 	f.book.Begin("p0", work.Amount{Requests: 1, Tokens: 5000})
-	f.service = restage.New(restage.Deps{
-		Self: "i-1", State: f, Book: f.book, Marks: f.marks, Claims: f, Orders: f, Leads: func() bool { return f.leads },
+	f.service = rebalance.New(rebalance.Deps{
+		Self: "i-1", State: f, Book: f.book, Transitions: f.transitions, Claims: f, Orders: f, Leads: func() bool { return f.leads },
 		Changed: func() {}, Boot: func() time.Duration { return f.now }, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
 	return f
@@ -68,7 +68,7 @@
 
 func (f *fleet) Stage(_ string, stage routing.Stage) (out []routing.Endpoint) {
 	for _, ep := range f.listed {
-		if _, changing := f.marks.Changing(ep.ID, ep.Stage, f.now); ep.Stage == stage && !changing {
+		if _, changing := f.transitions.Changing(ep.ID, ep.Stage, f.now); ep.Stage == stage && !changing {
 			out = append(out, ep)
 		}
 	}
@@ -77,7 +77,7 @@
 
 func (f *fleet) Changing(_ string, to routing.Stage) (n int) {
 	for _, ep := range f.listed {
-		if next, changing := f.marks.Changing(ep.ID, ep.Stage, f.now); changing && next == to {
+		if next, changing := f.transitions.Changing(ep.ID, ep.Stage, f.now); changing && next == to {
 			n++
 		}
 	}
--- a/router/internal/domain/stages/stages_test.go
+++ b/router/internal/domain/stages/stages_test.go
@@ -21,16 +21,16 @@
 
 var size = engines.Size{Slots: 12, Tokens: 100_000}
 
-// pool has readers of which some are reading, and decoders with the given requests each.
-func pool(readers, reading, decoders, requests int) stages.Pool {
+// pool has prefill engines of which some are busy, and decode engines with the given requests each.
+func pool(prefill, busy, decode, requests int) stages.Pool {
 	var p stages.Pool
-	for i := range readers {
-		p.Readers = append(p.Readers, engine(fmt.Sprint("p", i), i < reading))
+	for i := range prefill {
+		p.Prefill = append(p.Prefill, engine(fmt.Sprint("p", i), i < busy))
 	}
-	for i := range decoders {
+	for i := range decode {
 		e := engine(fmt.Sprint("d", i), false)
 		e.Work.Requests = requests
-		p.Decoders = append(p.Decoders, e)
+		p.Decode = append(p.Decode, e)
 	}
 	return p
 }
@@ -44,7 +44,7 @@
 }
 
 // play observes the pool five times a second and does what Next asks, as if engines changed at once. It returns the
-// number of readers in the end.
+// number of prefill engines in the end.
 func play(p *stages.Planner, from, seconds float64, reading, decoding float64, readers, decoders int) int {
 	for at := from; at < from+seconds; at += 0.2 {
 		now := time.Duration(at * float64(time.Second))
@@ -103,9 +103,9 @@
 	It("chooses an engine without an order, in the domain that has most, with the least work", func() {
 		p := &stages.Planner{}
 		state := pool(8, 0, 18, 10)
-		state.Readers[0].Endpoint.Domain = "other"
-		state.Readers[1].Orderable = false
-		state.Readers[2].Work = work.Amount{Requests: 1, Tokens: 900}
+		state.Prefill[0].Endpoint.Domain = "other"
+		state.Prefill[1].Orderable = false
+		state.Prefill[2].Work = work.Amount{Requests: 1, Tokens: 900}
 		for at := range 20 {
 			p.Observe(time.Duration(at+1)*200*time.Millisecond, state, size)
 		}
@@ -128,9 +128,9 @@
 	})
 })
 
-var _ = Describe("marks", func() {
+var _ = Describe("transitions", func() {
 	It("hold until the engine has the stage, or their time is over", func() {
-		m := stages.NewMarks()
+		m := stages.NewTransitions()
 		m.Set("p1", routing.Decode, 10*time.Second)
 		to, ok := m.Changing("p1", routing.Prefill, time.Second)
 		Expect(ok).To(BeTrue())
@@ -148,7 +148,7 @@
 	})
 
 	It("are told to other instances, whose clocks differ", func() {
-		m, other := stages.NewMarks(), stages.NewMarks()
+		m, other := stages.NewTransitions(), stages.NewTransitions()
 		m.Set("p1", routing.Decode, 10*time.Second)
 		other.Hear("i", m.Own(4*time.Second), time.Minute)
 		_, ok := other.Changing("p1", routing.Prefill, time.Minute+5*time.Second)
--- /dev/null
+++ b/router/internal/domain/stages/transitions.go
@@ -0,0 +1,105 @@
+package stages
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagerwood.dev/api/routing"
+)
+
+// Transition says that an engine is changing its stage and takes no requests meanwhile. Instances exchange transitions.
+type Transition struct {
+	Endpoint string        `json:"endpoint"`
+	To       routing.Stage `json:"to"`
+	// LeftMS is how long the transition holds at most, in milliseconds.
+	LeftMS int64 `json:"left_ms"`
+}
+
+type transition struct {
+	to    routing.Stage
+	until time.Duration
+}
+
+// Transitions holds the transitions of all instances. It is safe for concurrent use; requests read it without a lock.
+type Transitions struct {
+	mu     sync.Mutex
+	own    map[string]transition
+	others map[string]map[string]transition
+	all    atomic.Pointer[map[string]transition]
+}
+
+// NewTransitions returns an empty Transitions.
+func NewTransitions() *Transitions {
+	t := &Transitions{own: map[string]transition{}, others: map[string]map[string]transition{}}
+	t.all.Store(&map[string]transition{})
+	return t
+}
+
+// Set notes that an engine is changing, until a time since boot at most.
+func (t *Transitions) Set(endpoint string, to routing.Stage, until time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own[endpoint] = transition{to, until}
+	t.merge()
+}
+
+// Drop removes this instance's transition.
+func (t *Transitions) Drop(endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.own, endpoint)
+	t.merge()
+}
+
+// Own lists this instance's transitions that still hold, for the others.
+func (t *Transitions) Own(now time.Duration) []Transition {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Transition
+	for endpoint, v := range t.own {
+		if v.until <= now {
+			delete(t.own, endpoint)
+			continue
+		}
+		out = append(out, Transition{Endpoint: endpoint, To: v.to, LeftMS: (v.until - now).Milliseconds()})
+	}
+	return out
+}
+
+// Hear replaces the transitions of another instance.
+func (t *Transitions) Hear(instance string, list []Transition, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(list) == 0 && t.others[instance] == nil {
+		return
+	}
+	delete(t.others, instance)
+	if len(list) > 0 {
+		heard := map[string]transition{}
+		for _, v := range list {
+			heard[v.Endpoint] = transition{v.To, now + time.Duration(v.LeftMS)*time.Millisecond}
+		}
+		t.others[instance] = heard
+	}
+	t.merge()
+}
+
+// merge publishes the transitions of all instances; t.mu is held.
+func (t *Transitions) merge() {
+	all := maps.Clone(t.own)
+	for _, heard := range t.others {
+		maps.Copy(all, heard)
+	}
+	t.all.Store(&all)
+}
+
+// Changing returns the stage to which an engine in the given stage is changing; ok is false if it is not.
+func (t *Transitions) Changing(endpoint string, stage routing.Stage, now time.Duration) (to routing.Stage, ok bool) {
+	v, changing := (*t.all.Load())[endpoint]
+	if !changing || v.to == stage || v.until <= now {
+		return "", false
+	}
+	return v.to, true
+}
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -178,7 +178,7 @@
 	go p.mirror.Run(ctx)
 	go p.peers.Run(ctx)
 	go p.dispatcher.Run(ctx)
-	go p.restager.Run(ctx)
+	go p.rebalancer.Run(ctx)
 	go n.watchSettings(ctx)
 	go periodic.Run(ctx, idleCheck, func(context.Context) {
 		p.endpoints.CloseIdle()
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -15,7 +15,7 @@
 	"tanagerwood.dev/router/internal/app/forward"
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/mirror"
-	"tanagerwood.dev/router/internal/app/restage"
+	"tanagerwood.dev/router/internal/app/rebalance"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
@@ -29,7 +29,7 @@
 	mirror     *mirror.Mirror
 	peers      *gossip.Service
 	dispatcher *dispatch.Dispatcher
-	restager   *restage.Service
+	rebalancer *rebalance.Service
 	handler    *front.Handler
 	endpoints  *platform.Endpoints
 	health     *health.Tracker
@@ -42,7 +42,7 @@
 		mirror:     do.MustInvoke[*mirror.Mirror](n.injector),
 		peers:      do.MustInvoke[*gossip.Service](n.injector),
 		dispatcher: do.MustInvoke[*dispatch.Dispatcher](n.injector),
-		restager:   do.MustInvoke[*restage.Service](n.injector),
+		rebalancer: do.MustInvoke[*rebalance.Service](n.injector),
 		handler:    do.MustInvoke[*front.Handler](n.injector),
 		endpoints:  do.MustInvoke[*platform.Endpoints](n.injector),
 		health:     do.MustInvoke[*health.Tracker](n.injector),
@@ -54,11 +54,11 @@
 // state joins what the components read of the configuration and the endpoints.
 type state struct {
 	*mirror.Mirror
-	marks *stages.Marks
-	boot  func() time.Duration
+	transitions *stages.Transitions
+	boot        func() time.Duration
 }
 
-// Services implements restage.State.
+// Services implements rebalance.State.
 func (s state) Services() []*routing.Service {
 	if t := s.Table(); t != nil {
 		return t.Services()
@@ -66,18 +66,18 @@
 	return nil
 }
 
-// Changing implements restage.State.
+// Changing implements rebalance.State.
 func (s state) Changing(service string, to routing.Stage) (count int) {
 	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
-		if next, ok := s.marks.Changing(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving {
+		if next, ok := s.transitions.Changing(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving {
 			count++
 		}
 	}
 	return count
 }
 
-// Listed implements restage.State.
+// Listed implements rebalance.State.
 func (s state) Listed(endpoint string) bool {
 	_, ok := s.Endpoints().ByID[endpoint]
 	return ok
@@ -91,7 +91,7 @@
 	return nil
 }
 
-// Stage implements dispatch.State, forward.State and restage.State.
+// Stage implements dispatch.State, forward.State and rebalance.State.
 func (s state) Stage(service string, stage routing.Stage) []routing.Endpoint {
 	var out []routing.Endpoint
 	now := s.boot()
@@ -99,7 +99,7 @@
 		if ep.Service != service || ep.Stage != stage || ep.Leaving {
 			continue
 		}
-		if _, changing := s.marks.Changing(ep.ID, stage, now); !changing {
+		if _, changing := s.transitions.Changing(ep.ID, stage, now); !changing {
 			out = append(out, ep)
 		}
 	}
@@ -120,14 +120,14 @@
 	do.ProvideValue(i, work.NewBook())
 	do.ProvideValue(i, sharedlimit.New())
 	do.ProvideValue(i, health.NewTracker(n.instances))
-	do.ProvideValue(i, stages.NewMarks())
+	do.ProvideValue(i, stages.NewTransitions())
 	do.ProvideValue(i, platform.NewStore(s.PlatformAddress, silence))
 	do.ProvideValue(i, platform.NewEndpoints(endpointDial, silence, maxIdle))
 	do.Provide(i, func(i do.Injector) (*mirror.Mirror, error) {
 		return mirror.New(do.MustInvoke[*platform.Store](i), logger, boot), nil
 	})
 	do.Provide(i, func(i do.Injector) (state, error) {
-		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), marks: do.MustInvoke[*stages.Marks](i), boot: boot}, nil
+		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), transitions: do.MustInvoke[*stages.Transitions](i), boot: boot}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*gossip.Service, error) {
 		return gossip.New(gossip.Deps{
@@ -136,7 +136,7 @@
 			},
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*mirror.Mirror](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
-			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Marks: do.MustInvoke[*stages.Marks](i),
+			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Transitions: do.MustInvoke[*stages.Transitions](i),
 			Health: do.MustInvoke[*health.Tracker](i), Boot: boot, Logger: logger,
 		}), nil
 	})
@@ -163,10 +163,10 @@
 			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
-	do.Provide(i, func(i do.Injector) (*restage.Service, error) {
+	do.Provide(i, func(i do.Injector) (*rebalance.Service, error) {
 		peers := do.MustInvoke[*gossip.Service](i)
-		return restage.New(restage.Deps{
-			Self: s.Instance, State: do.MustInvoke[state](i), Book: do.MustInvoke[*work.Book](i), Marks: do.MustInvoke[*stages.Marks](i),
+		return rebalance.New(rebalance.Deps{
+			Self: s.Instance, State: do.MustInvoke[state](i), Book: do.MustInvoke[*work.Book](i), Transitions: do.MustInvoke[*stages.Transitions](i),
 			Claims: do.MustInvoke[*platform.Store](i), Orders: do.MustInvoke[*platform.Endpoints](i),
 			Leads:   func() bool { return peers.Joined() && peers.Leads() && n.phase() == front.Serving },
 			Changed: func() { peers.Tell(false) }, Boot: boot, Logger: logger,
