--- a/lab/soak/bounds.go
+++ b/lab/soak/bounds.go
@@ -1,5 +1,6 @@
 // Package soak runs router processes against stand-ins of the platform while faults happen, and checks from what callers
-// and servers saw that the system kept its promises. A run is a function of its seed but for the timing of the machine.
+// and servers saw that the system kept its promises. A run is a function of its seed but for the timing of the machine. With the
+// same processes it measures what one instance costs.
 package soak
 
 import "time"
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -91,6 +91,10 @@
 			e.served(brief, "brief-1", "d1", 11).answer.Body = "id: 2\ndata: token 2 of brief-1\n\n"
 		}),
 		Entry("a route of an old version", "configuration", func(e *evidence, _ *sent) { e.served(moved, "moved-1", "c1", 30) }),
+		Entry("a route of an old version, although the machine was a little late", "configuration", func(e *evidence, _ *sent) {
+			e.faults.noteStall(at(28), at(28.1))
+			e.served(moved, "moved-1", "c1", 30)
+		}),
 		Entry("a new route that is not there", "configuration", func(e *evidence, _ *sent) {
 			e.refused(newest, "newest-1", http.StatusNotFound, 30).version = 2
 		}),
@@ -146,6 +150,10 @@
 			e.disturbed("router-1", false, 19, 28)
 			e.served(moved, "moved-1", "c1", 30)
 		}),
+		Entry("an old route after a stall of the machine", func(e *evidence, _ *sent) {
+			e.faults.noteStall(at(28), at(28.5))
+			e.served(moved, "moved-1", "c1", 30)
+		}),
 		Entry("an old route while the store is down", func(e *evidence, _ *sent) {
 			e.disturbed(storeScope, false, 19, 40)
 			e.served(moved, "moved-1", "c1", 30)
