Keep the virtual clock of tests once

Change: package testclock, which only tests import. Ruled out: the system's clock, which asks the kernel and is not virtual in a bubble.

--- a/router/internal/app/loads/loads_test.go
+++ b/router/internal/app/loads/loads_test.go
@@ -19,6 +19,7 @@
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/domain/prefix"
 	"tanagerwood.dev/router/internal/port"
+	"tanagerwood.dev/router/internal/testclock"
 )
 
 var suite *testing.T
@@ -29,11 +30,6 @@
 	RunSpecs(t, "loads")
 }
 
-type bubbleClock struct{}
-
-func (bubbleClock) Now() time.Time      { return time.Now() }
-func (bubbleClock) Boot() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // world is one poller with one prefill and one decode endpoint. It implements port.Config and port.Engine.
 type world struct {
 	mu        sync.Mutex
@@ -104,7 +100,7 @@
 			{Name: "p1", Role: platform.RolePrefill, Pool: "p"}, {Name: "d1", Role: platform.RoleDecode, Pool: "d"},
 			{Name: "s1", Role: platform.RoleService, Pool: "s"},
 		}}
-		w.poller = loads.New(loads.Deps{Config: w, Engine: w, Clock: bubbleClock{}, Log: w.log, Index: w.index, Self: "r1"})
+		w.poller = loads.New(loads.Deps{Config: w, Engine: w, Clock: testclock.Bubble{}, Log: w.log, Index: w.index, Self: "r1"})
 		go w.poller.Run(ctx)
 		f(w)
 	})
--- a/router/internal/app/modelpath/fakes_test.go
+++ b/router/internal/app/modelpath/fakes_test.go
@@ -23,6 +23,7 @@
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
+	"tanagerwood.dev/router/internal/testclock"
 )
 
 var suite *testing.T
@@ -41,11 +42,6 @@
 	})
 }
 
-type bubbleClock struct{}
-
-func (bubbleClock) Now() time.Time      { return time.Now() }
-func (bubbleClock) Boot() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // silentError is what the adapter reports for a silent connection.
 type silentError struct{}
 
@@ -393,7 +389,7 @@
 	}
 	w.path = modelpath.New(modelpath.Deps{
 		Config: w.config, Admission: w.admission, Placer: w.placer, Engine: w.engine, Canceller: fakeCanceller{w.engine},
-		Clock: bubbleClock{}, Log: w.log, Metrics: w.metrics, Registry: w.registry,
+		Clock: testclock.Bubble{}, Log: w.log, Metrics: w.metrics, Registry: w.registry,
 	})
 	return w
 }
--- a/router/internal/app/placement/fleet_test.go
+++ b/router/internal/app/placement/fleet_test.go
@@ -34,6 +34,7 @@
 	"tanagerwood.dev/router/internal/domain/prefix"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
+	"tanagerwood.dev/router/internal/testclock"
 )
 
 var suite *testing.T
@@ -57,11 +58,6 @@
 	})
 }
 
-type bubbleClock struct{}
-
-func (bubbleClock) Now() time.Time      { return time.Now() }
-func (bubbleClock) Boot() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // simEngine is a model engine in fake time: one prefill at a time, a number of decode slots, and reports that lag.
 type simEngine struct {
 	ep       port.Endpoint
@@ -369,17 +365,17 @@
 		i := &instance{name: "r" + strconv.Itoa(k), fleet: f, metrics: metrics.NewRegistry()}
 		log := event.NewLog(i.name, "1", 1000, time.Now)
 		index := prefix.New(1000)
-		i.poller = loads.New(loads.Deps{Config: f, Engine: f, Clock: bubbleClock{}, Log: log, Index: index, Self: i.name})
+		i.poller = loads.New(loads.Deps{Config: f, Engine: f, Clock: testclock.Bubble{}, Log: log, Index: index, Self: i.name})
 		i.service = reservations.New(reservations.Deps{
-			Membership: i, Peers: f, Engine: f, Loads: i.poller, Config: f, Clock: bubbleClock{}, Metrics: i.metrics,
+			Membership: i, Peers: f, Engine: f, Loads: i.poller, Config: f, Clock: testclock.Bubble{}, Metrics: i.metrics,
 		})
 		i.placer = placement.New(placement.Deps{
-			Config: f, Loads: i.poller, Index: index, Reservations: i.service, Clock: bubbleClock{},
+			Config: f, Loads: i.poller, Index: index, Reservations: i.service, Clock: testclock.Bubble{},
 			Rand: &lockedRand{r: rand.New(rand.NewPCG(uint64(k), 7))},
 		})
 		i.path = modelpath.New(modelpath.Deps{
 			Config: f, Admission: freeAdmission{}, Placer: i.placer, Engine: f, Canceller: noCanceller{},
-			Clock: bubbleClock{}, Log: log, Metrics: i.metrics, Registry: modelpath.NewRegistry(),
+			Clock: testclock.Bubble{}, Log: log, Metrics: i.metrics, Registry: modelpath.NewRegistry(),
 		})
 		f.instances = append(f.instances, i)
 	}
--- a/router/internal/app/reservations/reservations_test.go
+++ b/router/internal/app/reservations/reservations_test.go
@@ -21,6 +21,7 @@
 	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/port"
+	"tanagerwood.dev/router/internal/testclock"
 )
 
 var suite *testing.T
@@ -31,11 +32,6 @@
 	RunSpecs(t, "reservations")
 }
 
-type bubbleClock struct{}
-
-func (bubbleClock) Now() time.Time      { return time.Now() }
-func (bubbleClock) Boot() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 var (
 	decode  = port.Endpoint{Name: "d1", Role: platform.RoleDecode, Pool: "d"}
 	prefill = port.Endpoint{Name: "p1", Role: platform.RolePrefill, Pool: "p"}
@@ -109,7 +105,7 @@
 		defer GinkgoRecover()
 		w := &world{owned: true, metrics: metrics.NewRegistry()}
 		w.service = reservations.New(reservations.Deps{
-			Membership: w, Peers: w, Engine: w, Loads: w, Config: w, Clock: bubbleClock{}, Metrics: w.metrics,
+			Membership: w, Peers: w, Engine: w, Loads: w, Config: w, Clock: testclock.Bubble{}, Metrics: w.metrics,
 		})
 		f(w)
 	})
