Split the soak's check of configurations

Change: whether a request agrees with a version is a function of its own, and the check asks for one version in force that it agrees with. Ruled out: a table of cases, which hides that they are one rule.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -159,41 +159,45 @@
 // checkConfiguration: instances without a fault follow versions within the bound; routes and keys that all versions have are
 // always there.
 func (e *evidence) checkConfiguration(s *sent) {
-	status := s.answer.Status
-	denied := s.answer.Err == nil && (status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound)
-	switch s.kind {
-	case moved, newest, visitor:
-	case forged:
+	if s.kind == forged {
 		return
-	default:
-		if denied {
-			e.add("configuration", s.id, "%s answers %d to what all versions allow", s.instance, status)
-		}
+	}
+	if s.denied() && s.kind != newest && s.kind != visitor {
+		e.add("configuration", s.id, "%s answers %d to what all versions allow", s.instance, s.answer.Status)
 		return
 	}
 	if !e.faults.inTouch(s.instance, e.bounds.Stable, s.began, s.done) {
 		return
 	}
-	allowed := e.inForce(s)
-	some := func(match func(version) bool) bool { return slices.ContainsFunc(allowed, match) }
-	ran := len(e.runs[s.id]) > 0
-	switch {
-	case s.kind == moved && denied:
-		e.add("configuration", s.id, "%s answers %d to what all versions allow", s.instance, status)
-	case s.kind == moved && ran:
-		service := e.servers[e.runs[s.id][0].Server].service
-		if !some(func(v version) bool { return v.moved == service }) {
-			e.add("configuration", s.id, "%s sent it to %s, which no version from %d on allows", s.instance, service, allowed[0].number)
-		}
-	case s.kind == newest && denied && !some(func(v version) bool { return !v.has(s.version) }):
-		e.add("configuration", s.id, "%s answers %d on the route of version %d, acknowledged long ago", s.instance, status, s.version)
-	case s.kind == newest && ran && !some(func(v version) bool { return v.has(s.version) }):
-		e.add("configuration", s.id, "%s serves the route of version %d, dropped long ago", s.instance, s.version)
-	case s.kind == visitor && denied && !some(func(v version) bool { return !v.visitor }):
-		e.add("configuration", s.id, "%s answers %d to a key that versions from %d on have", s.instance, status, allowed[0].number)
-	case s.kind == visitor && ran && !some(func(v version) bool { return v.visitor }):
-		e.add("configuration", s.id, "%s serves a key that no version from %d on has", s.instance, allowed[0].number)
+	inForce := e.inForce(s)
+	allowedBy := func(v version) bool { return e.agrees(s, v) }
+	if !slices.ContainsFunc(inForce, allowedBy) {
+		e.add("configuration", s.id, "%s handled it as no version from %d on does: status %d, runs %d",
+			s.instance, inForce[0].number, s.answer.Status, len(e.runs[s.id]))
+	}
+}
+
+// denied reports whether the instance answered that it knows no such route or key.
+func (s *sent) denied() bool {
+	status := s.answer.Status
+	return s.answer.Err == nil && (status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound)
+}
+
+// agrees reports whether the request may have been handled by the version. One that was neither denied nor run agrees with all.
+func (e *evidence) agrees(s *sent, v version) bool {
+	runs := e.runs[s.id]
+	if !s.denied() && len(runs) == 0 {
+		return true
 	}
+	switch s.kind {
+	case moved:
+		return v.moved == e.servers[runs[0].Server].service
+	case newest:
+		return v.has(s.version) != s.denied()
+	case visitor:
+		return v.visitor != s.denied()
+	}
+	return true
 }
 
 // checkRollback: an instance does not go back to an older version within one start of its process.
