Take signals before the settings are read

Overlapping rolling stops sent SIGTERM before, and the default action ended the process; SIGHUP, which the platform sends when settings change, would have ended it as well. Change: the signals are taken first. Ruled out: a failed stop (the process had not begun to serve). The Go runtime needs some ms before main, in which a process still ends by the signal; the soak accepts that within 250 ms of the start only, and has a spec for each side.

--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -135,6 +135,9 @@
 		Entry("a planned stop that fails", "processes", func(e *evidence, _ *sent) {
 			e.ends = []end{{instance: "router-1", wanted: true, err: errors.New("exit status 1")}}
 		}),
+		Entry("a planned stop by the signal's default action", "processes", func(e *evidence, _ *sent) {
+			e.ends = []end{{instance: "router-1", wanted: true, ran: time.Second, err: errors.New("signal: terminated")}}
+		}),
 		Entry("a stop that takes too long", "processes", func(e *evidence, _ *sent) { e.lateStops = []string{"router-1"} }),
 		Entry("an instance that does not serve again", "recovery", func(e *evidence, _ *sent) { e.unrecovered = []string{"router-1 look"} }),
 	)
@@ -168,6 +171,9 @@
 			delete(e.runs, s.id)
 		}),
 		Entry("a second run of what may be repeated", func(e *evidence, _ *sent) { e.ran(e.served(look, "look-1", "c1", 11), "c2", 11.2) }),
+		Entry("the end of a process that was stopped before it could take signals", func(e *evidence, _ *sent) {
+			e.ends = []end{{instance: "router-1", wanted: true, ran: 20 * time.Millisecond, err: errors.New("signal: terminated")}}
+		}),
 		Entry("the end of a killed process", func(e *evidence, _ *sent) {
 			e.ends = []end{{instance: "router-1", wanted: true, err: errors.New("signal: killed")}}
 		}),
--- a/router/cmd/tanagerwood/node.go
+++ b/router/cmd/tanagerwood/node.go
@@ -16,6 +16,7 @@
 
 func newNode() *command {
 	var n *settings.Node
+	var signals <-chan os.Signal
 	return &command{
 		name:     "node",
 		synopsis: "run an instance on a platform whose store holds the configuration",
@@ -24,26 +25,35 @@
 Runs one router instance whose configuration and endpoints are objects in the platform's store. SIGTERM or SIGINT begin a
 planned stop: readiness ends at once, open requests are answered. SIGHUP reads the settings file again.`,
 		setFlags: func(f *flag.FlagSet) { n = settings.RegisterNode(f) },
-		parse:    settings.ParseNode,
-		run:      func(ctx context.Context, out io.Writer, _ []string) error { return runNode(ctx, out, n) },
+		parse: func(f *flag.FlagSet, arguments []string) error {
+			signals = takeSignals()
+			return settings.ParseNode(f, arguments)
+		},
+		run: func(ctx context.Context, out io.Writer, _ []string) error { return runNode(ctx, out, n, signals) },
 	}
 }
 
-func runNode(ctx context.Context, out io.Writer, s *settings.Node) error {
+func runNode(ctx context.Context, out io.Writer, s *settings.Node, signals <-chan os.Signal) error {
 	if problems := s.Problems(); len(problems) > 0 {
 		return invalid("the settings", problems)
 	}
 	writer := statelog.NewAsyncWriter(out)
 	logger := statelog.NewAsyncLogger(writer, s.LogLevel, s.Instance)
 	n := node.New(node.Options{Settings: s, Version: version(), Logger: logger, DroppedLines: writer.Dropped})
-	go handleSignals(n)
+	go handleSignals(n, signals)
 	return errors.Join(n.Run(ctx), writer.Close())
 }
 
-// handleSignals begins a planned stop on SIGTERM and SIGINT, and reads the settings again on SIGHUP.
-func handleSignals(n *node.Node) {
+// takeSignals replaces the default actions of the signals, which end the process. It comes before the settings are read, since
+// the platform may send signals at any time after the start.
+func takeSignals() <-chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// handleSignals begins a planned stop on SIGTERM and SIGINT, and reads the settings again on SIGHUP.
+func handleSignals(n *node.Node, signals <-chan os.Signal) {
 	for sig := range signals {
 		if sig == syscall.SIGHUP {
 			n.Reload()
