Refuse on arrival what cannot be answered on time; learn how fast engines are

Late requests waited for up to 3 s and got a third of the places (24 of 49 in seconds 20 to 22 had waited over 2 s), and each then held its memory for some 3 s, in which fresh requests became late in turn. The limits on waiting came from constants that belong to one kind of engine (25,000 tokens/s, 150 ms).

Change: domain/pace learns the times of reading, of the first event and of holding a place from answers, with the old constants as assumptions until there are measurements; impossible values are ignored and counted. The wait list estimates from running requests and the mean hold when a place will be free, and refuses on arrival what would be late then. Late requests do not wait: they get a place only if no request on time has waited in the last second. Retry-After follows the time for which places are held.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/domain/engines"
 	"tanagerwood.dev/router/internal/domain/health"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/domain/work"
 	"tanagerwood.dev/router/internal/fault"
@@ -36,10 +37,11 @@
 	reserveTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds the release of a reservation; after it, the engine lets it lapse.
 	releaseTimeout = time.Second
-	// minReturn and maxReturn bound the time after which refused callers are told to come back. They are spread, so that
-	// the returns do not come as another burst.
+	// minReturn and maxReturn bound the time after which refused callers are told to come back.
 	minReturn = 1 * time.Second
-	maxReturn = 3 * time.Second
+	maxReturn = 5 * time.Second
+	// usualHold is for how long places are assumed to be held until it is known.
+	usualHold = 2 * time.Second
 )
 
 // Engines reserves places at engines.
@@ -61,7 +63,9 @@
 	State   State
 	Book    *work.Book
 	Health  *health.Tracker
-	Domain  string
+	// Pace knows for how long places are held.
+	Pace   *pace.Pace
+	Domain string
 	// Instances is the number of instances that share the engines.
 	Instances func() int
 	// Random returns a number in [0, 1).
@@ -77,9 +81,8 @@
 	RequestID string
 	Service   string
 	Demand    routing.Demand
-	// OnTimeUntil is when the place must be found for the answer to be on time, Latest when waiting ends.
+	// OnTimeUntil is when the place must be found for the answer to be on time.
 	OnTimeUntil time.Duration
-	Latest      time.Duration
 	// Avoid holds endpoints that have failed this request.
 	Avoid map[string]bool
 }
@@ -244,7 +247,7 @@
 func (d *Dispatcher) wait(ctx context.Context, job *Job) (*Place, error) {
 	granted := make(chan *Place, 1)
 	entry := &waitlist.Entry{
-		ID: job.RequestID, Tokens: engines.Memory(job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Latest: job.Latest, Avoid: job.Avoid,
+		ID: job.RequestID, Tokens: engines.Memory(job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Avoid: job.Avoid,
 	}
 	entry.Decided = func(engine *routing.Endpoint) {
 		if engine == nil {
@@ -274,7 +277,7 @@
 	}
 	d.Logger.Info().Str("event", "place.none").Str("request", job.RequestID).Int("waiting", waiting).
 		Dur("past_on_time", d.Boot()-job.OnTimeUntil).Msg("")
-	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.returnTime())
+	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.returnTime(job.Service))
 }
 
 // abandon takes the request of a caller that left off the list, with the place that it may just have got.
@@ -290,8 +293,15 @@
 	return fault.Wrap(ctx.Err(), fault.CallerGone, openai.NotRun, "the caller is gone")
 }
 
-func (d *Dispatcher) returnTime() time.Duration {
-	return minReturn + time.Duration(d.Random()*float64(maxReturn-minReturn))
+// returnTime is when a refused caller should come back: about when the places that are taken now are free again, spread over as
+// long, so that the returns do not come as another burst.
+func (d *Dispatcher) returnTime(service string) time.Duration {
+	hold := d.Pace.Hold(service)
+	if hold == 0 {
+		hold = usualHold
+	}
+	spread := time.Duration((0.5 + d.Random()) * float64(hold))
+	return min(max(spread, minReturn), maxReturn)
 }
 
 func (d *Dispatcher) list(service string) *waitlist.List {
@@ -303,18 +313,21 @@
 	return l
 }
 
-// dispatchService refuses requests that have waited for too long, and grants the places that are free to the requests of all
-// instances in order. As many late requests may wait here as this instance's part of the slots.
+// dispatchService grants the places that are free to the requests of all instances in order, and refuses those of this
+// instance that cannot be answered on time.
 func (d *Dispatcher) dispatchService(service string) {
-	list := d.lists[service]
-	if list.Len() == 0 {
+	list, others := d.lists[service], d.othersOf(service)
+	if list.Len()+len(others) == 0 {
 		return
 	}
 	now := d.Boot()
 	size, _ := d.size(service)
 	candidates := d.candidates(service, now)
-	list.Expire(now, max(1, size.Slots*len(candidates)/max(1, d.Instances())))
-	list.Grant(now, d.othersOf(service), func(tokens int64, own *waitlist.Entry) *routing.Endpoint {
+	turnover := waitlist.Turnover{Hold: d.Pace.Hold(service)}
+	for _, c := range candidates {
+		turnover.Running += c.Work.Requests
+	}
+	list.Dispatch(now, others, turnover, func(tokens int64, own *waitlist.Entry) *routing.Endpoint {
 		return d.take(candidates, size, tokens, own)
 	})
 }
--- a/router/internal/app/dispatch/place.go
+++ b/router/internal/app/dispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/engines"
@@ -22,13 +23,14 @@
 	// made is the output as of the last progress, in tokens; perEvent the tokens in an event of the engine's streams.
 	made     int64
 	perEvent int64
+	began    time.Duration
 	used     bool
 	once     sync.Once
 }
 
 // newPlace enters the work in the book, so that requests that come at the same time see it.
 func (d *Dispatcher) newPlace(job *Job, ep routing.Endpoint) *Place {
-	p := &Place{Endpoint: ep, dispatcher: d, service: job.Service, demand: job.Demand,
+	p := &Place{Endpoint: ep, dispatcher: d, service: job.Service, demand: job.Demand, began: d.Boot(),
 		amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand, 0)}}
 	if _, engine := d.size(job.Service); engine != nil {
 		p.perEvent = engine.EventTokens
@@ -56,6 +58,9 @@
 		d := p.dispatcher
 		d.Book.End(p.Endpoint.ID, p.amount)
 		d.Changed()
+		if p.used {
+			d.Pace.Held(p.service, d.Boot()-p.began)
+		}
 		if p.Reservation != nil && !p.used {
 			go d.giveBack(*p.Reservation)
 		}
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -15,6 +15,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
 	"tanagerwood.dev/router/internal/domain/health"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/routetable"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
@@ -57,6 +58,7 @@
 	Budget     *retrybudget.Budget
 	Book       *work.Book
 	Health     *health.Tracker
+	Pace       *pace.Pace
 	Domain     string
 	// Instances is the number of instances that share the endpoints' connections.
 	Instances func() int
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -67,6 +67,9 @@
 	}
 	if r.times.firstEvent == 0 {
 		r.times.firstEvent = r.Boot() - began
+		if r.times.prefill > 0 {
+			r.Pace.Started(r.service.Name, r.times.firstEvent)
+		}
 		r.meters.firstEvent.Update((r.Boot() - r.req.Arrived).Milliseconds())
 	}
 	return r.sink.Piece(events)
--- /dev/null
+++ b/router/internal/domain/pace/pace_test.go
@@ -0,0 +1,68 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/router/internal/domain/pace"
+)
+
+func TestPace(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pace of engines")
+}
+
+const ms = time.Millisecond
+
+var _ = Describe("the pace of engines", func() {
+	// Guards against limits that fit one kind of engine only.
+	It("follows slow and fast engines, each service by itself", func() {
+		p := pace.New()
+		for range 200 {
+			p.Read("slow", 4000, 800*ms)
+			p.Started("slow", 400*ms)
+			p.Read("fast", 4000, 40*ms)
+			p.Started("fast", 10*ms)
+		}
+		Expect(p.FirstEvent("slow", 2000)).To(BeNumerically("~", 800*ms, 20*ms))
+		Expect(p.FirstEvent("fast", 2000)).To(BeNumerically("~", 30*ms, 20*ms))
+		Expect(p.FirstEvent("unknown", 2500)).To(Equal(250 * ms))
+	})
+
+	// Guards against a limit that half of the requests exceed.
+	It("covers most requests where times vary", func() {
+		p := pace.New()
+		for range 100 {
+			p.Started("m", 100*ms)
+			p.Started("m", 300*ms)
+		}
+		Expect(p.FirstEvent("m", 0)).To(BeNumerically(">", 270*ms))
+	})
+
+	// Guards against a process that was suspended, a clock that stands still, and prompts without a size.
+	It("ignores what cannot be a measurement", func() {
+		p := pace.New()
+		for range 50 {
+			p.Read("m", 0, time.Second)
+			p.Read("m", -5, time.Second)
+			p.Read("m", 100, -time.Second)
+			p.Started("m", 0)
+			p.Held("m", time.Hour)
+		}
+		Expect(p.FirstEvent("m", 2500)).To(Equal(250 * ms))
+		Expect(p.Hold("m")).To(BeZero())
+		Expect(p.Ignored()).To(Equal(int64(250)))
+	})
+
+	It("knows how long places are held after a few requests", func() {
+		p := pace.New()
+		p.Held("m", 2*time.Second)
+		p.Held("m", 4*time.Second)
+		Expect(p.Hold("m")).To(BeZero())
+		p.Held("m", 3*time.Second)
+		Expect(p.Hold("m")).To(BeNumerically("~", 3*time.Second, ms))
+	})
+})
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -1,7 +1,7 @@
-// Package waitlist orders requests that wait for a place at an engine, across all instances. Those that can still be
-// answered on time go first, in order of urgency; late ones are served from what the others leave, and only a bounded number
-// of them waits. A long queue in order of arrival alone would make everyone late. Each instance knows what waits elsewhere
-// and leaves the places to it that come before its own, since instances that all try for the same place at the same moment
+// Package waitlist orders requests that wait for a place at an engine, across all instances, by how soon they must begin to be
+// answered on time. A request waits only while it can still be answered on time: one that is clearly too late is refused at
+// once, so that a burst leaves no queue that makes later requests late in turn. Each instance knows what waits elsewhere and
+// leaves the places to it that come before its own, since instances that all try for the same place at the same moment
 // overload the engine.
 package waitlist
 
@@ -28,13 +28,14 @@
 type Entry struct {
 	ID     string
 	Tokens int64
-	// OnTimeUntil is when the request must leave the list to be answered on time, Latest when it must leave the list at all.
+	// OnTimeUntil is when the request must leave the list to be answered on time.
 	OnTimeUntil time.Duration
-	Latest      time.Duration
 	// Avoid holds the engines that have failed the request.
 	Avoid map[string]bool
-	// Decided is called once, when the request leaves the list by Grant or Expire: with its engine, or nil if it is refused.
+	// Decided is called once, when the request leaves the list by Dispatch: with its engine, or nil if it is refused.
 	Decided func(engine *routing.Endpoint)
+	// admitted says that the request was expected to get a place in time when it came.
+	admitted bool
 }
 
 // Other is a waiting request of another instance.
@@ -47,6 +48,8 @@
 // List holds this instance's waiting requests for a service. Its user serialises access.
 type List struct {
 	entries []*Entry
+	// contendedUntil is until when late requests get no place.
+	contendedUntil time.Duration
 }
 
 // Len is the number of waiting requests.
@@ -77,26 +80,6 @@
 	return out
 }
 
-// Expire refuses requests that have waited for as long as they may, and late ones beyond maxLate: the newest, which have
-// waited least.
-func (l *List) Expire(now time.Duration, maxLate int) {
-	late := 0
-	var refused []*Entry
-	l.entries = slices.DeleteFunc(l.entries, func(e *Entry) bool {
-		if now > e.OnTimeUntil {
-			late++
-		}
-		if now >= e.Latest || now > e.OnTimeUntil && late > maxLate {
-			refused = append(refused, e)
-			return true
-		}
-		return false
-	})
-	for _, e := range refused {
-		e.Decided(nil)
-	}
-}
-
 // sameUrgency is the difference in time within which requests are equally urgent. What other instances tell is a few
 // milliseconds old, so that a finer order would differ from one instance to the next.
 const sameUrgency = 16 * time.Millisecond
@@ -110,22 +93,52 @@
 	own     *Entry
 }
 
-// Grant goes through the requests of all instances in the order in which they are to be served. The function take finds an
-// engine for a request and counts it as used there, or returns nil if there is none. The first request for which there is
-// none ends the round: places are kept for it. Own requests that get an engine leave the list.
-func (l *List) Grant(now time.Duration, others []Other, take func(tokens int64, own *Entry) *routing.Endpoint) {
-	if len(l.entries) == 0 {
-		return
+// Turnover is how fast places become free.
+type Turnover struct {
+	// Running is the number of requests that hold a place, Hold the mean time for which one does; zero if it is not known.
+	Running int
+	Hold    time.Duration
+}
+
+// wait is the time until as many places will have become free.
+func (t Turnover) wait(places int) time.Duration {
+	if t.Running == 0 {
+		return 0
 	}
+	return time.Duration(places) * t.Hold / time.Duration(t.Running)
+}
+
+// Take finds an engine for a request and counts it as used there, or returns nil if there is none. Own is nil for the requests
+// of other instances.
+type Take func(tokens int64, own *Entry) *routing.Endpoint
+
+// contendedFor is for how long after a request on time has waited late ones get no place. A place is held for seconds, in which
+// further requests that can be on time arrive.
+const contendedFor = time.Second
+
+// Dispatch goes through the requests of all instances in the order in which they are to be served. The first one on time for
+// which there is no engine ends the grants: places are kept for it, and for those behind it. Own requests that get an engine
+// leave the list. So do, without one, those that are late, and new ones that will be by the time at which enough places are
+// expected to have become free.
+func (l *List) Dispatch(now time.Duration, others []Other, turnover Turnover, take Take) {
+	waits := 0
 	for _, w := range l.order(now, others) {
-		engine := take(w.tokens, w.own)
-		if engine == nil {
-			return
+		var engine *routing.Endpoint
+		if waits == 0 && !(w.late && now < l.contendedUntil) {
+			engine = take(w.tokens, w.own)
+		}
+		if engine == nil && !w.late {
+			waits++
+			l.contendedUntil = now + contendedFor
+		}
+		if w.own == nil {
+			continue
 		}
-		if w.own != nil {
+		if engine != nil || w.late || !w.own.admitted && now+turnover.wait(waits) > w.own.OnTimeUntil {
 			l.Remove(w.own)
 			w.own.Decided(engine)
 		}
+		w.own.admitted = true
 	}
 }
 
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -17,6 +17,7 @@
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/rebalance"
 	"tanagerwood.dev/router/internal/domain/health"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
@@ -118,6 +119,7 @@
 	s, logger, boot := n.options.Settings, n.options.Logger, clock.System{}.Boot
 	do.ProvideValue(i, newRegistry(n.options.DroppedLines))
 	do.ProvideValue(i, work.NewBook())
+	do.ProvideValue(i, pace.New())
 	do.ProvideValue(i, sharedlimit.New())
 	do.ProvideValue(i, health.NewTracker(n.instances))
 	do.ProvideValue(i, stages.NewTransitions())
@@ -147,9 +149,9 @@
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(dispatch.Deps{
 			Engines: do.MustInvoke[*platform.Endpoints](i), State: do.MustInvoke[state](i),
-			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
-			Instances: n.instances,
-			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger,
+			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Pace: do.MustInvoke[*pace.Pace](i),
+			Domain: s.Domain, Instances: n.instances,
+			Random: rand.Float64, Changed: n.announce, Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*forward.Path, error) {
@@ -157,7 +159,7 @@
 			State: do.MustInvoke[state](i), Calls: do.MustInvoke[*platform.Endpoints](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Budget: do.MustInvoke[*retrybudget.Budget](i), Book: do.MustInvoke[*work.Book](i),
-			Health: do.MustInvoke[*health.Tracker](i), Domain: s.Domain,
+			Health: do.MustInvoke[*health.Tracker](i), Pace: do.MustInvoke[*pace.Pace](i), Domain: s.Domain,
 			Instances: n.instances,
 			Joined:    func() bool { return n.parts.Load().peers.Joined() },
 			Random:    rand.Float64, Changed: n.announce, Boot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
