--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -227,11 +227,14 @@
 
 // readHead reads the head of the answer. Interim answers and answers to other requests are skipped.
 func readHead(cn *conn, r *Request) (*http.Response, error) {
+	defer cn.unlimitHead()
 	for range maxSkipped {
+		cn.limitHead()
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, fmt.Errorf("h1: reading the answer: %w", err)
 		}
+		cn.unlimitHead()
 		switch {
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("h1: the peer switches protocols without being asked")
--- a/api/h1/conn.go
+++ b/api/h1/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +18,8 @@
 	readBufferBytes = 8 << 10
 	// defaultIdle is how long a connection is reused if the peer does not say; common servers keep them for 5 s or more.
 	defaultIdle = 4 * time.Second
+	// MaxHeadBytes bounds the head of an answer. A faulty peer may send one without end.
+	MaxHeadBytes = 64 << 10
 	// idleMargin is how long before the peer's announced timeout a connection is given up.
 	idleMargin = 500 * time.Millisecond
 )
@@ -25,6 +28,9 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headLeft is how many bytes of the head of an answer may still be read; it is not used while headUnbounded is set.
+	headLeft      int
+	headUnbounded bool
 	// idleLimit is how long the peer keeps the connection without a request.
 	idleLimit time.Duration
 	idleSince time.Time
@@ -33,7 +39,30 @@
 }
 
 func newConn(c net.Conn, onClose func()) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: defaultIdle, onClose: onClose}
+	cn := &conn{Conn: c, idleLimit: defaultIdle, onClose: onClose, headUnbounded: true}
+	cn.reader = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn
+}
+
+// ErrHeadTooLong says that the head of an answer exceeds the limit. The request may have been carried out.
+var ErrHeadTooLong = fmt.Errorf("h1: the head of the answer has more than %d bytes", MaxHeadBytes)
+
+// limitHead bounds what is read until unlimitHead.
+func (c *conn) limitHead() { c.headLeft, c.headUnbounded = MaxHeadBytes, false }
+
+func (c *conn) unlimitHead() { c.headUnbounded = true }
+
+// Read implements io.Reader within the limit of heads. One goroutine reads a connection at a time.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headUnbounded {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // Close closes the connection once.
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -16,6 +16,7 @@
 
 	"tanagerwood.dev/api/engine"
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
@@ -118,10 +119,11 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: perHost,
-		IdleConnTimeout:     idle,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: h1.MaxHeadBytes,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    perHost,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
 	}
 }
 
--- a/router/internal/adapter/peerhttp/client.go
+++ b/router/internal/adapter/peerhttp/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/router/internal/fault"
@@ -70,11 +71,12 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConns:        0, // one pool entry per peer is wanted at any fleet size
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: h1.MaxHeadBytes,
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           0, // one pool entry per peer is wanted at any fleet size
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
 	}
 }
 
--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/fault"
@@ -59,11 +60,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	secure := &tls.Dialer{NetDialer: dialer, Config: &tls.Config{NextProtos: []string{"http/1.1"}}}
 	return &http.Transport{
-		DialContext:         wrapped(dialer.DialContext),
-		DialTLSContext:      wrapped(secure.DialContext),
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: idlePerEndpoint,
+		MaxResponseHeaderBytes: h1.MaxHeadBytes,
+		DialContext:            wrapped(dialer.DialContext),
+		DialTLSContext:         wrapped(secure.DialContext),
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    idlePerEndpoint,
 	}
 }
 
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -16,7 +16,7 @@
 const relayBuffer = 16 << 10
 
 // maxEventBytes bounds an event that is kept until it is complete.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // relay passes a stream on as its events arrive. Only complete events are passed on, so that a stream that breaks off can
 // go on at another endpoint.
