Follow changes of the platform as often as the settings ask

Cause: the pause after a change (0.4 s) and the length of a watch (12 s) were constants, next to bounds of 2 to 4 s that differ by deployment. The settings -config-within and -drain-within now carry the bounds; a fifth of them passes after a change before the next call. A watch waits for 25 s.

--- a/router/internal/app/mirror/mirror.go
+++ b/router/internal/app/mirror/mirror.go
@@ -20,12 +20,12 @@
 )
 
 const (
-	// watchTime is how long a watch waits, so that an idle instance makes less than 0.2 calls a second. Connections that go
+	// watchTime is how long a watch waits, so that an idle instance makes less than 0.1 calls a second. Connections that go
 	// silent are found by keep-alive probes, and by what other instances know.
-	watchTime = 12 * time.Second
-	// batchPause is the pause after a change, so that changes in quick succession share a call of the platform. It is short
-	// next to the 2 s within which a change must be in force.
-	batchPause = 400 * time.Millisecond
+	watchTime = 25 * time.Second
+	// pausePart is the part of the time within which a change must be in force that passes after a change before the next
+	// call, so that changes in quick succession share a call of the platform.
+	pausePart = 5
 	// minPause and maxPause bound the pause after a failed call of the platform.
 	minPause = 100 * time.Millisecond
 	maxPause = time.Second
@@ -58,9 +58,16 @@
 	Endpoints *Endpoints      `json:"endpoints"`
 }
 
+// Limits are the times within which changes must be in force.
+type Limits struct {
+	Config    time.Duration
+	Endpoints time.Duration
+}
+
 // Mirror is the copy. It is safe for concurrent use.
 type Mirror struct {
 	platform Platform
+	limits   Limits
 	logger   *log.Logger
 	boot     func() time.Duration
 
@@ -83,8 +90,8 @@
 const never = time.Duration(math.MinInt64 / 2)
 
 // New returns a mirror. The function boot tells the time since boot.
-func New(p Platform, logger *log.Logger, boot func() time.Duration) *Mirror {
-	m := &Mirror{platform: p, logger: logger, boot: boot, lapsed: map[string]time.Duration{}, recovered: never}
+func New(p Platform, limits Limits, logger *log.Logger, boot func() time.Duration) *Mirror {
+	m := &Mirror{platform: p, limits: limits, logger: logger, boot: boot, lapsed: map[string]time.Duration{}, recovered: never}
 	m.arrived.Store(int64(never))
 	for i := range m.restart {
 		m.restart[i] = make(chan struct{}, 1)
@@ -150,46 +157,59 @@
 func (m *Mirror) Run(ctx context.Context) {
 	ctx = routing.WithProgress(ctx, func() { m.arrived.Store(int64(m.boot())) })
 	var wg sync.WaitGroup
-	wg.Go(func() { m.follow(ctx, "config", m.restart[0], m.readConfig, m.watchConfig) })
-	wg.Go(func() { m.follow(ctx, "endpoints", m.restart[1], m.listEndpoints, m.watchEndpoints) })
+	wg.Go(func() {
+		m.follow(ctx, feed{"config", m.limits.Config / pausePart, m.restart[0], m.readConfig, m.watchConfig})
+	})
+	wg.Go(func() {
+		m.follow(ctx, feed{"endpoints", m.limits.Endpoints / pausePart, m.restart[1], m.listEndpoints, m.watchEndpoints})
+	})
 	wg.Wait()
 }
 
+// feed is a part of the platform that is followed.
+type feed struct {
+	what string
+	// pause is the pause after a change.
+	pause   time.Duration
+	restart <-chan struct{}
+	list    func(context.Context) (uint64, error)
+	watch   func(context.Context, uint64) (uint64, error)
+}
+
 // follow lists, then watches. Every failed call but a lost history is tried again after a growing, random pause.
-func (m *Mirror) follow(ctx context.Context, what string, restart <-chan struct{},
-	list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) {
+func (m *Mirror) follow(ctx context.Context, f feed) {
 	revision, pause := uint64(0), minPause
 	reached := m.boot()
 	away := false
 	for ctx.Err() == nil {
 		next, interrupted, err := uint64(0), false, error(nil)
 		if revision == 0 {
-			next, err = list(ctx)
-			discard(restart)
+			next, err = f.list(ctx)
+			discard(f.restart)
 		} else {
-			next, interrupted, err = interruptible(ctx, restart, func(ctx context.Context) (uint64, error) { return watch(ctx, revision) })
+			next, interrupted, err = interruptible(ctx, f.restart, func(ctx context.Context) (uint64, error) { return f.watch(ctx, revision) })
 		}
 		switch {
 		case err == nil:
 			if away {
-				m.logger.Info().Str("event", "platform.regained").Str("feed", what).Dur("away", m.boot()-reached).Msg("")
+				m.logger.Info().Str("event", "platform.regained").Str("feed", f.what).Dur("away", m.boot()-reached).Msg("")
 			}
 			changed := revision != 0 && revision != next
 			revision, pause, reached, away = next, minPause, m.boot(), false
 			if changed {
-				periodic.Sleep(ctx, batchPause)
+				periodic.Sleep(ctx, f.pause)
 			}
 			continue
 		case interrupted:
 			continue
 		case errors.Is(err, routing.ErrGone):
 			revision = 0
-			m.logger.Warn().Str("event", "platform.history_gone").Str("feed", what).Msg("")
+			m.logger.Warn().Str("event", "platform.history_gone").Str("feed", f.what).Msg("")
 		case ctx.Err() != nil:
 			return
 		case !away:
 			away = true
-			m.logger.Warn().Str("event", "platform.lost").Str("feed", what).Uint64("revision", revision).Err(err).Msg("")
+			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.what).Uint64("revision", revision).Err(err).Msg("")
 		}
 		periodic.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxPause)
--- a/router/internal/app/mirror/mirror_test.go
+++ b/router/internal/app/mirror/mirror_test.go
@@ -29,6 +29,9 @@
 	wake      chan struct{}
 }
 
+// limits are those of the tests: changes share a call for 400 ms.
+var limits = mirror.Limits{Config: 2 * time.Second, Endpoints: 2 * time.Second}
+
 func newFake() *fake {
 	return &fake{revision: 10, endpoints: map[string]routing.Endpoint{}, wake: make(chan struct{})}
 }
@@ -139,7 +142,7 @@
 		f.endpoints["b"] = routing.Endpoint{ID: "b"}
 		start := time.Now()
 		boot := func() time.Duration { return time.Since(start) + time.Hour }
-		m := mirror.New(f, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, boot)
+		m := mirror.New(f, limits, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, boot)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { m.Run(ctx); close(done) }()
@@ -302,7 +305,7 @@
 func TestListsAnswerRefreshes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFake()
-		m := mirror.New(f, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, func() time.Duration { return time.Hour })
+		m := mirror.New(f, limits, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, func() time.Duration { return time.Hour })
 		m.Refresh()
 		go m.Run(t.Context())
 		time.Sleep(5 * time.Second)
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -134,7 +134,8 @@
 	do.ProvideValue(i, platform.NewStore(s.PlatformAddress, silence))
 	do.ProvideValue(i, platform.NewEndpoints(endpointDial, silence, maxIdle))
 	do.Provide(i, func(i do.Injector) (*mirror.Mirror, error) {
-		return mirror.New(do.MustInvoke[*platform.Store](i), logger, boot), nil
+		limits := mirror.Limits{Config: s.ConfigWithin, Endpoints: s.DrainWithin}
+		return mirror.New(do.MustInvoke[*platform.Store](i), limits, logger, boot), nil
 	})
 	do.Provide(i, func(i do.Injector) (state, error) {
 		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), transitions: do.MustInvoke[*stages.Transitions](i), boot: boot}, nil
