--- a/router/internal/adapter/front/front.go
+++ b/router/internal/adapter/front/front.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -103,16 +105,50 @@
 		ReadBody: body.read, Arrived: h.Boot(),
 	}
 	sink := &sink{w: w, controller: http.NewResponseController(w)}
-	err := h.Path.Handle(r.Context(), req, sink)
+	err := h.handle(r.Context(), req, sink)
 	switch {
 	case err == nil:
 	case errors.Is(err, forward.ErrAborted) || fault.Is(err, fault.CallerGone):
-		panic(http.ErrAbortHandler)
+		abort(w, r)
 	default:
 		h.refuse(w, fault.As(err))
 	}
 }
 
+// handle serves a request. A panic ends this request only.
+func (h *Handler) handle(ctx context.Context, req *forward.Request, s *sink) (err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		h.Logger.Error().Str("event", "request.panic").Str("request", req.Caller.RequestID).Any("cause", cause).
+			Str("stack", string(debug.Stack())).Msg("")
+		if s.begun {
+			err = forward.ErrAborted
+			return
+		}
+		err = fault.New(fault.EndpointFailed, "an unexpected error; the request may have run").WithOutcome(openai.Unknown)
+	}()
+	return h.Path.Handle(ctx, req, s)
+}
+
+// abort ends the connection of an answer that broke off. Callers of HTTP/1.0 read an answer up to the end of the connection, so
+// that only a reset tells them.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed
+	}
+	_ = conn.Close()
+}
+
 // statuses are the HTTP statuses of refusals. Those of requests that may have run promise nothing; see status.
 var statuses = map[fault.Kind]int{
 	fault.BadRequest:     http.StatusBadRequest,
@@ -157,6 +193,7 @@
 type sink struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	begun      bool
 }
 
 func (s *sink) setHeader(header http.Header) {
@@ -171,6 +208,7 @@
 
 // Whole implements forward.Sink.
 func (s *sink) Whole(status int, header http.Header, body []byte) error {
+	s.begun = true
 	s.setHeader(header)
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	s.w.WriteHeader(status)
@@ -181,6 +219,7 @@
 
 // Begin implements forward.Sink.
 func (s *sink) Begin(status int, header http.Header) error {
+	s.begun = true
 	s.setHeader(header)
 	s.w.WriteHeader(status)
 	return nil
--- a/router/internal/adapter/front/front_test.go
+++ b/router/internal/adapter/front/front_test.go
@@ -68,6 +68,31 @@
 		return server
 	}
 
+	// Guards against an unexpected error that ends the process, or leaves the caller without a true answer.
+	It("answers a request whose handling panics, and serves the next one", func() {
+		calls := 0
+		server := serve(func(_ context.Context, _ *forward.Request, sink forward.Sink) error {
+			calls++
+			switch calls {
+			case 1:
+				panic("unexpected")
+			case 2:
+				Expect(sink.Begin(http.StatusOK, http.Header{})).To(Succeed())
+				Expect(sink.Piece([]byte("part"))).To(Succeed())
+				panic("unexpected")
+			}
+			return sink.Whole(http.StatusOK, http.Header{}, []byte("whole"))
+		}, front.Serving)
+		resp, _, err := do(server, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), "it may have run")
+		_, _, err = do(server, nil)
+		Expect(err).To(HaveOccurred(), "the part looks complete")
+		_, body, err := do(server, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("whole"))
+	})
+
 	// Guards against answers that the port changes: a guessed content type, a lost header.
 	It("passes a whole answer on unchanged", func() {
 		resp, body, err := do(serve(ok, front.Serving), nil)
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -16,6 +16,13 @@
 )
 
 const (
+	// silenceFactor and silenceGapFactor bound, with minSilence, how long callers wait for the first or next event of a
+	// stream: a multiple of the objective, a multiple of the route's event gap, and two seconds, whichever is longest.
+	// silenceMargin is how much later a stream without events is ended here.
+	silenceFactor    = 4
+	silenceGapFactor = 8
+	minSilence       = 2 * time.Second
+	silenceMargin    = 500 * time.Millisecond
 	// minPrefillTime is the least time that a prefill is given. Longer ones are given a multiple of their expected time.
 	minPrefillTime    = 300 * time.Millisecond
 	prefillTimeFactor = 3
@@ -135,23 +142,24 @@
 // decode starts the stream at the place and passes it on.
 func (r *run) decode(place *dispatch.Place, handle *routing.Handle) error {
 	ep := place.Endpoint
-	answer, began, err := r.openStream(place, handle)
+	ctx, progress, stop := r.watchProgress(handle == nil)
+	defer stop()
+	answer, began, err := r.openStream(ctx, place, handle)
 	if errors.Is(err, routing.ErrNotRun) && handle != nil && r.mayRetry(err) {
 		// The KV cache may have lapsed; the engine reads the prompt itself.
 		r.recordFailure(ep, err)
 		r.free(*handle)
-		answer, began, err = r.openStream(place, nil)
+		answer, began, err = r.openStream(ctx, place, nil)
 	}
-	if err != nil {
-		if handle != nil {
-			r.free(*handle)
-		}
-		r.recordFailure(ep, err)
-		r.judge(ep, err, began)
-		return err
+	if err == nil {
+		r.mayHaveRun = true
+		err = r.relay(answer, place, began, progress)
+	} else if handle != nil {
+		r.free(*handle)
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		err = fmt.Errorf("%w: %w", errStalled, err)
 	}
-	r.mayHaveRun = true
-	err = r.relay(answer, place, began)
 	r.judge(ep, err, began)
 	if err != nil {
 		r.recordFailure(ep, err)
@@ -159,13 +167,35 @@
 	return err
 }
 
-func (r *run) openStream(place *dispatch.Place, handle *routing.Handle) (*routing.Answer, time.Duration, error) {
+// errStalled ends a stream that keeps its connection without an event for longer than callers wait.
+var errStalled = errors.New("the endpoint sent no event for longer than callers wait")
+
+// watchProgress returns a context that ends when no event has arrived for longer than callers wait, and a function that is to be
+// called with each event. Routes without an objective and an event gap have no such limit.
+func (r *run) watchProgress(readsPrompt bool) (ctx context.Context, progress, stop func()) {
+	if r.route.Objective == 0 && r.route.EventGap == 0 {
+		return r.ctx, func() {}, func() {}
+	}
+	limit := max(minSilence, silenceFactor*r.route.Objective, silenceGapFactor*r.route.EventGap) + silenceMargin
+	first := limit
+	if readsPrompt {
+		first += prefillTimeFactor * r.Pace.ReadTime(r.service.Name, r.demand().PromptTokens)
+	}
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	timer := time.AfterFunc(first, func() { cancel(errStalled) })
+	return ctx, func() { timer.Reset(limit) }, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+func (r *run) openStream(ctx context.Context, place *dispatch.Place, handle *routing.Handle) (*routing.Answer, time.Duration, error) {
 	r.begin(place.Endpoint)
 	call := r.call
 	call.TimeLeft = r.timeLeft()
 	began := r.Boot()
 	place.Use()
-	answer, err := r.Calls.Decode(r.ctx, place.Endpoint, r.maxConns(), &call, handle, place.Reservation)
+	answer, err := r.Calls.Decode(ctx, place.Endpoint, r.maxConns(), &call, handle, place.Reservation)
 	if err == nil || !errors.Is(err, routing.ErrNotRun) {
 		r.attempts++
 		r.mayHaveRun = true
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -19,8 +19,8 @@
 const maxEventBytes = 256 << 10
 
 // relay passes a stream on as its events arrive. Only complete events are passed on, so that a stream that breaks off can
-// go on at another endpoint.
-func (r *run) relay(answer *routing.Answer, place *dispatch.Place, began time.Duration) error {
+// go on at another endpoint. The function progress is called with each event that carries data.
+func (r *run) relay(answer *routing.Answer, place *dispatch.Place, began time.Duration, progress func()) error {
 	defer answer.Body.Close()
 	r.status = answer.Status
 	switch {
@@ -41,6 +41,9 @@
 		}
 		if complete > 0 {
 			place.Progress(sse.Count(rest[:complete]))
+			if sse.HasData(rest[:complete]) {
+				progress()
+			}
 			if err := r.pieces(answer, rest[:complete], began); err != nil {
 				return err
 			}
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -185,12 +185,12 @@
 	s.relistAt = s.Boot() + relistAfter + rand.N(relistAfter)
 	s.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { s.join(ctx) })
-	wg.Go(func() { s.tellChanges(ctx) })
+	wg.Go(func() { periodic.Supervise(ctx, s.Logger, "join", s.join) })
+	wg.Go(func() { periodic.Supervise(ctx, s.Logger, "changes", s.tellChanges) })
 	for ctx.Err() == nil {
 		s.tellPeriodic()
 		s.expirePeers()
-		go s.relist(ctx)
+		go periodic.Protect(s.Logger, "relist", func() { s.relist(ctx) })
 		s.pause(ctx)
 	}
 	wg.Wait()
--- a/router/internal/app/mirror/mirror.go
+++ b/router/internal/app/mirror/mirror.go
@@ -158,10 +158,10 @@
 	ctx = routing.WithProgress(ctx, func() { m.arrived.Store(int64(m.boot())) })
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		m.follow(ctx, feed{"config", m.limits.Config / pausePart, m.restart[0], m.readConfig, m.watchConfig})
+		m.supervise(ctx, feed{"config", m.limits.Config / pausePart, m.restart[0], m.readConfig, m.watchConfig})
 	})
 	wg.Go(func() {
-		m.follow(ctx, feed{"endpoints", m.limits.Endpoints / pausePart, m.restart[1], m.listEndpoints, m.watchEndpoints})
+		m.supervise(ctx, feed{"endpoints", m.limits.Endpoints / pausePart, m.restart[1], m.listEndpoints, m.watchEndpoints})
 	})
 	wg.Wait()
 }
@@ -176,6 +176,10 @@
 	watch   func(context.Context, uint64) (uint64, error)
 }
 
+func (m *Mirror) supervise(ctx context.Context, f feed) {
+	periodic.Supervise(ctx, m.logger, f.what, func(ctx context.Context) { m.follow(ctx, f) })
+}
+
 // follow lists, then watches. Every failed call but a lost history is tried again after a growing, random pause.
 func (m *Mirror) follow(ctx context.Context, f feed) {
 	revision, pause := uint64(0), minPause
--- a/router/internal/app/periodic/periodic.go
+++ b/router/internal/app/periodic/periodic.go
@@ -3,9 +3,37 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
+// restartPause is the time after which a loop that ended in a panic runs again.
+const restartPause = time.Second
+
+// Supervise runs a loop until ctx ends. A loop that ends in a panic runs again, so that an unexpected error in one loop does not
+// end the process.
+func Supervise(ctx context.Context, logger *log.Logger, name string, loop func(context.Context)) {
+	for ctx.Err() == nil {
+		if Protect(logger, name, func() { loop(ctx) }) {
+			return
+		}
+		Sleep(ctx, restartPause)
+	}
+}
+
+// Protect calls f, logs a panic, and reports whether there was none.
+func Protect(logger *log.Logger, name string, f func()) (ok bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logger.Error().Str("event", "loop.panic").Str("loop", name).Any("cause", cause).Str("stack", string(debug.Stack())).Msg("")
+		}
+	}()
+	f()
+	return true
+}
+
 // Run calls f once each period until ctx ends. A call that takes longer than the period delays the next one.
 func Run(ctx context.Context, period time.Duration, f func(context.Context)) {
 	ticker := time.NewTicker(period)
--- a/router/internal/domain/sse/sse.go
+++ b/router/internal/domain/sse/sse.go
@@ -8,6 +8,7 @@
 	endLF   = []byte("\n\n")
 	endCRLF = []byte("\n\r\n")
 	idField = []byte("id:")
+	data    = []byte("data")
 )
 
 // Complete returns the length of the whole events at the beginning of b; what follows is the beginning of another event.
@@ -25,6 +26,16 @@
 // Count returns the number of events that end in b.
 func Count(b []byte) int { return bytes.Count(b, endLF) + bytes.Count(b, endCRLF) }
 
+// HasData reports whether one of the events carries data. Comments and empty events, which keep a connection alive, do not.
+func HasData(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if name, value, found := bytes.Cut(line, []byte(":")); found && bytes.Equal(name, data) && len(bytes.TrimSpace(value)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // LastID returns the id of the last of the events that has one, or the id before them.
 func LastID(events []byte, before string) string {
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -175,15 +175,17 @@
 func memoryLimit(s *settings.Node) int64 { return int64(heapPart * float64(s.MemoryMB) * (1 << 20)) }
 
 func (n *Node) startLoops(ctx context.Context, p *parts) {
-	go p.mirror.Run(ctx)
-	go p.peers.Run(ctx)
-	go p.dispatcher.Run(ctx)
-	go p.rebalancer.Run(ctx)
-	go n.watchSettings(ctx)
-	go periodic.Run(ctx, idleCheck, func(context.Context) {
-		p.endpoints.CloseIdle()
-		p.forgetEndpoints()
-	})
+	for name, loop := range map[string]func(context.Context){
+		"mirror": p.mirror.Run, "peers": p.peers.Run, "dispatcher": p.dispatcher.Run, "rebalancer": p.rebalancer.Run, "settings": n.watchSettings,
+		"connections": func(ctx context.Context) {
+			periodic.Run(ctx, idleCheck, func(context.Context) {
+				p.endpoints.CloseIdle()
+				p.forgetEndpoints()
+			})
+		},
+	} {
+		go periodic.Supervise(ctx, n.options.Logger, name, loop)
+	}
 }
 
 // forgetEndpoints drops the outcomes of endpoints that are gone.
--- /dev/null
+++ b/router/internal/node/streams_test.go
@@ -0,0 +1,123 @@
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/platform/standin"
+)
+
+// rawStream asks for a stream in HTTP/1.0 on a connection of its own, and returns what came until the connection's end.
+func (r *router) rawStream(path string) (string, error) {
+	conn, err := net.Dial("tcp", r.settings.CallerListen)
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: raw-%d\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key\r\n"+
+		"X-Token-Counts: 5000,9100\r\nContent-Length: 1\r\n\r\nq", path, requests.Add(1))
+	Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(bufio.NewReader(conn))
+	return string(body), err
+}
+
+// drip answers a stream: whole events first, then a byte now and then that completes no event.
+func drip(s *standin.Server, events int, piece string) {
+	s.Behave(func(w http.ResponseWriter, req *http.Request) bool {
+		if !strings.HasPrefix(req.URL.Path, "/") || req.Header.Get("X-Kv-Hold") == "" {
+			return false
+		}
+		s.Run(req)
+		w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Stamp", "stamp-"+s.ID)
+		s.Stream(w, req, events)
+		controller := http.NewResponseController(w)
+		for req.Context().Err() == nil {
+			if _, err := io.WriteString(w, piece); err != nil || controller.Flush() != nil {
+				return true
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		return true
+	})
+}
+
+var _ = Describe("streams of servers in trouble", func() {
+	var w *world
+	var r *router
+	BeforeEach(func() {
+		w = newWorld()
+		r = w.start("r-1")
+	})
+
+	// Guards against streams that are held for ever by a server that sends bytes now and then, but no event.
+	DescribeTable("ends streams without events", func(piece string) {
+		for _, s := range w.decode {
+			drip(s, 1, piece)
+		}
+		began := time.Now()
+		a := r.stream("/brief/x", "X-Deadline-Ms", "14000")
+		Expect(a.err).To(HaveOccurred(), "the answer looks complete")
+		Expect(a.body).To(HavePrefix("id: 1\n"))
+		Expect(time.Since(began)).To(BeNumerically("<", 8*time.Second))
+	},
+		Entry("bytes of an event that never ends", "x"),
+		Entry("comments", ": still here\n\n"),
+		Entry("empty events", "data:\n\n"),
+	)
+
+	It("goes on elsewhere with a stalled stream that may be resumed", func() {
+		drip(w.decode[0], 1, ": still here\n\n")
+		for range 4 {
+			a := r.stream("/digest/x", "X-Deadline-Ms", "14000")
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(strings.ReplaceAll(a.body, ": still here\n\n", "")).To(Equal(wholeStream(a.id)))
+		}
+	})
+
+	// Guards against slow but sound streams that are cut: pauses within what callers bear, events that arrive in pieces.
+	It("passes slow streams on whole", func() {
+		for _, s := range w.decode {
+			s.Behave(func(rw http.ResponseWriter, req *http.Request) bool {
+				if req.Header.Get("X-Kv-Hold") == "" {
+					return false
+				}
+				s.Run(req)
+				rw.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
+				rw.Header().Set("X-Response-Stamp", "stamp-"+s.ID)
+				controller := http.NewResponseController(rw)
+				for i, c := range wholeStream(req.Header.Get("X-Request-Id")) {
+					_, err := io.WriteString(rw, string(c))
+					Expect(err).NotTo(HaveOccurred())
+					Expect(controller.Flush()).To(Succeed())
+					if i%40 == 0 {
+						time.Sleep(300 * time.Millisecond)
+					}
+				}
+				time.Sleep(2 * time.Second) // before the end, which is no event
+				return true
+			})
+		}
+		a := r.stream("/brief/x", "X-Deadline-Ms", "14000")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(wholeStream(a.id)))
+	})
+
+	// Guards against an answer that broke off and looks complete to a caller that reads up to the connection's end.
+	It("tells callers of HTTP/1.0 that an answer broke off", func() {
+		whole, err := r.rawStream("/brief/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(whole).To(ContainSubstring("id: 3\n"))
+		for _, s := range w.decode {
+			s.Misbehave(standin.CutAnswers, 1, func() float64 { return 0 })
+		}
+		part, err := r.rawStream("/brief/x")
+		Expect(err).To(HaveOccurred(), part)
+	})
+})
