--- a/router/internal/app/gossip/collectors_test.go
+++ b/router/internal/app/gossip/collectors_test.go
@@ -158,6 +158,33 @@
 	}
 }
 
+// Guards against a fleet that serves nothing for a while after all of it was killed, because everyone waits for the others.
+func TestFleetIsBackSoonAfterAllWereKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 300)
+		time.Sleep(5 * time.Second)
+		var again []*node
+		for _, nd := range f.all {
+			nd.stop()
+		}
+		time.Sleep(time.Second)
+		for _, nd := range f.all {
+			again = append(again, f.start(t, nd.address, 2))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, nd := range again {
+			if !nd.Joined() {
+				t.Error(nd.address, "does not serve")
+			}
+		}
+		f.seeEachOther(t, again)
+		for _, nd := range again {
+			nd.stop()
+		}
+	})
+}
+
 // Guards against parts of a fleet that stay apart after the links between them are back.
 func TestSeparatedPartsMeetAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -84,7 +84,8 @@
 
 // Registry is the platform's list of instances.
 type Registry interface {
-	Register(ctx context.Context, in routing.Instance) error
+	// Register enters the instance, and reports whether it replaced an entry of an earlier start.
+	Register(ctx context.Context, in routing.Instance) (again bool, err error)
 	Instances(ctx context.Context) ([]routing.Instance, error)
 	RemoveInstance(ctx context.Context, name string) error
 }
@@ -226,7 +227,7 @@
 }
 
 // informed reports whether this instance knows the state of the others: from its views or, as a collector, once it has read the
-// list of instances for a second time. In a fleet where all are collectors, everyone who starts tells everyone.
+// list of instances for a second time, or at once if it was listed before. In a fleet where all are collectors, everyone who starts tells everyone.
 func (s *Service) informed() bool {
 	if s.collectors.reading.Load() {
 		return s.collectors.hasView.Load()
@@ -271,7 +272,8 @@
 }
 
 func (s *Service) register(ctx context.Context) error {
-	if err := s.Registry.Register(ctx, s.Self); err != nil {
+	again, err := s.Registry.Register(ctx, s.Self)
+	if err != nil {
 		return err
 	}
 	list, err := s.Registry.Instances(ctx)
@@ -279,8 +281,11 @@
 		return err
 	}
 	s.addInstances(list)
+	if again {
+		s.relisted.Store(true) // the fleet was listed before
+	}
 	s.Tell(false)
-	s.Logger.Info().Str("event", "instance.registered").Int("instances", len(list)).Msg("")
+	s.Logger.Info().Str("event", "instance.registered").Int("instances", len(list)).Bool("again", again).Msg("")
 	return nil
 }
 
