Split collectors from views; name what the fleet's messages need

Read as a newcomer: one file held both who collects and what views hold; a field was left over, a comment spoke of one that was gone, and two words (vouched, misled) were not the field's. Measurements that cannot be ones are a metric, and the line of a refused place says for how long places are held. No behaviour changes; the package's tests and the node's pass.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -326,7 +326,7 @@
 		}
 	}
 	d.Logger.Info().Str("event", "place.none").Str("request", job.RequestID).Int("waiting", waiting).
-		Dur("past_on_time", d.Boot()-job.OnTimeUntil).Msg("")
+		Dur("place_held", d.Pace.Hold(job.Service)).Dur("past_on_time", d.Boot()-job.OnTimeUntil).Msg("")
 	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.returnTime(job.Service))
 }
 
--- a/router/internal/app/gossip/collectors.go
+++ b/router/internal/app/gossip/collectors.go
@@ -8,8 +8,6 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/rendezvous"
-	"tanagerwood.dev/router/internal/domain/sharedlimit"
-	"tanagerwood.dev/router/internal/domain/work"
 )
 
 const (
@@ -24,37 +22,27 @@
 	collectorKey = "collectors"
 	// viewPeriods is for how many periods a collector may leave its readers without a view until they turn to another one.
 	viewPeriods = 2
-	// viewPatience is how long an instance that starts waits for its first view.
-	viewPatience = 1500 * time.Millisecond
-	// refreshTimeout bounds the wait for a view before a request is placed. A round trip takes a few milliseconds.
-	refreshTimeout = 50 * time.Millisecond
 	// settleTime is for how long an instance that others tell of may be taken for a collector without being heard.
 	settleTime = 3 * time.Second
 	// failedFor is how long a reader leaves out a collector that was silent.
 	failedFor = 10 * time.Second
 	// forgetBase is after what time on a collector all others have told their whole states to it.
 	forgetBase = 5 * time.Second
-	// pushPause is the least time between the views that an instance with waiting requests is sent unasked.
-	pushPause = 20 * time.Millisecond
 	// everyCollector is asked for a view by an instance whose collector is lost.
 	everyCollector = "*"
 )
 
-// never is when an instance was told to be alive of which nobody has told.
+// never is the time at which an instance was told to be alive if nobody has told of it.
 const never = time.Duration(math.MinInt64 / 2)
 
-// othersName is the name under which a reader enters what its views sum up.
-const othersName = ""
-
 // collectors is what an instance knows of the collectors. The service's lock guards it, but for what is atomic.
 type collectors struct {
-	self routing.Instance
 	// set are the collectors, ordered by rank; primary is the one whose views this instance reads, empty if it is a collector.
 	set     []routing.Instance
 	primary string
 	// standbys are those that collect if all of the set are lost.
 	standbys []routing.Instance
-	// viewed is when the last view came, and asked since when one is asked for; zero if none is.
+	// viewed is when the last view came.
 	viewed time.Duration
 	// failed holds the collectors that were silent, by the time until which they are not asked.
 	failed map[string]time.Duration
@@ -68,7 +56,7 @@
 }
 
 func newCollectors(self routing.Instance) collectors {
-	return collectors{self: self, set: []routing.Instance{self}, failed: map[string]time.Duration{}, arrival: make(chan struct{})}
+	return collectors{set: []routing.Instance{self}, failed: map[string]time.Duration{}, arrival: make(chan struct{})}
 }
 
 func (c *collectors) collecting() bool { return !c.reading.Load() }
@@ -122,7 +110,7 @@
 func (s *Service) candidates(now time.Duration) []routing.Instance {
 	list := []routing.Instance{s.Self}
 	for name, p := range s.peers {
-		unheard := p.silent && now-p.vouched > settleTime
+		unheard := p.silent && now-p.toldAlive > settleTime
 		if s.collectors.collecting() && unheard || now < s.collectors.failed[name] {
 			continue
 		}
@@ -188,9 +176,9 @@
 	s.collectors.primary, s.collectors.collectingFrom = "", s.Boot()
 	s.dropState(othersName)
 	for name, p := range s.peers {
-		*p = peer{instance: p.instance, heard: s.Boot(), silent: true, vouched: never}
+		*p = peer{instance: p.instance, heard: s.Boot(), silent: true, toldAlive: never}
 		if contains(s.collectors.set, name) {
-			p.vouched = s.Boot()
+			p.toldAlive = s.Boot()
 		}
 		s.Limiter.Expect(name)
 	}
@@ -263,136 +251,6 @@
 	return addresses
 }
 
-// askView asks for a view, all collectors if none is known to answer.
-func (s *Service) askView() {
-	s.mu.Lock()
-	addresses := []string{s.addressOf(s.collectors.primary)}
-	if s.collectors.primary == everyCollector {
-		addresses = s.reportTo()
-	}
-	s.mu.Unlock()
-	s.send(Message{Sender: s.Self, View: s.Self.Name}, addresses)
-}
-
-// Refresh waits until this instance knows the present state of the others: a collector does, a reader asks for a view.
-func (s *Service) Refresh(done <-chan struct{}) {
-	if s.collectors.collecting() {
-		return
-	}
-	s.mu.Lock()
-	arrival := s.collectors.arrival
-	address := s.addressOf(s.collectors.primary)
-	s.mu.Unlock()
-	if address == "" {
-		return
-	}
-	s.send(Message{Sender: s.Self, View: s.Self.Name}, []string{address})
-	timer := time.NewTimer(refreshTimeout)
-	defer timer.Stop()
-	select {
-	case <-arrival:
-	case <-done:
-	case <-timer.C:
-		s.Limiter.DoubtOthers()
-		s.Logger.Info().Str("event", "view.late").Str("from", address).Msg("")
-	}
-}
-
-// addressOf returns the address of an instance; s.mu is held.
-func (s *Service) addressOf(name string) string {
-	if p := s.peers[name]; p != nil {
-		return p.instance.Address
-	}
-	return ""
-}
-
-// view returns what the other instances do, for one of them; s.mu is not held.
-func (s *Service) view(reader string) Message {
-	now := s.Boot()
-	config, endpoints := s.Mirror.Revisions()
-	m := Message{
-		Sender: s.Self, View: reader, Config: config, Endpoints: endpoints, Spent: s.Limiter.Except(reader), Levels: s.Limiter.Levels(now), Work: s.Book.Except(reader),
-		Waiting: s.Queue.WaitingExcept(reader), Changing: s.Transitions.All(now), Outcomes: s.Health.Except(reader, now),
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sequence++
-	m.Sequence, m.Instances, m.Collectors, m.Standbys = s.sequence, len(s.peers)+1, s.collectors.set, s.collectors.standbys
-	return m
-}
-
-// sendView sends a view to an instance that reads here. An instance that does not collect, or not yet know the others, tells
-// only who collects.
-func (s *Service) sendView(to routing.Instance) {
-	switch {
-	case s.collectors.collecting() && s.Joined():
-		s.send(s.view(to.Name), []string{to.Address})
-		return
-	case !s.collectors.collecting() && !s.collectors.hasView.Load():
-		return
-	}
-	s.mu.Lock()
-	m := Message{Sender: s.Self, Collectors: s.collectors.set, ViewFrom: s.collectors.primary}
-	s.mu.Unlock()
-	s.send(m, []string{to.Address})
-}
-
-// pushViews sends views to the readers that have waiting requests.
-func (s *Service) pushViews() {
-	if !s.collectors.collecting() {
-		return
-	}
-	now := s.Boot()
-	var readers []routing.Instance
-	later := false
-	s.mu.Lock()
-	for _, p := range s.peers {
-		switch {
-		case !p.reads || !p.waits:
-		case now-p.viewed < pushPause:
-			later = true
-		default:
-			p.viewed = now
-			readers = append(readers, p.instance)
-		}
-	}
-	s.mu.Unlock()
-	for _, in := range readers {
-		s.sendView(in)
-	}
-	if later {
-		time.AfterFunc(pushPause, s.Announce)
-	}
-}
-
-// redirectReaders has the readers of a collector that stops turn to others at once.
-func (s *Service) redirectReaders() {
-	if !s.collectors.collecting() {
-		return
-	}
-	var readers []string
-	s.mu.Lock()
-	for _, p := range s.peers {
-		if p.reads {
-			readers = append(readers, p.instance.Address)
-		}
-	}
-	s.mu.Unlock()
-	s.send(Message{Sender: s.Self, Stopped: true}, readers)
-}
-
-// leaveCollector turns to another collector, because the present one stops.
-func (s *Service) leaveCollector(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := &s.collectors
-	c.failed[name] = s.Boot() + failedFor
-	if c.primary == name {
-		c.hasView.Store(false)
-		c.primary = s.choosePrimary(s.Boot())
-	}
-}
-
 // hearCollectors takes over who collects, as another instance tells.
 func (s *Service) hearCollectors(m Message) {
 	if len(m.Collectors) == 0 {
@@ -405,7 +263,7 @@
 		s.addMember(in)
 		// What a reader tells of collectors may be old, but for the one from which it has views.
 		if m.View != "" || in.Name == m.ViewFrom {
-			s.vouch(in.Name, now)
+			s.noteAlive(in.Name, now)
 		}
 	}
 	switch {
@@ -421,59 +279,15 @@
 	}
 }
 
-// vouch notes that an instance was told to be alive; s.mu is held.
-func (s *Service) vouch(name string, now time.Duration) {
+// noteAlive notes that an instance was told to be alive; s.mu is held.
+func (s *Service) noteAlive(name string, now time.Duration) {
 	if p := s.peers[name]; p != nil {
-		p.vouched = now
+		p.toldAlive = now
 	}
 	if s.collectors.collecting() {
 		delete(s.collectors.failed, name)
 	}
 }
 
-// hearView takes a view over.
-func (s *Service) hearView(m Message) {
-	s.hearCollectors(m)
-	now := s.Boot()
-	s.mu.Lock()
-	c := &s.collectors
-	if c.collecting() || m.View != s.Self.Name {
-		s.mu.Unlock()
-		return
-	}
-	s.addMember(m.Sender)
-	p := s.peers[m.Sender.Name]
-	if m.Sender.Incarnation < p.instance.Incarnation || m.Sender.Incarnation == p.instance.Incarnation && m.Sequence <= p.sequence {
-		s.mu.Unlock()
-		return
-	}
-	p.instance, p.sequence, p.heard, p.silent = m.Sender, m.Sequence, now, false
-	if c.primary != m.Sender.Name && c.hasView.Load() {
-		s.mu.Unlock()
-		return // the views of one collector follow each other, those of several do not
-	}
-	c.primary, c.viewed = m.Sender.Name, now
-	delete(c.failed, m.Sender.Name)
-	c.hasView.Store(true)
-	s.others.Store(int64(max(0, m.Instances-1)))
-	s.compare(p, m, now)
-	arrival := c.arrival
-	c.arrival = make(chan struct{})
-	c.base = s.Limiter.Spent()
-	s.mu.Unlock()
-	s.Limiter.HearOthers(sharedlimit.Others{
-		Source: m.Sender.Name, Incarnation: m.Sender.Incarnation, Instances: m.Instances - 1, Spent: m.Spent, Levels: m.Levels,
-	}, now)
-	if m.Work == nil {
-		m.Work = map[string]work.Amount{}
-	}
-	s.Book.Hear(othersName, m.Work)
-	s.Transitions.Hear(othersName, m.Changing, now)
-	s.Health.Hear(othersName, m.Outcomes, now)
-	s.Queue.Hear(othersName, m.Waiting)
-	close(arrival)
-	s.Queue.Dispatch()
-}
-
 // Collects reports whether this instance is a collector.
 func (s *Service) Collects() bool { return s.collectors.collecting() }
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -125,8 +125,8 @@
 	number   uint64
 	heard    time.Duration
 	silent   bool
-	// vouched is when the peer was heard, listed or told of as a collector.
-	vouched time.Duration
+	// toldAlive is when the peer was heard, listed or told of as a collector.
+	toldAlive time.Duration
 	// complete says that no message has been lost since the last whole state; asked is when that state was asked for.
 	complete bool
 	asked    time.Duration
@@ -145,7 +145,7 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
-	// number counts the messages to all instances, periods the periodic ones.
+	// number counts the reports, periods the periodic ones.
 	number, periods uint64
 	fetching        bool
 	// fallbackAt is when copies of others may be fetched although nothing is known, refreshAt when the platform may be
@@ -159,6 +159,7 @@
 	collectors collectors
 	// relistAt is when a collector reads the list of instances again.
 	relistAt time.Duration
+	// relisted is set once the list holds all instances that started together.
 	relisted atomic.Bool
 	// others is the number of peers, which is read while other locks are held.
 	others atomic.Int64
@@ -227,7 +228,8 @@
 }
 
 // informed reports whether this instance knows the state of the others: from its views or, as a collector, once it has read the
-// list of instances for a second time, or at once if it was listed before. In a fleet where all are collectors, everyone who starts tells everyone.
+// list of instances for a second time, or at once if it was listed before. In a fleet where all are collectors, everyone who
+// starts tells everyone.
 func (s *Service) informed() bool {
 	if s.collectors.reading.Load() {
 		return s.collectors.hasView.Load()
@@ -327,7 +329,7 @@
 	if in.Name == s.Self.Name || s.peers[in.Name] != nil {
 		return
 	}
-	s.peers[in.Name] = &peer{instance: in, heard: s.Boot(), vouched: s.Boot(), silent: true}
+	s.peers[in.Name] = &peer{instance: in, heard: s.Boot(), toldAlive: s.Boot(), silent: true}
 	if s.collectors.collecting() {
 		s.others.Store(int64(len(s.peers)))
 		s.Limiter.Expect(in.Name)
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -68,7 +68,7 @@
 	}
 	s.Queue.Hear(m.Sender.Name, m.Waiting)
 	s.Queue.Dispatch()
-	if news.misled || m.ViewFrom == s.Self.Name || m.ViewFrom == everyCollector {
+	if news.mistaken || m.ViewFrom == s.Self.Name || m.ViewFrom == everyCollector {
 		s.sendView(m.Sender)
 	}
 	if news.push {
@@ -92,8 +92,8 @@
 	newer, started bool
 	// complete says that no message of the sender is missing, ask that its whole state is to be asked for.
 	complete, ask bool
-	// misled senders take themselves for collectors, and are none; push says that readers with waiting requests are to be told.
-	misled, push bool
+	// mistaken senders take themselves for collectors, and are none; push says that readers with waiting requests are to be told.
+	mistaken, push bool
 }
 
 // heard enters the sender of a message.
@@ -124,7 +124,7 @@
 	}
 	elect := p.silent || p.instance != m.Sender
 	p.instance, p.sequence, p.number, p.heard, p.silent = m.Sender, m.Sequence, m.Number, now, false
-	p.vouched = now
+	p.toldAlive = now
 	p.waits = len(m.Waiting) > 0
 	if m.ViewFrom != "" {
 		p.reads = m.ViewFrom == s.Self.Name
@@ -133,8 +133,8 @@
 		s.elect()
 	}
 	s.compare(p, m, now)
-	misled := len(m.Collectors) > 0 && !contains(s.collectors.set, m.Sender.Name)
-	return news{newer: true, started: started, complete: p.complete, ask: ask, misled: misled, push: !m.Periodic && s.hasWaitingReaders()}
+	mistaken := len(m.Collectors) > 0 && !contains(s.collectors.set, m.Sender.Name)
+	return news{newer: true, started: started, complete: p.complete, ask: ask, mistaken: mistaken, push: !m.Periodic && s.hasWaitingReaders()}
 }
 
 // hasWaitingReaders reports whether an instance that reads here has waiting requests; s.mu is held.
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -58,9 +58,10 @@
 	})
 }
 
-// newRegistry returns a registry with the count of dropped log lines.
-func newRegistry(dropped func() int64) metrics.Registry {
+// newRegistry returns a registry with the counts of dropped log lines and of measurements that cannot be ones.
+func newRegistry(dropped, ignored func() int64) metrics.Registry {
 	r := metrics.NewRegistry()
+	metrics.NewRegisteredFunctionalGauge("pace.ignored", r, ignored)
 	if dropped != nil {
 		metrics.NewRegisteredFunctionalGauge("log.dropped_lines", r, dropped)
 	}
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -117,9 +117,10 @@
 func (n *Node) newInjector() do.Injector {
 	i := do.New()
 	s, logger, boot := n.options.Settings, n.options.Logger, clock.System{}.Boot
-	do.ProvideValue(i, newRegistry(n.options.DroppedLines))
+	learnt := pace.New()
+	do.ProvideValue(i, newRegistry(n.options.DroppedLines, learnt.Ignored))
 	do.ProvideValue(i, work.NewBook())
-	do.ProvideValue(i, pace.New())
+	do.ProvideValue(i, learnt)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
 		m := do.MustInvoke[*mirror.Mirror](i)
 		return sharedlimit.New(func(name string) *routing.Customer {
