Sign messages between instances with a shared secret

Cause, by reading: every datagram on the peer address was believed, with the places, spending, versions and, since today, collectors that it names, and the state with all customers' keys was given to anyone who asked.

Change: -peer-secrets (settings file, reloaded while the process runs): HMAC-SHA256 on datagrams, on questions for the state and on their answers. The first secret signs, each is accepted, so that secrets can be changed instance by instance. Reports and views carry incarnation and sequence against replays; questions and redirections do not. The state of another instance is bounded at 4 MB in place of 8.

Test first: TestBelievesInstancesWithTheSecretOnly (a stranger's message was heard, its question answered).

--- a/router/internal/adapter/peerudp/peerudp.go
+++ b/router/internal/adapter/peerudp/peerudp.go
@@ -26,8 +26,8 @@
 	pathState   = "/state"
 	// serverTimeout bounds a request of another instance.
 	serverTimeout = 3 * time.Second
-	// maxState bounds the state of another instance: a configuration of 1 MB and as much for the endpoints.
-	maxState = 8 << 20
+	// maxState bounds the state of another instance: a configuration of 1 MB and as much for the endpoints, with some reserve.
+	maxState = 4 << 20
 	// maxStateAnswers is the number of states that are sent at a time. Each may take 1 MB, and many instances may ask at
 	// once when they start without the platform; the others are told to ask again.
 	maxStateAnswers = 4
@@ -40,6 +40,7 @@
 	conn     *net.UDPConn
 	listener net.Listener
 	client   *h1.Client
+	signer   signer
 	logger   *log.Logger
 }
 
@@ -62,12 +63,17 @@
 	return &Transport{conn: conn, listener: listener, client: client, logger: logger}, nil
 }
 
+// SetSecrets replaces the secrets that all instances share. The first one signs messages, each is accepted, so that secrets can be
+// changed instance by instance. Without any, every message is believed.
+func (t *Transport) SetSecrets(secrets []string) { t.signer.set(secrets) }
+
 // Send implements gossip.Transport. The message is encoded once.
 func (t *Transport) Send(addresses []string, m gossip.Message) error {
 	data, err := json.Marshal(m)
 	if err != nil {
 		return err
 	}
+	data = t.signer.seal(data)
 	if len(data) > maxDatagram {
 		return fmt.Errorf("peerudp: the message has %d bytes and does not fit into a datagram", len(data))
 	}
@@ -86,7 +92,8 @@
 
 // Fetch implements gossip.Transport.
 func (t *Transport) Fetch(ctx context.Context, address string) (gossip.State, error) {
-	resp, err := t.client.Do(ctx, address, 0, &h1.Request{Method: http.MethodGet, Target: pathState, Host: address})
+	header := http.Header{headerSignature: {t.signer.signText([]byte(pathState))}}
+	resp, err := t.client.Do(ctx, address, 0, &h1.Request{Method: http.MethodGet, Target: pathState, Host: address, Header: header})
 	if err != nil {
 		return gossip.State{}, err
 	}
@@ -94,8 +101,15 @@
 	if resp.StatusCode != http.StatusOK {
 		return gossip.State{}, fmt.Errorf("peerudp: %s answered with status %d", address, resp.StatusCode)
 	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxState))
+	if err == nil && !t.signer.checkText(resp.Header.Get(headerSignature), raw) {
+		err = errSignature
+	}
 	var state gossip.State
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&state); err != nil {
+	if err == nil {
+		err = json.Unmarshal(raw, &state)
+	}
+	if err != nil {
 		return gossip.State{}, fmt.Errorf("peerudp: the state of %s cannot be read: %w", address, err)
 	}
 	return state, nil
@@ -104,7 +118,7 @@
 // Serve passes messages to hear and answers questions with state, until Close.
 func (t *Transport) Serve(hear func(gossip.Message), state func() gossip.State) {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+pathState, &stateHandler{state: state, logger: t.logger, places: make(chan struct{}, maxStateAnswers)})
+	mux.Handle("GET "+pathState, &stateHandler{state: state, signer: &t.signer, logger: t.logger, places: make(chan struct{}, maxStateAnswers)})
 	server := &http.Server{Handler: mux, ReadTimeout: serverTimeout, WriteTimeout: serverTimeout, IdleTimeout: serverTimeout}
 	go func() {
 		if err := server.Serve(t.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
@@ -126,8 +140,12 @@
 			continue
 		}
 		var m gossip.Message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
-			t.logger.Warn().Str("event", "message.malformed").Str("from", from.String()).Err(err).Msg("")
+		content, err := t.signer.open(buffer[:n])
+		if err == nil {
+			err = json.Unmarshal(content, &m)
+		}
+		if err != nil {
+			t.logger.Warn().Str("event", "message.refused").Str("from", from.String()).Err(err).Msg("")
 			continue
 		}
 		t.pass(m, hear)
--- a/router/internal/adapter/peerudp/peerudp_test.go
+++ b/router/internal/adapter/peerudp/peerudp_test.go
@@ -93,3 +93,36 @@
 		t.Error("answered", answered, "refused", refused, "encodings", encodings)
 	}
 }
+
+// Guards against messages and questions of strangers, and against secrets that cannot be changed while the fleet runs.
+func TestBelievesInstancesWithTheSecretOnly(t *testing.T) {
+	heard := make(chan string, 10)
+	receiver, address := listen(t)
+	receiver.SetSecrets([]string{"new", "old"})
+	go receiver.Serve(func(m gossip.Message) { heard <- m.Sender.Name }, func() gossip.State {
+		return gossip.State{Instances: []routing.Instance{{Name: "receiver"}}}
+	})
+	for name, secrets := range map[string][]string{"none": nil, "wrong": {"wrong"}, "old": {"old"}, "new": {"new", "old"}} {
+		sender, _ := listen(t)
+		sender.SetSecrets(secrets)
+		if err := sender.Send([]string{address}, gossip.Message{Sender: routing.Instance{Name: name}}); err != nil {
+			t.Fatal(err)
+		}
+		believed := name == "old" || name == "new"
+		if believed {
+			if got := <-heard; got != name {
+				t.Error("heard", got)
+			}
+		}
+		state, err := sender.Fetch(t.Context(), address)
+		// The receiver signs with the new secret, which an instance with the old one does not know yet.
+		if told := err == nil && len(state.Instances) == 1; told != (name == "new") {
+			t.Error(name, "was told the state:", told, err)
+		}
+	}
+	select {
+	case name := <-heard:
+		t.Error("believed", name)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/router/internal/adapter/peerudp/state.go
+++ b/router/internal/adapter/peerudp/state.go
@@ -14,6 +14,7 @@
 // stateHandler answers questions for the state with bounded memory: a few answers at a time, which share an encoding.
 type stateHandler struct {
 	state  func() gossip.State
+	signer *signer
 	logger *log.Logger
 	places chan struct{}
 
@@ -23,7 +24,12 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (h *stateHandler) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (h *stateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.signer.checkText(r.Header.Get(headerSignature), []byte(pathState)) {
+		h.logger.Warn().Str("event", "state.refused").Str("from", r.RemoteAddr).Err(errSignature).Msg("")
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
 	select {
 	case h.places <- struct{}{}:
 		defer func() { <-h.places }()
@@ -38,6 +44,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerSignature, h.signer.signText(raw))
 	if _, err := w.Write(raw); err != nil {
 		h.logger.Info().Str("event", "state.not_sent").Err(err).Msg("")
 	}
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -68,6 +68,8 @@
 	// parts is set before anything runs.
 	parts    atomic.Pointer[parts]
 	settings atomic.Pointer[settings.Node]
+	// transport is set before anything runs.
+	transport atomic.Pointer[peerudp.Transport]
 	// stopBegan is the time since boot at which a planned stop began; zero if there is none.
 	stopBegan atomic.Int64
 	stop      chan struct{}
@@ -122,6 +124,11 @@
 	if err != nil {
 		return err
 	}
+	transport.SetSecrets(s.PeerSecrets)
+	if len(s.PeerSecrets) == 0 {
+		n.options.Logger.Warn().Str("event", "peers.not_authenticated").Msg("set -peer-secrets, or let only instances reach -peer-listen")
+	}
+	n.transport.Store(transport)
 	do.ProvideValue[gossip.Transport](n.injector, transport)
 	p := n.resolve()
 	n.parts.Store(p)
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -16,8 +16,8 @@
 // settingsCheck is how often the settings file is compared; it may change without a signal.
 const settingsCheck = 2 * time.Second
 
-// Reload reads the settings file again. The stop's grace, the memory limit and the retry budget change at once; addresses
-// change with the next start.
+// Reload reads the settings file again. The stop's grace, the memory limit, the secrets between instances and the retry budget change
+// at once; addresses change with the next start.
 func (n *Node) Reload() {
 	old := n.settings.Load()
 	if old.File == "" {
@@ -30,6 +30,9 @@
 	}
 	n.settings.Store(next)
 	debug.SetMemoryLimit(memoryLimit(next))
+	if t := n.transport.Load(); t != nil {
+		t.SetSecrets(next.PeerSecrets)
+	}
 	if p := n.parts.Load(); p != nil {
 		p.budget.Set(retrybudget.Settings{
 			Ratio: next.RetryRatio, Fixed: next.RetryFixed, Window: next.RetryWindow,
--- a/router/internal/settings/node.go
+++ b/router/internal/settings/node.go
@@ -27,6 +27,8 @@
 	PeerListen string
 	// Seeds are addresses of other instances; only their hosts count.
 	Seeds []string
+	// PeerSecrets sign messages between instances: the first one signs, each is accepted.
+	PeerSecrets []string
 	// PlatformAddress is the IP:PORT of the platform's store.
 	PlatformAddress string
 
@@ -77,6 +79,7 @@
 	fs.StringVar(&n.MetricsListen, "metrics-listen", "", "`address` of the metrics; none if empty")
 	fs.StringVar(&n.PeerListen, "peer-listen", "127.0.0.1:8081", "`address` for other instances, TCP and UDP")
 	fs.Var((*list)(&n.Seeds), "seeds", "`addresses` of other instances, separated by commas; their ports are ignored")
+	fs.Var((*list)(&n.PeerSecrets), "peer-secrets", "`secrets` that all instances share, separated by commas: the first signs messages, each is accepted")
 	fs.StringVar(&n.PlatformAddress, "platform-address", "", "`address` of the platform's store")
 	fs.IntVar(&n.MemoryMB, "memory-mb", defaultMemoryMB, "memory of the process in `MB`")
 	fs.Float64Var(&n.CPUShare, "cpu-share", defaultCPUShare, "processor time of the process in `cores`; stronger instances work for the others")
