Fuzz messages between instances; take back no more than was charged

FuzzMessages hung after six seconds: a message in the name of its receiver made it answer itself without end, as two instances with one name would; such messages are dropped with a log line (TestIgnoresInstancesOfItsOwnName). By reading: an instance that told of much spending and then of little filled the buckets of all others; it gives back what was taken for it at most (sharedlimit spec, red before).

--- a/router/internal/app/gossip/collectors_test.go
+++ b/router/internal/app/gossip/collectors_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/domain/work"
 )
 
@@ -185,6 +186,22 @@
 	})
 }
 
+// Guards against two instances that were given one name, and answer each other's answers without end.
+func TestIgnoresInstancesOfItsOwnName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		a := n.start(t, "a", 1)
+		time.Sleep(time.Second)
+		a.Hear(gossip.Message{Sender: routing.Instance{Name: "a", Address: "a", Incarnation: 2}, View: "a"})
+		a.Hear(gossip.Message{Sender: routing.Instance{Name: "a", Address: "a", Incarnation: 2}, Sequence: 1, Number: 1})
+		time.Sleep(time.Second)
+		if a.Size() != 1 || n.passed["a"] != 0 {
+			t.Error("size", a.Size(), "messages", n.passed["a"])
+		}
+		a.stop()
+	})
+}
+
 // Guards against parts of a fleet that stay apart after the links between them are back.
 func TestSeparatedPartsMeetAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -11,6 +11,10 @@
 // Hear takes a message over.
 func (s *Service) Hear(m Message) {
 	switch {
+	case m.Sender.Name == s.Self.Name || m.Sender.Name == "":
+		// Two instances with one name would answer each other's answers without end.
+		s.Logger.Warn().Str("event", "message.foreign").Str("sender", m.Sender.Name).Str("address", m.Sender.Address).
+			Msg("give each instance a name of its own")
 	case m.Ask:
 		s.answer(m.Sender.Address)
 	case m.View != "" && m.View == m.Sender.Name:
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -164,14 +164,16 @@
 		if c := l.customers(customer); c != nil && c.RatePerSecond > 0 && l.buckets[customer] == nil && n != p.spent[customer] {
 			l.refill(c, now)
 		}
-		l.charge(p, customer, float64(n-p.spent[customer])-p.assumed[customer])
+		l.charge(p, customer, float64(n)-float64(p.spent[customer])-p.assumed[customer])
 		p.spent[customer] = n
 		delete(p.assumed, customer)
 	}
 }
 
-// charge takes an amount from a customer's bucket for a peer; l.mu is held.
+// charge takes an amount from a customer's bucket for a peer; l.mu is held. A peer gives back no more than was taken for it, so
+// that nothing that an instance tells raises a customer's limit.
 func (l *Limiter) charge(p *peer, customer string, amount float64) {
+	amount = max(amount, -p.charged[customer])
 	if b := l.buckets[customer]; b != nil {
 		b.level -= amount
 	}
--- a/router/internal/domain/sharedlimit/sharedlimit_test.go
+++ b/router/internal/domain/sharedlimit/sharedlimit_test.go
@@ -138,6 +138,23 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against an instance that tells of more than it has spent, and takes that back: the bucket of everyone would be full.
+	It("gives back no more than was taken", func() {
+		l := sharedlimit.New(known)
+		for {
+			if ok, _ := l.Take(customer, 500, time.Minute); !ok {
+				break
+			}
+		}
+		l.Hear("liar", 1, map[string]int64{"c": 1 << 40}, nil, false, time.Minute)
+		l.Hear("liar", 1, map[string]int64{"c": 0}, nil, false, time.Minute)
+		l.Hear("liar", 1, map[string]int64{"c": -1 << 62}, nil, false, time.Minute)
+		l.HearOthers(sharedlimit.Others{Source: "liar", Instances: 3, Spent: map[string]int64{"c": 1 << 40}}, time.Minute)
+		l.HearOthers(sharedlimit.Others{Source: "liar", Instances: 3, Spent: map[string]int64{"c": -5}, Levels: map[string]int64{"c": 1 << 40}}, time.Minute)
+		ok, _ := l.Take(customer, 500, time.Minute)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("tells when enough will have accrued", func() {
 		l := sharedlimit.New(known)
 		ok, wait := l.Take(customer, 1500, time.Minute)
