--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -54,12 +54,18 @@
 		f.endpoints = append(f.endpoints, routing.Endpoint{ID: fmt.Sprint("d", i), Service: service, Stage: routing.Decode})
 	}
 	start := time.Now()
-	random := rand.New(rand.NewPCG(1, 2))
+	var drawing sync.Mutex
+	source := rand.New(rand.NewPCG(1, 2))
+	random := func() float64 { // as the process's own, for several goroutines
+		drawing.Lock()
+		defer drawing.Unlock()
+		return source.Float64()
+	}
 	for i := range instances {
 		in := &instance{name: fmt.Sprint("i", i), fleet: f, book: work.NewBook(), pace: pace.New()}
 		in.Dispatcher = dispatch.New(dispatch.Deps{
 			Engines: f, State: f, Book: in.book, Pace: in.pace, Health: health.NewTracker(func() int { return 1 }), Instances: func() int { return instances },
-			Random: random.Float64, Changed: in.tell, Boot: func() time.Duration { return time.Since(start) + time.Hour },
+			Random: random, Changed: in.tell, Boot: func() time.Duration { return time.Since(start) + time.Hour },
 			Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		})
 		f.instances = append(f.instances, in)
