Plan stages from the work of both, with decode engines as the reserve for prompts

Cause: 4 or 5 of 12 engines (47 of 140) read prompts, the work needs 1.3 in calm and under 3 in a burst; one order a second moved 9 to 14 of 140. The time for which a prompt occupies an engine is learnt from prompts that were read alone.

--- a/router/internal/app/dispatch/place.go
+++ b/router/internal/app/dispatch/place.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// Reading notes that the engine reads the request's prompt itself, or has read it.
+func (p *Place) Reading(reads bool) {
+	count := 1
+	if !reads {
+		count = -1
+	}
+	p.dispatcher.Book.Begin(p.Endpoint.ID, work.Amount{Reads: count})
+	p.dispatcher.Changed()
+}
+
 // Release ends the work at the place.
 func (p *Place) Release() {
 	p.once.Do(func() {
--- a/router/internal/app/rebalance/rebalance.go
+++ b/router/internal/app/rebalance/rebalance.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// Check samples the work and orders at most one engine of each service.
+// Check samples the work and orders engines.
 func (s *Service) Check(ctx context.Context) {
 	s.forget(ctx)
 	if !s.Leads() {
@@ -131,7 +131,8 @@
 		ToPrefill: s.State.Changing(service.Name, routing.Prefill), ToDecode: s.State.Changing(service.Name, routing.Decode),
 	}
 	planner.Observe(now, pool, engines.Size{Slots: service.Engine.Slots, Tokens: service.Engine.MemoryTokens})
-	if e, to, ok := planner.Next(now, pool); ok {
+	chosen, to := planner.Next(now, pool)
+	for _, e := range chosen {
 		s.order(ctx, e.Endpoint, to, service.Engine.SwitchTime, pool)
 	}
 }
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -3,6 +3,8 @@
 package engines
 
 import (
+	"time"
+
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/work"
 )
@@ -109,3 +111,38 @@
 	}
 	return best
 }
+
+// Reading is what decides which engine reads a prompt.
+type Reading struct {
+	// Left is the time within which the prompt must have been read for the first event to be on time.
+	Left time.Duration
+	// Pause is the longest pause between events with which a stream is on time; zero if there is no such bound.
+	Pause time.Duration
+	// Prompt is the time for which the prompt occupies a prefill engine, AtPrefill the time until the best one has read it,
+	// with all that waits there.
+	Prompt, AtPrefill time.Duration
+	// DecodeWork is the work at the decode engine, with this request.
+	DecodeWork work.Amount
+}
+
+const (
+	// DecodeReadFactor is how much longer a decode engine takes to read a prompt than a prefill engine.
+	DecodeReadFactor = 2
+	// queuePart is the part of the time left for which prompts may wait at prefill engines: what is known of them is some
+	// milliseconds old, and a queue that uses all the time makes every request behind it late.
+	queuePart = 0.5
+	// pausePart is the part of the allowed pause for which a prompt may hold up the streams of the engine that reads it.
+	pausePart = 0.8
+)
+
+// ReadInPlace reports whether the decode engine should read the prompt itself: the prefill engines would be late, the decode
+// engine is not, and its streams bear the pause. It answers the loss of prefill engines, and bursts that are shorter than the
+// time in which an engine changes its stage.
+func ReadInPlace(r Reading) bool {
+	took := DecodeReadFactor * r.Prompt
+	if r.AtPrefill <= time.Duration(queuePart*float64(r.Left)) || took > r.Left || r.DecodeWork.Reads > 0 {
+		return false
+	}
+	alone := r.DecodeWork.Requests <= 1
+	return alone || r.Pause == 0 || took <= time.Duration(pausePart*float64(r.Pause))
+}
--- a/router/internal/domain/engines/engines_test.go
+++ b/router/internal/domain/engines/engines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -65,3 +66,23 @@
 	Entry("a request that exceeds its estimate is likely to go on", int64(1000), int64(4000), int64(10_000)),
 	Entry("the largest output is the end", int64(1000), int64(8900), int64(14_000)),
 )
+
+// Guards against prompts that wait at the last prefill engines until their requests are late, while decode engines have room, and
+// against decode engines whose streams are held up by too many or too long prompts.
+var _ = DescribeTable("a decode engine reads a prompt", func(reads bool, change func(*engines.Reading)) {
+	r := engines.Reading{
+		Left: 800 * time.Millisecond, Pause: 300 * time.Millisecond, Prompt: 100 * time.Millisecond, AtPrefill: 700 * time.Millisecond,
+		DecodeWork: work.Amount{Requests: 8},
+	}
+	change(&r)
+	Expect(engines.ReadInPlace(r)).To(Equal(reads))
+},
+	Entry("where the prefill engines would be late", true, func(*engines.Reading) {}),
+	Entry("not where they are soon done", false, func(r *engines.Reading) { r.AtPrefill = 300 * time.Millisecond }),
+	Entry("not where it would be late, too", false, func(r *engines.Reading) { r.Left = 150 * time.Millisecond }),
+	Entry("not beside another prompt", false, func(r *engines.Reading) { r.DecodeWork.Reads = 1 }),
+	Entry("not if its streams would pause for too long", false, func(r *engines.Reading) { r.Prompt = 140 * time.Millisecond }),
+	Entry("of any length if it has no other streams", true, func(r *engines.Reading) {
+		r.Prompt, r.DecodeWork.Requests = 140*time.Millisecond, 1
+	}),
+)
--- a/router/internal/domain/pace/pace.go
+++ b/router/internal/domain/pace/pace.go
@@ -33,6 +33,8 @@
 
 type service struct {
 	read, start, hold mean
+	// alone is the time to read a token at an engine that reads nothing else.
+	alone mean
 }
 
 // mean is an exponentially weighted mean and deviation.
@@ -61,6 +63,7 @@
 		s = &service{
 			read:  mean{value: priorRead.Seconds(), weight: priorWeight},
 			start: mean{value: priorStart.Seconds(), weight: priorWeight},
+			alone: mean{value: priorRead.Seconds(), weight: priorWeight},
 		}
 		p.services[name] = s
 	}
@@ -85,6 +88,15 @@
 	}
 }
 
+// ReadAlone enters the time in which an engine that had nothing else to read has read a prompt.
+func (p *Pace) ReadAlone(name string, tokens int64, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usable(took, tokens) {
+		p.service(name).alone.add(took.Seconds() / float64(tokens))
+	}
+}
+
 // Started enters the time from the send to the first event of a stream whose prompt was read before.
 func (p *Pace) Started(name string, took time.Duration) {
 	p.mu.Lock()
@@ -110,6 +122,20 @@
 	return seconds(p.service(name).read.high() * float64(max(0, tokens)))
 }
 
+// Work is the time for which the tokens of prompts occupy a prefill engine.
+func (p *Pace) Work(name string, tokens int64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return seconds(p.service(name).alone.value * float64(max(0, tokens)))
+}
+
+// Start is the time from the send to the first event of a stream whose prompt was read before, in most cases.
+func (p *Pace) Start(name string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return seconds(p.service(name).start.high())
+}
+
 // FirstEvent is the time from a place to the first event, in most cases.
 func (p *Pace) FirstEvent(name string, tokens int64) time.Duration {
 	read := p.ReadTime(name, tokens)
--- a/router/internal/domain/stages/stages.go
+++ b/router/internal/domain/stages/stages.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tanagerwood.dev/api/routing"
@@ -12,28 +13,28 @@
 )
 
 const (
-	// spare is the prefill capacity that is kept beyond the measured need, as a factor: prompts come in bursts that are
-	// shorter than the time in which an engine changes.
-	spare = 1.3
-	// minPrefill engines stay in the prefill stage, so that the loss of two leaves one. Services with fewer than minEngines are
-	// left alone.
-	minPrefill = 3
+	// minPrefill engines stay in the prefill stage: decode engines read what is left when one of them is lost. Services with
+	// fewer than minEngines are left alone.
+	minPrefill = 2
 	minEngines = 6
 	// leastUse is the mean use of the engines from which the work says something about the ratio.
 	leastUse = 0.1
-	// busyDecode is the mean use from which decode engines get help: bursts of today's deployments double the load.
-	// busyPrefill is the use from which prefill engines are too few.
-	busyDecode  = 0.4
+	// busyDecode is the mean use from which decode engines get help, early enough for a burst that multiplies the load.
+	// busyPrefill is the use from which prefill engines are too few, and fullDecode the use at which decode engines spare none.
+	busyDecode  = 0.25
 	busyPrefill = 0.85
+	fullDecode  = 0.7
 	// averageTime is the time constant of the averages, twice the length of a stream, so that decoding has caught up with
 	// prefills.
 	averageTime = 8 * time.Second
 	// settleTime is how long the service must have been at work before anything changes: the length of a stream.
 	settleTime = 4 * time.Second
-	// orderPause is the least time between orders: several samples, so that an order shows in the next decision.
+	// orderPause is the least time between rounds of orders: several samples, so that an order shows in the next decision. In
+	// each round one in orderPart engines of the service may be ordered, and at least one.
 	orderPause = time.Second
+	orderPart  = 12
 	// shortTime is how long prefill engines must have been too few before a decode engine is taken from its streams.
-	shortTime = 5 * time.Second
+	shortTime = 2 * time.Second
 )
 
 // Engine is an engine with its work. Orderable engines have had no order yet.
@@ -63,6 +64,7 @@
 	}
 	for _, e := range p.Decode {
 		l.decode += math.Min(1, engines.Candidate{Work: e.Work}.Use(size))
+		l.prefill += math.Min(1, float64(e.Work.Reads)) / engines.DecodeReadFactor
 	}
 	return l
 }
@@ -75,13 +77,16 @@
 	// at is the last sample, busySince the first one of the present work, shortSince since when prefill engines are too
 	// few; zero if they are not.
 	at, busySince, shortSince time.Duration
-	// next is the earliest time of the next change.
+	// use is that of the decode engines in the last sample, as a part.
+	use float64
+	// next is the earliest time of the next round of orders.
 	next time.Duration
 }
 
 // Observe adds a sample. Idle times count for nothing.
 func (p *Planner) Observe(now time.Duration, pool Pool, size engines.Size) {
 	l := pool.measure(size)
+	p.use = l.decode / float64(max(1, len(pool.Decode)))
 	if l.prefill+l.decode == 0 || l.prefill+l.decode < leastUse*float64(pool.size()) {
 		p.at = now
 		return
@@ -105,45 +110,44 @@
 // prefillShort reports whether prefill engines are hardly ever idle, and the work needs more of them.
 func (p *Planner) prefillShort(pool Pool) bool {
 	count := len(pool.Prefill) + pool.ToPrefill
-	return p.mean.prefill/p.weight >= busyPrefill*float64(count) && count < p.prefillEngines(pool.size(), 1, 1)
+	return p.mean.prefill/p.weight >= busyPrefill*float64(count) && count < p.prefillEngines(pool.size())
 }
 
-// decodeShort reports whether decode engines are near to full in a burst, and the work needs fewer prefill engines.
-func (p *Planner) decodeShort(pool Pool) bool {
+// surplus is the number of prefill engines that decoding needs more.
+func (p *Planner) surplus(pool Pool) int {
 	count := len(pool.Decode) + pool.ToDecode
-	return p.mean.decode/p.weight >= busyDecode*float64(count) &&
-		len(pool.Prefill)+pool.ToPrefill > p.prefillEngines(pool.size(), spare, minPrefill)
+	if p.mean.decode/p.weight < busyDecode*float64(count) {
+		return 0
+	}
+	return len(pool.Prefill) + pool.ToPrefill - max(minPrefill, p.prefillEngines(pool.size()))
 }
 
-// prefillEngines returns how many of the engines should be in the prefill stage, so that both stages are full at the same load,
-// with some spare for prefills.
-func (p *Planner) prefillEngines(count int, spare float64, least int) int {
-	share := spare * p.mean.prefill / (spare*p.mean.prefill + p.mean.decode)
-	return max(least, int(math.Ceil(share*float64(count))))
+// prefillEngines returns how many of the engines should be in the prefill stage, so that both stages are full at the same load.
+func (p *Planner) prefillEngines(count int) int {
+	share := p.mean.prefill / (p.mean.prefill + p.mean.decode)
+	return int(math.Round(share * float64(count)))
 }
 
-// Next returns the engine that should change its stage now and the stage; ok is false if none should.
-func (p *Planner) Next(now time.Duration, pool Pool) (e Engine, to routing.Stage, ok bool) {
+// Next returns the engines that should change their stage now and the stage.
+func (p *Planner) Next(now time.Duration, pool Pool) (list []Engine, to routing.Stage) {
 	if pool.size() < minEngines || p.busySince == 0 || now-p.busySince < settleTime || now < p.next {
-		return Engine{}, "", false
+		return nil, ""
 	}
-	switch {
-	case p.decodeShort(pool):
-		e, ok = leastUsed(pool.Prefill)
-		to = routing.Decode
-	case p.shortSince > 0 && now-p.shortSince >= shortTime && pool.ToPrefill == 0:
-		e, ok = leastUsed(pool.Decode)
-		to = routing.Prefill
+	round := max(1, pool.size()/orderPart)
+	if surplus := p.surplus(pool); surplus > 0 {
+		list, to = leastUsed(pool.Prefill, min(surplus, round)), routing.Decode
+	} else if p.shortSince > 0 && now-p.shortSince >= shortTime && pool.ToPrefill == 0 && p.use < fullDecode {
+		list, to = leastUsed(pool.Decode, 1), routing.Prefill
 	}
-	if ok {
+	if len(list) > 0 {
 		p.next = now + orderPause
 	}
-	return e, to, ok
+	return list, to
 }
 
-// leastUsed returns the orderable engine with the least work, of those in the failure domain with the most engines, so that
-// every domain keeps some.
-func leastUsed(list []Engine) (best Engine, ok bool) {
+// leastUsed returns up to count orderable engines with the least work, each from the failure domain that then has the most engines,
+// so that every domain keeps some.
+func leastUsed(list []Engine, count int) (chosen []Engine) {
 	inDomain := map[string]int{}
 	for _, e := range list {
 		inDomain[e.Endpoint.Domain]++
@@ -157,10 +161,17 @@
 		}
 		return a.Endpoint.ID < b.Endpoint.ID
 	}
-	for _, e := range list {
-		if e.Orderable && (!ok || before(e, best)) {
-			best, ok = e, true
+	left := slices.DeleteFunc(slices.Clone(list), func(e Engine) bool { return !e.Orderable })
+	for len(chosen) < count && len(left) > 0 {
+		best := 0
+		for i := range left {
+			if before(left[i], left[best]) {
+				best = i
+			}
 		}
+		inDomain[left[best].Endpoint.Domain]--
+		chosen = append(chosen, left[best])
+		left = slices.Delete(left, best, best+1)
 	}
-	return best, ok
+	return chosen
 }
--- a/router/internal/domain/work/work.go
+++ b/router/internal/domain/work/work.go
@@ -13,10 +13,16 @@
 	Requests int `json:"r,omitempty"`
 	// Tokens is the engine memory that the requests may need; at prefill engines, the tokens that are still to be read.
 	Tokens int64 `json:"t,omitempty"`
+	// Reads is the number of prompts that a decode engine reads itself.
+	Reads int `json:"p,omitempty"`
 }
 
 func (a Amount) plus(b Amount) Amount {
-	return Amount{Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens}
+	return Amount{Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens, Reads: a.Reads + b.Reads}
+}
+
+func (a Amount) negated() Amount {
+	return Amount{Requests: -a.Requests, Tokens: -a.Tokens, Reads: -a.Reads}
 }
 
 // Book is the account. It is safe for concurrent use.
@@ -37,7 +43,7 @@
 
 // End removes work that Begin entered.
 func (b *Book) End(endpoint string, a Amount) {
-	b.add(endpoint, Amount{Requests: -a.Requests, Tokens: -a.Tokens})
+	b.add(endpoint, a.negated())
 }
 
 func (b *Book) add(endpoint string, a Amount) {
@@ -80,7 +86,7 @@
 	}
 	for id, a := range amounts {
 		old := told[id]
-		b.total[id] = b.total[id].plus(Amount{Requests: a.Requests - old.Requests, Tokens: a.Tokens - old.Tokens})
+		b.total[id] = b.total[id].plus(a).plus(old.negated())
 		told[id] = a
 	}
 }
@@ -114,7 +120,7 @@
 		out[id] = out[id].plus(a)
 	}
 	for id, a := range b.peers[instance] {
-		out[id] = out[id].plus(Amount{Requests: -a.Requests, Tokens: -a.Tokens})
+		out[id] = out[id].plus(a.negated())
 	}
 	for id, a := range out {
 		if a == (Amount{}) {
