Count the memory that requests will use over time; spread places over engines used alike

Cause: each request counted with its whole likely output from its start (4,016 tokens, 9.4 an engine of 37,745), though requests end in turn. Change: domain/growth learns how long outputs are against their estimates and counts the largest memory that is expected at any coming moment; a margin follows requests that found no memory (refusal, late start, pause), for at most one in 200. engines.Decode chooses at random among engines within one request of the least used one.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/periodic"
 	"tanagerwood.dev/router/internal/domain/engines"
+	"tanagerwood.dev/router/internal/domain/growth"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/waitlist"
@@ -64,8 +65,9 @@
 	State   State
 	Book    *work.Book
 	Health  *health.Tracker
-	// Pace knows for how long places are held.
+	// Pace knows for how long places are held, Growth how much memory the requests use.
 	Pace   *pace.Pace
+	Growth *growth.Growth
 	Domain string
 	// Instances is the number of instances that share the engines.
 	Instances func() int
@@ -253,7 +255,7 @@
 	if s == nil || s.Engine == nil {
 		return engines.Size{}, nil
 	}
-	return engines.Size{Slots: s.Engine.Slots, Tokens: s.Engine.MemoryTokens}, s.Engine
+	return engines.Size{Slots: s.Engine.Slots, Tokens: d.Growth.Usable(s.Name, s.Engine.MemoryTokens)}, s.Engine
 }
 
 func (d *Dispatcher) reserve(ctx context.Context, p *Place) error {
@@ -283,6 +285,8 @@
 	}
 	if !errors.Is(err, routing.ErrNotRun) || health.Unreachable(err) {
 		d.Health.Failed(p.Endpoint.ID, true, now)
+	} else {
+		d.Growth.Short(job.Service)
 	}
 	d.Logger.Info().Str("event", "place.refused").Str("request", job.RequestID).Str("endpoint", p.Endpoint.ID).
 		Int64("tokens", p.amount.Tokens).Err(err).Msg("")
@@ -293,7 +297,7 @@
 func (d *Dispatcher) wait(ctx context.Context, job *Job) (*Place, error) {
 	granted := make(chan *Place, 1)
 	entry := &waitlist.Entry{
-		ID: job.RequestID, Tokens: engines.Memory(job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Avoid: job.Avoid,
+		ID: job.RequestID, Tokens: d.Growth.Memory(job.Service, job.Demand, 0), OnTimeUntil: job.OnTimeUntil, Avoid: job.Avoid,
 	}
 	entry.Decided = func(engine *routing.Endpoint) {
 		if engine == nil {
@@ -388,7 +392,7 @@
 	if own != nil && len(own.Avoid) > 0 {
 		allowed = slices.DeleteFunc(slices.Clone(candidates), func(c engines.Candidate) bool { return own.Avoid[c.Endpoint.ID] })
 	}
-	best := engines.Decode(allowed, size, tokens, d.Domain)
+	best := engines.Decode(allowed, size, tokens, d.Domain, d.Random())
 	if best < 0 {
 		return nil
 	}
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
+	"tanagerwood.dev/router/internal/domain/growth"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/work"
@@ -39,10 +40,11 @@
 
 type instance struct {
 	*dispatch.Dispatcher
-	name  string
-	fleet *fleet
-	book  *work.Book
-	pace  *pace.Pace
+	name   string
+	fleet  *fleet
+	book   *work.Book
+	pace   *pace.Pace
+	growth *growth.Growth
 }
 
 func newFleet(instances, engines int) *fleet {
@@ -62,9 +64,9 @@
 		return source.Float64()
 	}
 	for i := range instances {
-		in := &instance{name: fmt.Sprint("i", i), fleet: f, book: work.NewBook(), pace: pace.New()}
+		in := &instance{name: fmt.Sprint("i", i), fleet: f, book: work.NewBook(), pace: pace.New(), growth: growth.New()}
 		in.Dispatcher = dispatch.New(dispatch.Deps{
-			Engines: f, State: f, Book: in.book, Pace: in.pace, Health: health.NewTracker(func() int { return 1 }), Instances: func() int { return instances },
+			Engines: f, State: f, Book: in.book, Pace: in.pace, Growth: in.growth, Health: health.NewTracker(func() int { return 1 }), Instances: func() int { return instances },
 			Random: random, Changed: in.tell, Boot: func() time.Duration { return time.Since(start) + time.Hour },
 			Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		})
--- a/router/internal/app/dispatch/overload_test.go
+++ b/router/internal/app/dispatch/overload_test.go
@@ -9,7 +9,6 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
-	"tanagerwood.dev/router/internal/domain/engines"
 )
 
 // Engines whose memory is full long before their slots.
@@ -20,6 +19,11 @@
 
 var letter = routing.Demand{PromptTokens: 3200, OutputTokens: 1920, ExpectedOutput: 800}
 
+// capacity is the number of letters that begin at once in an engine's memory.
+func (in *instance) capacity(tokens int64) int {
+	return int(in.growth.Usable(service, tokens) / in.growth.Memory(service, letter, 0))
+}
+
 // Guards against engines with more slots than memory that are filled until they put requests back.
 func TestFillsMemoryNotSlots(t *testing.T) {
 	virtual(t, 1, 2, func(t *testing.T, f *fleet) {
@@ -33,7 +37,7 @@
 			}
 			held = append(held, p)
 		}
-		if most := 2 * int(littleMemory/engines.Memory(letter, 0)); len(held) != most {
+		if most := 2 * in.capacity(littleMemory); len(held) != most {
 			t.Errorf("%d requests were placed, memory holds %d", len(held), most)
 		}
 		for _, p := range held {
@@ -63,7 +67,7 @@
 			)
 			virtual(t, instances, 8, func(t *testing.T, f *fleet) {
 				f.engine.Slots, f.engine.MemoryTokens = manySlots, littleMemory
-				capacity := 8 * float64(littleMemory/engines.Memory(letter, 0)) / hold.Seconds()
+				capacity := 8 * float64(f.instances[0].capacity(littleMemory)) / hold.Seconds()
 				random := rand.New(rand.NewPCG(7, uint64(instances)))
 				var group sync.WaitGroup
 				sum := &tally{}
--- a/router/internal/app/dispatch/place.go
+++ b/router/internal/app/dispatch/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
-	"tanagerwood.dev/router/internal/domain/engines"
 	"tanagerwood.dev/router/internal/domain/work"
 )
 
@@ -25,13 +24,14 @@
 	perEvent int64
 	began    time.Duration
 	used     bool
+	paused   bool
 	once     sync.Once
 }
 
 // newPlace enters the work in the book, so that requests that come at the same time see it.
 func (d *Dispatcher) newPlace(job *Job, ep routing.Endpoint) *Place {
 	p := &Place{Endpoint: ep, dispatcher: d, service: job.Service, demand: job.Demand, began: d.Boot(),
-		amount: work.Amount{Requests: 1, Tokens: engines.Memory(job.Demand, 0)}}
+		amount: work.Amount{Requests: 1, Tokens: d.Growth.Memory(job.Service, job.Demand, 0)}}
 	if _, engine := d.size(job.Service); engine != nil {
 		p.perEvent = engine.EventTokens
 	}
@@ -45,13 +45,38 @@
 // Progress counts events of the stream, so that the memory that the request uses is known.
 func (p *Place) Progress(events int) {
 	p.made += int64(events) * p.perEvent
-	tokens := engines.Memory(p.demand, p.made)
+	tokens := p.dispatcher.Growth.Memory(p.service, p.demand, p.made)
 	if grown := tokens - p.amount.Tokens; grown >= progressStep || grown <= -progressStep {
 		p.dispatcher.Book.Begin(p.Endpoint.ID, work.Amount{Tokens: grown})
 		p.amount.Tokens = tokens
 	}
 }
 
+// crowdedStart is the time to the first event after which a stream whose prompt was read before has waited for memory. Without
+// a wait the KV cache is moved in some 10 ms.
+const crowdedStart = 250 * time.Millisecond
+
+// Paused notes a pause between events of the stream. An engine that puts a request back makes its stream wait, and reads its prompt
+// again before the others go on.
+func (p *Place) Paused(took time.Duration) {
+	if took > crowdedStart && !p.paused {
+		p.paused = true
+		p.dispatcher.Growth.Short(p.service)
+	}
+}
+
+// Started notes how long the first event of a stream took whose prompt was read elsewhere.
+func (p *Place) Started(took time.Duration) {
+	if took > crowdedStart {
+		p.dispatcher.Growth.Short(p.service)
+		return
+	}
+	p.dispatcher.Growth.Fits(p.service)
+}
+
+// Ended notes that the request was served to its end.
+func (p *Place) Ended() { p.dispatcher.Growth.Ended(p.service, p.demand, p.made) }
+
 // Reading notes that the engine reads the request's prompt itself, or has read it.
 func (p *Place) Reading(reads bool) {
 	count := 1
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -46,13 +46,14 @@
 			if sse.HasData(rest[:complete]) {
 				progress()
 			}
-			if err := r.pieces(answer, rest[:complete], began); err != nil {
+			if err := r.pieces(answer, place, rest[:complete], began); err != nil {
 				return err
 			}
 			rest = append(rest[:0], rest[complete:]...)
 		}
 		switch {
 		case ended:
+			place.Ended()
 			return r.endStream(answer)
 		case err != nil:
 			return fmt.Errorf("reading the stream: %w", err)
@@ -63,7 +64,7 @@
 }
 
 // pieces passes complete events on.
-func (r *run) pieces(answer *routing.Answer, events []byte, began time.Duration) error {
+func (r *run) pieces(answer *routing.Answer, place *dispatch.Place, events []byte, began time.Duration) error {
 	if err := r.beginStream(answer); err != nil {
 		return err
 	}
@@ -73,12 +74,16 @@
 	now := r.Boot()
 	if last := r.times.lastEvent; last > 0 {
 		r.times.longestPause = max(r.times.longestPause, now-last)
+		if last > began {
+			place.Paused(now - last)
+		}
 	}
 	r.times.lastEvent = now
 	if r.times.firstEvent == 0 {
 		r.times.firstEvent, r.times.untilFirst = now-began, now-r.req.Arrived
 		if r.times.prefill > 0 {
 			r.Pace.Started(r.service.Name, r.times.firstEvent)
+			place.Started(r.times.firstEvent)
 		}
 		r.meters.firstEvent.Update(r.times.untilFirst.Milliseconds())
 	}
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -3,6 +3,7 @@
 package engines
 
 import (
+	"math"
 	"time"
 
 	"tanagerwood.dev/api/routing"
@@ -15,32 +16,12 @@
 	otherDomainUse = 0.05
 	// otherDomainTokens is the same for prefill engines, in tokens: some 20 ms of reading.
 	otherDomainTokens = 1000
+	// alike is the difference in use, in requests, within which engines are equally good.
+	alike = 1.0
 	// failurePenalty weighs the recent failure rate of an engine against its use.
 	failurePenalty = 2
 )
 
-const (
-	// lookahead is the growth of a request that counts as used, in tokens. By the time that requests have made as many, about
-	// as many others have ended.
-	lookahead = 2000
-	// overdue is the part of its output from which a request is likely to exceed the caller's estimate, and tail what it is
-	// then likely to make still, as a part of what it has made. Estimates are right at the median only, and the requests that
-	// exceed them are those that an engine runs for long.
-	overdue = 0.8
-	tail    = 0.25
-)
-
-// Memory is the engine memory that counts as used by a request that has made some of its output: what it has, and what it
-// will need soon. Without the progress of running requests engines run out of memory and put requests back.
-func Memory(d routing.Demand, made int64) int64 {
-	left := d.Likely() - made
-	if float64(made) >= overdue*float64(d.Likely()) {
-		left = int64(tail * float64(made))
-	}
-	left = max(0, min(left, d.OutputTokens-made))
-	return d.PromptTokens + made + min(left, lookahead)
-}
-
 // ReservedTokens is the memory to reserve with a slot. Engines put running requests back for memory that is reserved, so
 // only the slot is reserved, with one block of memory.
 const ReservedTokens = 16
@@ -77,23 +58,33 @@
 	return max(slots, memory)
 }
 
-// Decode returns the index of the least used engine that has room for the tokens, or -1. Domain is where the prompt will
-// have been read, or where the router runs.
-func Decode(candidates []Candidate, size Size, tokens int64, domain string) int {
-	best, bestUse := -1, 0.0
+// Decode returns the index of an engine that has room for the tokens, or -1. Domain is where the prompt will have been read, or
+// where the router runs. It is one of those that are used least: instances whose knowledge is equally old would all choose the
+// same one, and so fill it beyond its memory. Random is in [0, 1).
+func Decode(candidates []Candidate, size Size, tokens int64, domain string, random float64) int {
+	uses := make([]float64, len(candidates))
+	least := math.Inf(1)
 	for i, c := range candidates {
+		uses[i] = math.Inf(1)
 		if !c.fits(size, tokens) {
 			continue
 		}
-		use := c.Use(size) + failurePenalty*c.FailureRate
+		uses[i] = c.Use(size) + failurePenalty*c.FailureRate
 		if c.Endpoint.Domain != domain {
-			use += otherDomainUse
+			uses[i] += otherDomainUse
 		}
-		if best < 0 || use < bestUse {
-			best, bestUse = i, use
+		least = min(least, uses[i])
+	}
+	var near []int
+	for i, use := range uses {
+		if use <= least+alike*float64(tokens)/float64(max(1, size.Tokens)) && !math.IsInf(use, 1) {
+			near = append(near, i)
 		}
 	}
-	return best
+	if len(near) == 0 {
+		return -1
+	}
+	return near[int(random*float64(len(near)))]
 }
 
 // Prefill returns the index of the engine with the fewest tokens to read, or -1 if there is none. Domain is where the
--- a/router/internal/domain/engines/engines_test.go
+++ b/router/internal/domain/engines/engines_test.go
@@ -25,7 +25,7 @@
 
 // Guards against places that are refused or preempted while others are free.
 var _ = DescribeTable("a decode engine", func(tokens int64, best int, candidates ...engines.Candidate) {
-	Expect(engines.Decode(candidates, size, tokens, "a")).To(Equal(best))
+	Expect(engines.Decode(candidates, size, tokens, "a", 0)).To(Equal(best))
 },
 	Entry("the least used", int64(1000), 1, candidate("a", 6, 50_000), candidate("a", 3, 40_000), candidate("a", 9, 20_000)),
 	Entry("memory counts like slots", int64(1000), 0, candidate("a", 6, 20_000), candidate("a", 2, 80_000)),
@@ -53,19 +53,15 @@
 	Entry("nothing to choose from", -1),
 )
 
-// Guards against engines that count as full with half of their slots taken, because the largest output is set aside, and
-// against engines that run out of memory because requests exceed their estimates.
-var _ = DescribeTable("the memory of a request", func(expected, made, memory int64) {
-	d := routing.Demand{PromptTokens: 5000, OutputTokens: 9000, ExpectedOutput: expected}
-	Expect(engines.Memory(d, made)).To(Equal(memory))
-},
-	Entry("a long output counts as far as it is near", int64(4000), int64(0), int64(7000)),
-	Entry("a short one counts as a whole", int64(1000), int64(0), int64(6000)),
-	Entry("without an estimate, half of the largest output is likely", int64(0), int64(3000), int64(9500)),
-	Entry("what was made counts, and what is left", int64(4000), int64(3000), int64(9000)),
-	Entry("a request that exceeds its estimate is likely to go on", int64(1000), int64(4000), int64(10_000)),
-	Entry("the largest output is the end", int64(1000), int64(8900), int64(14_000)),
-)
+// Guards against instances with equally old knowledge that all choose the same engine, and fill it beyond its memory.
+var _ = It("spreads requests over the engines that are used alike", func() {
+	candidates := []engines.Candidate{candidate("a", 2, 20_000), candidate("a", 2, 22_000), candidate("a", 2, 24_000), candidate("a", 6, 60_000)}
+	chosen := map[int]int{}
+	for i := range 30 {
+		chosen[engines.Decode(candidates, size, 5000, "a", float64(i)/30)]++
+	}
+	Expect(chosen).To(Equal(map[int]int{0: 10, 1: 10, 2: 10}))
+})
 
 // Guards against prompts that wait at the last prefill engines until their requests are late, while decode engines have room, and
 // against decode engines whose streams are held up by too many or too long prompts.
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/rebalance"
+	"tanagerwood.dev/router/internal/domain/growth"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
@@ -161,7 +162,7 @@
 		return dispatch.New(dispatch.Deps{
 			Engines: do.MustInvoke[*platform.Endpoints](i), State: do.MustInvoke[state](i),
 			Book: do.MustInvoke[*work.Book](i), Health: do.MustInvoke[*health.Tracker](i), Pace: do.MustInvoke[*pace.Pace](i),
-			Domain: s.Domain, Instances: n.instances,
+			Growth: growth.New(), Domain: s.Domain, Instances: n.instances,
 			Random: rand.Float64, Changed: n.announce, Boot: boot, Logger: logger,
 		}), nil
 	})
