Prefer decode engines of the own failure domain among those used alike

Cause: the choice among engines within one request of the least used one had lost the preference for the own domain, which was a small difference in use. KV cache that is moved between domains takes twice as long.

--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -59,28 +59,31 @@
 }
 
 // Decode returns the index of an engine that has room for the tokens, or -1. Domain is where the prompt will have been read, or
-// where the router runs. It is one of those that are used least: instances whose knowledge is equally old would all choose the
-// same one, and so fill it beyond its memory. Random is in [0, 1).
+// where the router runs. It is one of those that are used least, of the same domain if there are any: instances whose
+// knowledge is equally old would all choose the same one, and so fill it beyond its memory. Random is in [0, 1).
 func Decode(candidates []Candidate, size Size, tokens int64, domain string, random float64) int {
 	uses := make([]float64, len(candidates))
 	least := math.Inf(1)
 	for i, c := range candidates {
 		uses[i] = math.Inf(1)
-		if !c.fits(size, tokens) {
-			continue
-		}
-		uses[i] = c.Use(size) + failurePenalty*c.FailureRate
-		if c.Endpoint.Domain != domain {
-			uses[i] += otherDomainUse
+		if c.fits(size, tokens) {
+			uses[i] = c.Use(size) + failurePenalty*c.FailureRate
+			least = min(least, uses[i])
 		}
-		least = min(least, uses[i])
 	}
-	var near []int
+	var near, same []int
 	for i, use := range uses {
-		if use <= least+alike*float64(tokens)/float64(max(1, size.Tokens)) && !math.IsInf(use, 1) {
-			near = append(near, i)
+		if math.IsInf(use, 1) || use > least+alike*float64(tokens)/float64(max(1, size.Tokens)) {
+			continue
+		}
+		near = append(near, i)
+		if candidates[i].Endpoint.Domain == domain {
+			same = append(same, i)
 		}
 	}
+	if len(same) > 0 {
+		near = same
+	}
 	if len(near) == 0 {
 		return -1
 	}
