Follow a store that comes back from a copy; heed endpoints that leave or ask for a pause

Cause (read in the code): revisions were compared without the era of the store, so that after a restore instances ignored new writes until the numbers caught up, undid drains, lost registrations and claims, and could order an engine twice with a lower token. Server-Leaving and a server's Retry-After were read nowhere. Change: positions are pairs of era and revision, packed into one ordered number by platform.Store, which reads Store-Era on every answer. Configurations are ordered by version. What was said of endpoints that leave or are gone holds across eras until they are written again. Instances register again, spread over time; claims are entered again, and nobody orders for 5 s. domain/availability keeps notices of endpoints; leaving is told to all instances at once. An engine that refuses reservations is asked less and less (seen: 327 times in 4 s). Message.Config is the version now; instances of before hear a larger number and fetch a copy once in 4 s while both run.

--- a/api/routing/call.go
+++ b/api/routing/call.go
@@ -17,6 +17,8 @@
 	ErrMisdirected = errors.New("another endpoint answers at the address, or the endpoint has another stage")
 	// ErrGone says that the platform no longer has the history after the given revision; read the list again.
 	ErrGone = errors.New("the platform's history is gone; read the list again")
+	// ErrConflict says that an entry of the platform was changed by another writer, or exists already.
+	ErrConflict = errors.New("the entry has another revision; read it and try again")
 	// ErrMalformed says that an answer is not one in the protocol, or belongs to another request.
 	ErrMalformed = errors.New("the endpoint's answer is malformed; the request may have run")
 )
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -25,8 +25,10 @@
 )
 
 const (
-	// fullFor is how long an engine that refused a reservation counts as full, unless a request of this instance ends there.
-	fullFor = 60 * time.Millisecond
+	// fullFor is how long an engine that refused a reservation counts as full, unless a request of this instance ends there. It
+	// doubles with each further refusal, up to maxFullFor: engines refuse for seconds while they change or end.
+	fullFor    = 60 * time.Millisecond
+	maxFullFor = time.Second
 	// checkPeriod is how often waiting requests are looked at when nothing else happens. An instance without any does not wake.
 	checkPeriod = 20 * time.Millisecond
 	// messageAge is the usual age of another instance's message when it arrives: a hop between domains takes 1 to 1.5 ms.
@@ -42,6 +44,8 @@
 	// minReturn and maxReturn bound the time after which refused callers are told to come back.
 	minReturn = 1 * time.Second
 	maxReturn = 5 * time.Second
+	// returnSpread is the time over which callers return after a pause of all engines.
+	returnSpread = 500 * time.Millisecond
 	// usualHold is for how long places are assumed to be held until it is known.
 	usualHold = 2 * time.Second
 )
@@ -57,6 +61,10 @@
 	Service(name string) *routing.Service
 	// Stage lists the usable endpoints of a service that are in the stage, without those that are leaving.
 	Stage(service string, stage routing.Stage) []routing.Endpoint
+	// Returns is the time until one of them wants requests again, if all have asked for a pause; zero otherwise.
+	Returns(service string, stage routing.Stage) time.Duration
+	// Paused reports whether an endpoint wants no requests now.
+	Paused(ep routing.Endpoint) bool
 }
 
 // Deps are what a Dispatcher works with.
@@ -97,10 +105,12 @@
 	// waits is signalled when a request begins to wait.
 	waits chan struct{}
 
-	mu     sync.Mutex
-	lists  map[string]*waitlist.List
-	full   map[string]time.Duration
-	others map[string][]other
+	mu    sync.Mutex
+	lists map[string]*waitlist.List
+	full  map[string]time.Duration
+	// refusals counts the reservations in a row that an engine has refused.
+	refusals map[string]int
+	others   map[string][]other
 }
 
 // other is a waiting request of another instance.
@@ -112,7 +122,7 @@
 // New returns a dispatcher. Run must be started too.
 func New(d Deps) *Dispatcher {
 	return &Dispatcher{
-		Deps: d, waits: make(chan struct{}, 1), lists: map[string]*waitlist.List{}, full: map[string]time.Duration{}, others: map[string][]other{},
+		Deps: d, waits: make(chan struct{}, 1), lists: map[string]*waitlist.List{}, full: map[string]time.Duration{}, refusals: map[string]int{}, others: map[string][]other{},
 	}
 }
 
@@ -212,6 +222,10 @@
 	if _, engine := d.size(job.Service); engine == nil {
 		return nil, fault.New(fault.NoEndpoint, "the service has no engines; come back after Retry-After").WithRetryAfter(minReturn)
 	}
+	if pause := d.State.Returns(job.Service, routing.Decode); began+pause > max(began, job.OnTimeUntil) {
+		return nil, fault.New(fault.Overloaded, "all engines have asked for a pause; come back after Retry-After").
+			WithRetryAfter(pause + time.Duration(d.Random()*float64(returnSpread)))
+	}
 	for {
 		p, err := d.wait(ctx, job)
 		if err != nil {
@@ -219,6 +233,9 @@
 		}
 		err = d.reserve(ctx, p)
 		if err == nil {
+			d.mu.Lock()
+			delete(d.refusals, p.Endpoint.ID)
+			d.mu.Unlock()
 			d.granted(job, p, d.Boot()-began)
 			d.Changed()
 			return p, nil
@@ -278,7 +295,8 @@
 	now := d.Boot()
 	d.Book.End(p.Endpoint.ID, p.amount)
 	d.mu.Lock()
-	d.full[p.Endpoint.ID] = now + fullFor
+	d.full[p.Endpoint.ID] = now + min(fullFor<<min(d.refusals[p.Endpoint.ID], 8), maxFullFor)
+	d.refusals[p.Endpoint.ID]++
 	d.mu.Unlock()
 	if ctx.Err() != nil {
 		return
--- a/router/internal/app/dispatch/place.go
+++ b/router/internal/app/dispatch/place.go
@@ -107,6 +107,9 @@
 }
 
 func (d *Dispatcher) giveBack(r routing.Reservation) {
+	if d.State.Paused(r.Endpoint) {
+		return // the reservation lapses by itself
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := d.Engines.Release(ctx, r); err != nil {
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -48,6 +48,10 @@
 	Table() *routetable.Table
 	// Stage lists the usable endpoints of a service in the stage, without those that are leaving.
 	Stage(service string, stage routing.Stage) []routing.Endpoint
+	// Returns is the time until one of them wants requests again, if all have asked for a pause; zero otherwise.
+	Returns(service string, stage routing.Stage) time.Duration
+	// Paused reports whether an endpoint wants no requests now.
+	Paused(ep routing.Endpoint) bool
 }
 
 // Deps are what a Path works with.
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -35,7 +35,7 @@
 		}
 		if !ok {
 			return fault.New(fault.NoEndpoint, "the service has no usable endpoint; come back after Retry-After").
-				WithRetryAfter(noEndpointRetry)
+				WithRetryAfter(noEndpointRetry + r.State.Returns(r.service.Name, ""))
 		}
 		err := r.tryPlain(ep)
 		if err == nil {
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
@@ -72,6 +73,11 @@
 	fetchTimeout = 2 * time.Second
 	// registerPause is the time between attempts to register.
 	registerPause = 500 * time.Millisecond
+	// renewSpread and renewPerPeer are the time over which the instances of a fleet register again, renewPause the time until one
+	// tries again that has failed.
+	renewSpread  = time.Second
+	renewPerPeer = 10 * time.Millisecond
+	renewPause   = 3 * time.Second
 )
 
 // Transport carries messages. Addresses are IP:PORT.
@@ -88,6 +94,8 @@
 	Register(ctx context.Context, in routing.Instance) (again bool, err error)
 	Instances(ctx context.Context) ([]routing.Instance, error)
 	RemoveInstance(ctx context.Context, name string) error
+	// Era rises when the platform comes back from a copy, in which entries may be missing.
+	Era() uint64
 }
 
 // Queue holds the requests that wait for a place.
@@ -114,8 +122,10 @@
 	Queue       Queue
 	Transitions *stages.Transitions
 	Health      *health.Tracker
-	Boot        func() time.Duration
-	Logger      *log.Logger
+	// Availability knows which endpoints say that they leave.
+	Availability *availability.Availability
+	Boot         func() time.Duration
+	Logger       *log.Logger
 }
 
 // peer is what is known of another instance.
@@ -155,8 +165,13 @@
 	told        ledger
 	toldWaiting int
 
-	announced  chan struct{}
+	announced chan struct{}
+	// urgent is set when the next report is to hold what otherwise only periodic ones hold.
+	urgent     atomic.Bool
 	collectors collectors
+	// era is the platform's era in which this instance has registered, renewAt when it registers again; zero if it need not.
+	era     uint64
+	renewAt time.Duration
 	// relistAt is when a collector reads the list of instances again.
 	relistAt time.Duration
 	// relisted is set once the list holds all instances that started together.
@@ -180,6 +195,12 @@
 	}
 }
 
+// AnnounceNews has the others told at once of endpoints that leave.
+func (s *Service) AnnounceNews() {
+	s.urgent.Store(true)
+	s.Announce()
+}
+
 // Run registers the instance and sends messages until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	s.mu.Lock()
@@ -193,6 +214,7 @@
 		s.tellPeriodic()
 		s.expirePeers()
 		go periodic.Protect(s.Logger, "relist", func() { s.relist(ctx) })
+		go periodic.Protect(s.Logger, "renew", func() { s.renew(ctx) })
 		s.pause(ctx)
 	}
 	wg.Wait()
@@ -274,6 +296,7 @@
 }
 
 func (s *Service) register(ctx context.Context) error {
+	era := s.Registry.Era()
 	again, err := s.Registry.Register(ctx, s.Self)
 	if err != nil {
 		return err
@@ -286,11 +309,36 @@
 	if again {
 		s.relisted.Store(true) // the fleet was listed before
 	}
+	s.mu.Lock()
+	s.era, s.renewAt = max(s.era, era), 0
+	s.mu.Unlock()
 	s.Tell(false)
 	s.Logger.Info().Str("event", "instance.registered").Int("instances", len(list)).Bool("again", again).Msg("")
 	return nil
 }
 
+// renew registers again after the platform has come back from a copy, which may lack this instance's entry. Instances spread their
+// calls over a time that grows with the fleet.
+func (s *Service) renew(ctx context.Context) {
+	s.mu.Lock()
+	now := s.Boot()
+	lacks := s.met.Load() > 0 && s.Registry.Era() > s.era
+	if lacks && s.renewAt == 0 {
+		s.renewAt = now + rand.N(max(renewSpread, time.Duration(len(s.peers))*renewPerPeer))
+	}
+	due := lacks && now >= s.renewAt
+	if due {
+		s.renewAt = now + renewPause
+	}
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	if err := s.register(ctx); err != nil {
+		s.Logger.Warn().Str("event", "instance.not_registered").Err(err).Msg("trying again")
+	}
+}
+
 // relist reads the list of instances again, if this instance is a collector.
 func (s *Service) relist(ctx context.Context) {
 	s.mu.Lock()
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -8,6 +8,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
@@ -21,8 +22,8 @@
 	// Number counts the sender's reports. A partial message whose number does not follow the last one
 	// shows that one was lost.
 	Number uint64 `json:"number"`
-	// Config and Endpoints are the revisions that the sender knows.
-	Config    uint64           `json:"config"`
+	// Config is the version of the configuration and Endpoints the revision of the list of endpoints that the sender knows.
+	Config    uint64           `json:"version"`
 	Endpoints uint64           `json:"endpoints"`
 	Spent     map[string]int64 `json:"spent,omitempty"`
 	// Base is what of Spent the collectors of before have known, in whole states of readers.
@@ -34,6 +35,8 @@
 	Changing []stages.Transition `json:"changing,omitempty"`
 	// Outcomes are those at endpoints that have failed lately, in periodic messages.
 	Outcomes map[string]health.Outcomes `json:"outcomes,omitempty"`
+	// Leaving lists the endpoints that have said that they leave, in periodic messages.
+	Leaving []availability.Leaving `json:"leaving,omitempty"`
 	// Stopped is set in the last message of an instance that stops as planned.
 	Stopped bool `json:"stopped,omitempty"`
 	// Partial messages hold only the spending and the work that have changed since the sender's last message.
@@ -89,7 +92,8 @@
 	s.mu.Lock()
 	l := s.ledger()
 	m := s.changed(l)
-	news := s.Health.News()
+	urgent := s.urgent.Swap(false)
+	news := s.Health.News() || urgent
 	if news {
 		m = s.addPeriodic(m)
 	}
@@ -142,7 +146,7 @@
 
 // message returns what all messages hold but those that ask.
 func (s *Service) message() Message {
-	config, endpoints := s.Mirror.Revisions()
+	config, endpoints := s.Mirror.Versions()
 	return Message{Sender: s.Self, Config: config, Endpoints: endpoints, Waiting: s.Queue.Waiting()}
 }
 
@@ -165,6 +169,7 @@
 func (s *Service) addPeriodic(m Message) Message {
 	now := s.Boot()
 	m.Periodic, m.Changing, m.Outcomes = true, s.Transitions.Own(now), s.Health.Tell(now)
+	m.Leaving = s.Availability.Tell(now)
 	return m
 }
 
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -69,6 +69,7 @@
 	if m.Periodic {
 		s.Transitions.Hear(m.Sender.Name, m.Changing, now)
 		s.Health.Hear(m.Sender.Name, m.Outcomes, now)
+		s.Availability.Hear(m.Leaving, now)
 	}
 	s.Queue.Hear(m.Sender.Name, m.Waiting)
 	s.Queue.Dispatch()
@@ -154,7 +155,7 @@
 // compare asks the platform again if the peer has known something newer for a while, and fetches the peer's copy if that does
 // not help, or if this instance knows nothing and the platform does not answer.
 func (s *Service) compare(p *peer, m Message, now time.Duration) {
-	config, endpoints := s.Mirror.Revisions()
+	config, endpoints := s.Mirror.Versions()
 	if m.Config <= config && m.Endpoints <= endpoints {
 		p.behind = 0
 		return
--- a/router/internal/app/gossip/views.go
+++ b/router/internal/app/gossip/views.go
@@ -65,10 +65,11 @@
 // view returns what the other instances do, for one of them; s.mu is not held.
 func (s *Service) view(reader string) Message {
 	now := s.Boot()
-	config, endpoints := s.Mirror.Revisions()
+	config, endpoints := s.Mirror.Versions()
 	m := Message{
 		Sender: s.Self, View: reader, Config: config, Endpoints: endpoints, Spent: s.Limiter.Except(reader), Levels: s.Limiter.Levels(now), Work: s.Book.Except(reader),
 		Waiting: s.Queue.WaitingExcept(reader), Changing: s.Transitions.All(now), Outcomes: s.Health.Except(reader, now),
+		Leaving: s.Availability.Tell(now),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -188,6 +189,7 @@
 	s.Book.Hear(othersName, m.Work)
 	s.Transitions.Hear(othersName, m.Changing, now)
 	s.Health.Hear(othersName, m.Outcomes, now)
+	s.Availability.Hear(m.Leaving, now)
 	s.Queue.Hear(othersName, m.Waiting)
 	close(arrival)
 	s.Queue.Dispatch()
--- a/router/internal/app/mirror/mirror.go
+++ b/router/internal/app/mirror/mirror.go
@@ -83,7 +83,9 @@
 	// failures counts failed calls for the list of endpoints in a row; recovered is the time of the last outage's end.
 	failures  int
 	recovered time.Duration
-	restart   [2]chan struct{}
+	// said is what must hold if the store comes back from a copy.
+	said    statements
+	restart [2]chan struct{}
 }
 
 // never is the time of an outage's end when there was no outage.
@@ -91,7 +93,7 @@
 
 // New returns a mirror. The function boot tells the time since boot.
 func New(p Platform, limits Limits, logger *log.Logger, boot func() time.Duration) *Mirror {
-	m := &Mirror{platform: p, limits: limits, logger: logger, boot: boot, lapsed: map[string]time.Duration{}, recovered: never}
+	m := &Mirror{platform: p, limits: limits, logger: logger, boot: boot, lapsed: map[string]time.Duration{}, recovered: never, said: newStatements()}
 	m.arrived.Store(int64(never))
 	for i := range m.restart {
 		m.restart[i] = make(chan struct{}, 1)
@@ -115,10 +117,10 @@
 	return c
 }
 
-// Revisions returns the revisions of the configuration and of the list of endpoints.
-func (m *Mirror) Revisions() (config, endpoints uint64) {
+// Versions returns the version of the configuration and the revision of the list of endpoints.
+func (m *Mirror) Versions() (config, endpoints uint64) {
 	if t := m.Table(); t != nil {
-		config = t.Config.Revision
+		config = t.Config.Version
 	}
 	return config, m.Endpoints().Revision
 }
@@ -134,9 +136,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if c.Endpoints.Revision > m.Endpoints().Revision {
-		m.endpoints.Store(c.Endpoints)
-		m.logger.Info().Str("event", "endpoints.adopted").Str("from", from).Uint64("revision", c.Endpoints.Revision).
-			Int("endpoints", len(c.Endpoints.ByID)).Msg("")
+		byID := maps.Clone(c.Endpoints.ByID)
+		if routing.Era(c.Endpoints.Revision) > 0 {
+			m.merge(byID, c.Endpoints.Revision)
+		}
+		m.replace(byID, c.Endpoints.Revision)
+		m.logger.Info().Str("event", "endpoints.adopted").Str("from", from).Uint64("era", routing.Era(c.Endpoints.Revision)).Uint64("revision", routing.Number(c.Endpoints.Revision)).
+			Int("endpoints", len(byID)).Msg("")
 	}
 }
 
@@ -213,7 +219,7 @@
 			return
 		case !away:
 			away = true
-			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.what).Uint64("revision", revision).Err(err).Msg("")
+			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.what).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Err(err).Msg("")
 		}
 		periodic.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxPause)
@@ -267,12 +273,13 @@
 func (m *Mirror) apply(c *routing.Config, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if t := m.Table(); t != nil && (c.Revision <= t.Config.Revision || c.Version < t.Config.Version) {
+	// Versions only grow, also where the store has come back from a copy that holds an earlier one.
+	if t := m.Table(); t != nil && (c.Version < t.Config.Version || c.Version == t.Config.Version && c.Revision <= t.Config.Revision) {
 		return
 	}
 	m.table.Store(routetable.New(c))
 	m.logger.Info().Str("event", "config.applied").Str("from", from).Uint64("version", c.Version).
-		Uint64("revision", c.Revision).Int("routes", len(c.Routes)).Int("customers", len(c.Customers)).Msg("")
+		Uint64("era", routing.Era(c.Revision)).Uint64("revision", routing.Number(c.Revision)).Int("routes", len(c.Routes)).Int("customers", len(c.Customers)).Msg("")
 }
 
 func (m *Mirror) listEndpoints(ctx context.Context) (uint64, error) {
@@ -288,11 +295,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, e := range m.Endpoints().ByID {
-		if _, listed := byID[id]; !listed && m.keepsLapsed(id, e) {
-			byID[id] = e
-		}
-	}
+	m.merge(byID, revision)
 	m.storeEndpoints(byID, revision)
 	return revision, nil
 }
@@ -312,8 +315,10 @@
 	byID := maps.Clone(m.Endpoints().ByID)
 	for _, c := range changes {
 		old, known := byID[c.ID]
+		delete(m.said.hidden, c.ID)
 		switch {
 		case c.Endpoint != nil:
+			m.said.confirm(c.ID)
 			delete(m.lapsed, c.ID)
 			byID[c.ID] = *c.Endpoint
 		case known && !m.keepsLapsed(c.ID, old):
@@ -329,20 +334,26 @@
 	if revision < old.Revision {
 		return
 	}
-	m.endpoints.Store(&Endpoints{Revision: revision, ByID: byID})
+	m.replace(byID, revision)
 	for id, e := range byID {
 		if was, known := old.ByID[id]; !known || was != e {
 			m.logger.Info().Str("event", "endpoint.listed").Str("endpoint", id).Str("service", e.Service).
-				Str("stage", string(e.Stage)).Bool("leaving", e.Leaving).Uint64("revision", revision).Msg("")
+				Str("stage", string(e.Stage)).Bool("leaving", e.Leaving).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
 		}
 	}
 	for id := range old.ByID {
 		if _, listed := byID[id]; !listed {
-			m.logger.Info().Str("event", "endpoint.gone").Str("endpoint", id).Uint64("revision", revision).Msg("")
+			m.logger.Info().Str("event", "endpoint.gone").Str("endpoint", id).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
 		}
 	}
 }
 
+// replace puts a list into force; m.mu is held.
+func (m *Mirror) replace(byID map[string]routing.Endpoint, revision uint64) {
+	m.said.note(m.Endpoints().ByID, byID, routing.Era(revision), m.boot())
+	m.endpoints.Store(&Endpoints{Revision: revision, ByID: byID})
+}
+
 // unreached counts a failed call for the list of endpoints.
 func (m *Mirror) unreached(ctx context.Context, err error) {
 	if ctx.Err() != nil || errors.Is(err, routing.ErrGone) {
--- a/router/internal/app/rebalance/rebalance.go
+++ b/router/internal/app/rebalance/rebalance.go
@@ -35,14 +35,20 @@
 	// unlistedFor is how long an engine must be off the list until its claim is removed: longer than entries lapse for
 	// while the platform's store is away.
 	unlistedFor = time.Minute
+	// renewTime is how long nobody orders after the platform has come back from a copy. It exceeds idlePeriod and an outage of a
+	// few calls.
+	renewTime = 5 * time.Second
 )
 
 // Claims keeps the entries that decide which instance may order an engine.
 type Claims interface {
-	// ClaimEngine creates the engine's entry and returns its fencing token. It fails if there is one.
+	// ClaimEngine creates the engine's entry and returns its fencing token. The error wraps routing.ErrConflict if there is
+	// one.
 	ClaimEngine(ctx context.Context, endpoint, instance string) (token uint64, err error)
 	// RemoveClaim removes the entry of an engine that is gone.
 	RemoveClaim(ctx context.Context, endpoint string) error
+	// Era rises when the platform comes back from a copy, in which entries may be missing.
+	Era() uint64
 }
 
 // Orders sends orders to engines. Errors that wrap routing.ErrNotRun say that the order is not and will not be carried out.
@@ -86,6 +92,9 @@
 	// ordered holds the engines that this instance has tried to claim. The time is since when the engine is off the list,
 	// zero while it is on it.
 	ordered map[string]time.Duration
+	// era is the platform's era as of the last check, orderFrom the time since boot from which engines may be ordered.
+	era       uint64
+	orderFrom time.Duration
 	// claimed are those of ordered whose claim is this instance's.
 	claimed map[string]bool
 }
@@ -110,6 +119,7 @@
 // Check samples the work and orders engines.
 func (s *Service) Check(ctx context.Context) {
 	s.forget(ctx)
+	s.renewClaims(ctx)
 	if !s.Leads() {
 		clear(s.planners) // what this instance has seen ends here; it may lead again much later
 		return
@@ -133,7 +143,7 @@
 		ToPrefill: s.State.Changing(service.Name, routing.Prefill), ToDecode: s.State.Changing(service.Name, routing.Decode),
 	}
 	planner.Observe(now, pool, engines.Size{Slots: service.Engine.Slots, Tokens: service.Engine.MemoryTokens})
-	if !s.State.Settled() {
+	if !s.State.Settled() || now < s.orderFrom {
 		return
 	}
 	chosen, to := planner.Next(now, pool)
@@ -188,6 +198,25 @@
 	line(err).Str("event", "stage.ordered").Uint64("token", token).Msg("")
 }
 
+// renewClaims enters the claims of this instance again after the platform has come back from a copy. Until all instances have done
+// so, nobody may order: an engine would get a second order.
+func (s *Service) renewClaims(ctx context.Context) {
+	era := s.Claims.Era()
+	if era == s.era {
+		return
+	}
+	s.orderFrom = s.Boot() + renewTime
+	for id := range s.claimed {
+		_, err := s.Claims.ClaimEngine(ctx, id, s.Self)
+		if err != nil && !errors.Is(err, routing.ErrConflict) {
+			s.Logger.Warn().Str("event", "stage.claim_not_renewed").Str("endpoint", id).Uint64("era", era).Err(err).Msg("trying again")
+			return
+		}
+	}
+	s.Logger.Info().Str("event", "stage.claims_renewed").Uint64("era", era).Int("claims", len(s.claimed)).Msg("")
+	s.era = era
+}
+
 // forget removes the claims of engines that are gone.
 func (s *Service) forget(ctx context.Context) {
 	now := s.Boot()
--- /dev/null
+++ b/router/internal/domain/availability/availability_test.go
@@ -0,0 +1,101 @@
+package availability_test
+
+import (
+	"testing"
+	"time"
+
+	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/availability"
+)
+
+const grace = time.Second
+
+var (
+	a = routing.Endpoint{ID: "a", Born: 1}
+	b = routing.Endpoint{ID: "b", Born: 1}
+)
+
+func newAvailability() *availability.Availability {
+	return availability.New(func() float64 { return 0.5 })
+}
+
+func ids(list []routing.Endpoint) (out string) {
+	for _, ep := range list {
+		out += ep.ID
+	}
+	return out
+}
+
+// Guards against new requests to an endpoint that has said that it leaves, until another start of it is seen.
+func TestLeaving(t *testing.T) {
+	v := newAvailability()
+	if !v.Note(a, routing.Notice{Leaving: true}, 10*time.Second) || v.Note(a, routing.Notice{Leaving: true}, 11*time.Second) {
+		t.Error("the first notice is news, the second one is not")
+	}
+	v.Forget(func(string) (routing.Endpoint, bool) { return a, true }, 5*time.Minute)
+	if got := ids(v.Usable([]routing.Endpoint{a, b}, grace, 6*time.Minute)); got != "b" {
+		t.Error(got)
+	}
+	again := a
+	again.Born = 2
+	if got := ids(v.Usable([]routing.Endpoint{again, b}, grace, 6*time.Minute)); got != "ab" {
+		t.Error("a new start:", got)
+	}
+	other := newAvailability()
+	if !other.Hear(v.Tell(12*time.Second), 12*time.Second) || other.Hear(v.Tell(12*time.Second), 13*time.Second) {
+		t.Error("another instance hears of it once")
+	}
+	if got := ids(other.Usable([]routing.Endpoint{a, b}, grace, 13*time.Second)); got != "b" {
+		t.Error("another instance:", got)
+	}
+}
+
+// Guards against a service that gets nothing at once because all its endpoints say that they leave, and against one that
+// still gets requests when their time is over.
+func TestAllLeave(t *testing.T) {
+	v := newAvailability()
+	v.Note(a, routing.Notice{Leaving: true}, 10*time.Second)
+	v.Note(b, routing.Notice{Leaving: true}, 10500*time.Millisecond)
+	for at, want := range map[time.Duration]string{10600 * time.Millisecond: "ab", 11200 * time.Millisecond: "b", 12 * time.Second: ""} {
+		if got := ids(v.Usable([]routing.Endpoint{a, b}, grace, at)); got != want {
+			t.Errorf("at %v: %q, not %q", at, got, want)
+		}
+	}
+}
+
+// Guards against requests to an endpoint during the pause that it has asked for, and against all instances returning at its end.
+func TestPauses(t *testing.T) {
+	v := newAvailability()
+	v.Note(a, routing.Notice{Pause: 2 * time.Second}, 10*time.Second)
+	both := []routing.Endpoint{a, b}
+	if !v.Paused(a, 12*time.Second) || ids(v.Usable(both, grace, 12*time.Second)) != "b" || v.Returns(both, 11*time.Second) != 0 {
+		t.Error("the pause is not kept")
+	}
+	if v.Paused(a, 12260*time.Millisecond) {
+		t.Error("the pause lasts for too long")
+	}
+	v.Note(a, routing.Notice{Pause: time.Second}, 10*time.Second)
+	if !v.Paused(a, 12*time.Second) {
+		t.Error("a shorter pause ends a longer one")
+	}
+	v.Note(b, routing.Notice{Pause: time.Second}, 11*time.Second)
+	if got := v.Returns(both, 11*time.Second); got != 1125*time.Millisecond {
+		t.Error("all pause, the first one returns in", got)
+	}
+	if leaving, paused := v.Counts(11 * time.Second); leaving != 0 || paused != 2 {
+		t.Error(leaving, paused)
+	}
+	if len(v.Tell(11*time.Second)) != 0 {
+		t.Error("a pause concerns this instance alone")
+	}
+}
+
+// Guards against pauses that cannot be.
+func TestImpossiblePauses(t *testing.T) {
+	v := newAvailability()
+	v.Note(a, routing.Notice{Pause: -1}, 0)
+	v.Note(b, routing.Notice{Pause: 1000 * time.Hour}, 0)
+	if v.Paused(a, 0) || !v.Paused(b, time.Minute) || v.Paused(b, time.Hour) || v.Ignored() != 2 {
+		t.Error(v.Ignored())
+	}
+}
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/samber/do/v2"
 
 	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/platform"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/adapter/front"
@@ -198,6 +199,10 @@
 // forgetEndpoints drops the outcomes of endpoints that are gone.
 func (p *parts) forgetEndpoints() {
 	listed := p.mirror.Endpoints().ByID
+	p.available.Forget(func(id string) (routing.Endpoint, bool) {
+		ep, known := listed[id]
+		return ep, known
+	}, clock.System{}.Boot())
 	p.health.Forget(len(listed), func(id string) bool {
 		_, known := listed[id]
 		return known
--- /dev/null
+++ b/router/internal/node/notices_test.go
@@ -0,0 +1,99 @@
+package node_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/platform/standin"
+)
+
+var _ = Describe("what an endpoint says of itself", func() {
+	// answerWith has a server answer all requests with a status and headers, and counts them.
+	answerWith := func(s *standin.Server, status int, header ...string) *atomic.Int64 {
+		var asked atomic.Int64
+		s.Behave(func(w http.ResponseWriter, r *http.Request) bool {
+			asked.Add(1)
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Response-Stamp", "stamp")
+			if status == http.StatusServiceUnavailable {
+				w.Header().Set("X-Not-Run", "1")
+			}
+			for i := 0; i < len(header); i += 2 {
+				w.Header().Set(header[i], header[i+1])
+			}
+			w.WriteHeader(status)
+			return true
+		})
+		return &asked
+	}
+
+	// Guards against requests to a server that has said that it leaves, from the instance that heard it and from the others.
+	It("keeps new requests of all instances from a server that leaves", func() {
+		w := newWorld()
+		a, b := w.start("a"), w.start("b")
+		asked := answerWith(w.plain[0], http.StatusOK, "Server-Leaving", "1")
+		for asked.Load() == 0 {
+			Expect(a.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
+		}
+		Eventually(func() int64 {
+			before := asked.Load()
+			for range 6 {
+				b.send(context.Background(), "GET", "/look/x", "key")
+			}
+			return asked.Load() - before
+		}, patience).Should(BeZero())
+		before := asked.Load()
+		for range 10 {
+			Expect(a.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
+			Expect(b.send(context.Background(), "GET", "/look/x", "key").header.Get("Server-Leaving")).To(BeEmpty())
+		}
+		Expect(asked.Load()).To(Equal(before))
+	})
+
+	// Guards against requests to servers during the pause that they have asked for, and against callers that are told to come back
+	// before its end.
+	It("keeps requests from servers that ask for a pause", func() {
+		w := newWorld()
+		a := w.start("a")
+		first := answerWith(w.plain[0], http.StatusServiceUnavailable, "Retry-After", "1000")
+		second := answerWith(w.plain[1], http.StatusServiceUnavailable, "Retry-After", "500")
+		for range 20 {
+			refused := a.send(context.Background(), "GET", "/look/x", "key")
+			Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(first.Load() + second.Load()).To(BeNumerically("<=", 2))
+	})
+
+	// Guards against engines that get reservations and prompts during their pause.
+	It("has requests read and decoded elsewhere", func() {
+		w := newWorld()
+		a := w.start("a")
+		asked := answerWith(w.prefill, http.StatusServiceUnavailable, "Retry-After", "600")
+		for range 8 {
+			Expect(a.stream("/brief/x").status).To(Equal(http.StatusOK))
+		}
+		Expect(asked.Load()).To(BeNumerically("<=", 1))
+	})
+})
+
+// Guards against an instance that nobody finds any more, and one that ignores new configurations, because the store came back from a
+// copy.
+var _ = It("follows a store that comes back from a copy", func() {
+	w := newWorld()
+	empty := w.store.Copy()
+	a := w.start("a")
+	w.configure("")
+	newest := w.version
+	Expect(a.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
+	w.store.Restore(empty)
+	Eventually(func() bool { return w.store.Has("tanagerwood-instances", "a") }, patience).Should(BeTrue())
+	Expect(a.Ready()).To(BeTrue())
+	w.version = newest
+	w.configure(`,{"name":"new","host":"h.example","path_prefix":"/new/","kind":"safe","timeout_ms":2000,"service":"s","max_attempts":2}`)
+	Eventually(func() int { return a.send(context.Background(), "GET", "/new/x", "key").status }, patience).Should(Equal(http.StatusOK))
+})
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -9,7 +9,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/app/periodic"
+	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 )
 
@@ -61,10 +63,21 @@
 	})
 }
 
-// newRegistry returns a registry with the counts of dropped log lines and of measurements that cannot be ones.
-func newRegistry(dropped, ignored func() int64) metrics.Registry {
+// newRegistry returns a registry with the counts of dropped log lines, of measurements and notices that cannot be ones, of the
+// endpoints that leave or pause, and the era of the platform's store.
+func newRegistry(dropped, ignored func() int64, available *availability.Availability, era func() uint64) metrics.Registry {
 	r := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("pace.ignored", r, ignored)
+	metrics.NewRegisteredFunctionalGauge("notices.ignored", r, available.Ignored)
+	metrics.NewRegisteredFunctionalGauge("endpoints.leaving", r, func() int64 {
+		leaving, _ := available.Counts(clock.System{}.Boot())
+		return int64(leaving)
+	})
+	metrics.NewRegisteredFunctionalGauge("endpoints.paused", r, func() int64 {
+		_, paused := available.Counts(clock.System{}.Boot())
+		return int64(paused)
+	})
+	metrics.NewRegisteredFunctionalGauge("platform.era", r, func() int64 { return int64(era()) })
 	if dropped != nil {
 		metrics.NewRegisteredFunctionalGauge("log.dropped_lines", r, dropped)
 	}
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/mirror"
 	"tanagerwood.dev/router/internal/app/rebalance"
+	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/growth"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/pace"
@@ -35,6 +36,7 @@
 	handler    *front.Handler
 	endpoints  *platform.Endpoints
 	health     *health.Tracker
+	available  *availability.Availability
 	budget     *retrybudget.Budget
 	metrics    metrics.Registry
 }
@@ -48,6 +50,7 @@
 		handler:    do.MustInvoke[*front.Handler](n.injector),
 		endpoints:  do.MustInvoke[*platform.Endpoints](n.injector),
 		health:     do.MustInvoke[*health.Tracker](n.injector),
+		available:  do.MustInvoke[*availability.Availability](n.injector),
 		budget:     do.MustInvoke[*retrybudget.Budget](n.injector),
 		metrics:    do.MustInvoke[metrics.Registry](n.injector),
 	}
@@ -56,8 +59,11 @@
 // state joins what the components read of the configuration and the endpoints.
 type state struct {
 	*mirror.Mirror
-	transitions *stages.Transitions
-	boot        func() time.Duration
+	transitions  *stages.Transitions
+	availability *availability.Availability
+	// leavingGrace is for how long endpoints that say that they leave are used if a service has no others.
+	leavingGrace time.Duration
+	boot         func() time.Duration
 }
 
 // Services implements rebalance.State.
@@ -95,6 +101,19 @@
 
 // Stage implements dispatch.State, forward.State and rebalance.State.
 func (s state) Stage(service string, stage routing.Stage) []routing.Endpoint {
+	return s.availability.Usable(s.listed(service, stage), s.leavingGrace, s.boot())
+}
+
+// Returns implements dispatch.State and forward.State.
+func (s state) Returns(service string, stage routing.Stage) time.Duration {
+	return s.availability.Returns(s.listed(service, stage), s.boot())
+}
+
+// Paused implements forward.State.
+func (s state) Paused(ep routing.Endpoint) bool { return s.availability.Paused(ep, s.boot()) }
+
+// listed lists the endpoints of a service that the platform lists in a stage.
+func (s state) listed(service string, stage routing.Stage) []routing.Endpoint {
 	var out []routing.Endpoint
 	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
@@ -115,11 +134,31 @@
 // announce has the other instances told at once what has changed.
 func (n *Node) announce() { n.parts.Load().peers.Announce() }
 
+// leavingGracePart divides the time within which leaving endpoints must get no more requests.
+const leavingGracePart = 2
+
+// hearNotice takes what an endpoint says of itself.
+func (n *Node) hearNotice(ep routing.Endpoint, notice routing.Notice) {
+	p := n.parts.Load()
+	if !p.available.Note(ep, notice, clock.System{}.Boot()) {
+		return
+	}
+	n.options.Logger.Info().Str("event", "endpoint.notice").Str("endpoint", ep.ID).Bool("leaving", notice.Leaving).
+		Int64("pause_ms", notice.Pause.Milliseconds()).Msg("")
+	if notice.Leaving {
+		p.peers.AnnounceNews()
+	}
+}
+
 func (n *Node) newInjector() do.Injector {
 	i := do.New()
 	s, logger, boot := n.options.Settings, n.options.Logger, clock.System{}.Boot
 	learnt := pace.New()
-	do.ProvideValue(i, newRegistry(n.options.DroppedLines, learnt.Ignored))
+	available := availability.New(rand.Float64)
+	do.ProvideValue(i, available)
+	store := platform.NewStore(s.PlatformAddress, silence)
+	do.ProvideValue(i, store)
+	do.ProvideValue(i, newRegistry(n.options.DroppedLines, learnt.Ignored, available, store.Era))
 	do.ProvideValue(i, work.NewBook())
 	do.ProvideValue(i, learnt)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
@@ -133,14 +172,16 @@
 	})
 	do.ProvideValue(i, health.NewTracker(n.instances))
 	do.ProvideValue(i, stages.NewTransitions())
-	do.ProvideValue(i, platform.NewStore(s.PlatformAddress, silence))
-	do.ProvideValue(i, platform.NewEndpoints(endpointDial, silence, maxIdle))
+	endpoints := platform.NewEndpoints(endpointDial, silence, maxIdle)
+	endpoints.OnNotice(n.hearNotice)
+	do.ProvideValue(i, endpoints)
 	do.Provide(i, func(i do.Injector) (*mirror.Mirror, error) {
 		limits := mirror.Limits{Config: s.ConfigWithin, Endpoints: s.DrainWithin}
 		return mirror.New(do.MustInvoke[*platform.Store](i), limits, logger, boot), nil
 	})
 	do.Provide(i, func(i do.Injector) (state, error) {
-		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), transitions: do.MustInvoke[*stages.Transitions](i), boot: boot}, nil
+		return state{Mirror: do.MustInvoke[*mirror.Mirror](i), transitions: do.MustInvoke[*stages.Transitions](i), availability: available,
+			leavingGrace: s.DrainWithin / leavingGracePart, boot: boot}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*gossip.Service, error) {
 		return gossip.New(gossip.Deps{
@@ -151,7 +192,7 @@
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*mirror.Mirror](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Book: do.MustInvoke[*work.Book](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Transitions: do.MustInvoke[*stages.Transitions](i),
-			Health: do.MustInvoke[*health.Tracker](i), Boot: boot, Logger: logger,
+			Health: do.MustInvoke[*health.Tracker](i), Availability: available, Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*retrybudget.Budget, error) {
