--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// otherDomainUse is the extra use, as a part of an engine, that an engine in another failure domain counts as having: a
-	// transfer of KV cache takes twice as long there, which is little next to a full engine.
-	otherDomainUse = 0.05
-	// otherDomainTokens is the same for prefill engines, in tokens: some 20 ms of reading.
+	// otherDomainTokens is the extra use, in tokens to read, that a prefill engine in another failure domain counts as having: some
+	// 20 ms of reading. A transfer of KV cache takes twice as long there.
 	otherDomainTokens = 1000
 	// alike is the difference in use, in requests, within which engines are equally good.
 	alike = 1.0
