--- a/lab/cmd/tanagerlab/main.go
+++ b/lab/cmd/tanagerlab/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&capacityCommand{}, "experiments")
 	subcommands.Register(&soakCommand{}, "experiments")
 	subcommands.Register(&slotUseCommand{}, "experiments")
+	subcommands.Register(&lossesCommand{}, "experiments")
 	subcommands.Register(&costCommand{}, "experiments")
 	subcommands.Register(&endpointsCommand{}, "stand-ins")
 	flag.Parse()
--- a/lab/internal/slotuse/slotuse.go
+++ b/lab/internal/slotuse/slotuse.go
@@ -3,14 +3,12 @@
 package slotuse
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"time"
+
+	"tanagerwood.dev/lab/internal/loglines"
 )
 
 // Window is the time over which use is averaged; streams last some seconds.
@@ -81,22 +79,13 @@
 // engine.
 func Read(in io.Reader, slots int) (Result, error) {
 	r := &reader{decoding: map[string]time.Time{}}
-	lines := bufio.NewReader(in)
-	for {
-		raw, err := lines.ReadBytes('\n')
-		if i := bytes.IndexByte(raw, '{'); i >= 0 {
-			var l line
-			// Other programs' lines may lie between those of the router.
-			if json.Unmarshal(raw[i:], &l) == nil && !l.Time.IsZero() {
-				r.take(l)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return Result{}, fmt.Errorf("reading the log: %w", err)
+	err := loglines.Read(in, func(l line) {
+		if !l.Time.IsZero() {
+			r.take(l)
 		}
+	})
+	if err != nil {
+		return Result{}, err
 	}
 	if len(r.streams) == 0 {
 		return Result{}, errors.New("the log has no streams; give the lines of \"tanagerwood node\" at log level info")
