--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -65,6 +65,13 @@
 	o.versions = append(o.versions, next)
 }
 
+// rewrite writes the newest version again, which the store may have lost.
+func (o *operator) rewrite() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.store.Configure(o.versions[len(o.versions)-1].configuration())
+}
+
 // all returns the versions so far.
 func (o *operator) all() []version {
 	o.mu.Lock()
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -26,6 +26,7 @@
 	StoreSlow  Fault = "store-slow"
 	StoreLost  Fault = "store-answers-lost"
 	StoreReset Fault = "store-history-lost"
+	StoreBack  Fault = "store-back-from-copy"
 	Crash      Fault = "server-crash"
 	Release    Fault = "server-release"
 	Misbehave  Fault = "server-misbehavior"
@@ -61,7 +62,7 @@
 // weights are the relative frequencies of the faults. Changes of the configuration are frequent, as they are in operation.
 var weights = []weighted[Fault]{
 	{Kill, 4}, {KillAll, 1}, {Freeze, 4}, {Stop, 4}, {Roll, 2}, {Reload, 2}, {StoreCut, 3}, {StoreDown, 2}, {StoreSlow, 2},
-	{StoreLost, 2}, {StoreReset, 2}, {Crash, 4}, {Release, 4}, {Misbehave, 6}, {PathCut, 3}, {PathReset, 3}, {PathSlow, 2},
+	{StoreLost, 2}, {StoreReset, 2}, {StoreBack, 2}, {Crash, 4}, {Release, 4}, {Misbehave, 6}, {PathCut, 3}, {PathReset, 3}, {PathSlow, 2},
 	{Change, 6}, {Storm, 1},
 }
 
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// rewrite enters the servers that run as they are, which the store may have lost, and removes those that are gone.
+func (m *machine) rewrite() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range m.boots {
+		switch {
+		case b.gone.IsZero():
+			m.store.Enter(m.entry(b, b != m.current))
+		default:
+			m.store.Leave(b.server.ID)
+		}
+	}
+}
+
 // now returns the current server, or nil while none runs.
 func (m *machine) now() *serverBoot {
 	m.mu.Lock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -229,7 +229,7 @@
 	switch a.Fault {
 	case Kill, KillAll, Freeze, Stop, Roll, Reload:
 		return w.disturbInstances(a, i)
-	case StoreCut, StoreDown, StoreSlow, StoreLost, StoreReset:
+	case StoreCut, StoreDown, StoreSlow, StoreLost, StoreReset, StoreBack:
 		w.disturbStore(a, i)
 	case Change:
 		w.operator.change(a.Variant)
@@ -339,6 +339,14 @@
 		w.store.LoseAnswers(0, nil)
 	case StoreReset:
 		w.store.Forget()
+	case StoreBack:
+		copied := w.store.Copy()
+		time.Sleep(a.For)
+		w.store.Restore(copied)
+		w.operator.rewrite()
+		for _, m := range w.machines {
+			m.rewrite()
+		}
 	}
 }
 
