Have servers of the soak say that they leave

The stand-in server names its leaving in all answers from the moment of a release, as the users' servers do; the soak's check of requests to leaving servers is unchanged.

--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -153,6 +153,7 @@
 		return nil
 	}
 	err := m.start()
+	b.server.Leave()
 	m.store.Enter(m.entry(b, true))
 	m.mu.Lock()
 	b.leaving = time.Now()
