Test eras with the mirror's own fake of the platform

The fake keeps its changes by revision and knows eras, so that the second stand-in of the era tests goes. Both tests still fail without the statements of earlier eras, and without the order by version.

--- a/router/internal/app/mirror/era_test.go
+++ b/router/internal/app/mirror/era_test.go
@@ -1,197 +1,76 @@
 package mirror_test
 
 import (
-	"context"
 	"fmt"
-	"io"
+	"maps"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/mirror"
 )
 
-// store is a platform that can come back from a copy: positions rise, but its state goes back.
-type store struct {
-	mu        sync.Mutex
-	era       uint64
-	number    uint64
-	version   uint64
-	endpoints map[string]routing.Endpoint
-	changes   []storeChange
-	wake      chan struct{}
-}
-
-type storeChange struct {
-	number   uint64
-	endpoint routing.EndpointChange
-}
-
-func newStore() *store {
-	return &store{number: 1, version: 1, endpoints: map[string]routing.Endpoint{}, wake: make(chan struct{})}
-}
-
-func (s *store) write(do func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.number++
-	do()
-	close(s.wake)
-	s.wake = make(chan struct{})
-}
-
-func (s *store) put(e routing.Endpoint) {
-	s.write(func() {
-		s.endpoints[e.ID] = e
-		s.changes = append(s.changes, storeChange{s.number, routing.EndpointChange{ID: e.ID, Endpoint: &e}})
-	})
-}
-
-func (s *store) remove(id string) {
-	s.write(func() {
-		delete(s.endpoints, id)
-		s.changes = append(s.changes, storeChange{s.number, routing.EndpointChange{ID: id}})
-	})
-}
-
-// restore goes back to what copied returned.
-func (s *store) restore(c *store) {
-	s.write(func() {
-		s.era++
-		s.number, s.version, s.changes = c.number, c.version, append([]storeChange{}, c.changes...)
-		s.endpoints = c.endpoints
-	})
-}
-
-func (s *store) copied() *store {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := &store{number: s.number, version: s.version, endpoints: map[string]routing.Endpoint{}, changes: append([]storeChange{}, s.changes...)}
-	for id, e := range s.endpoints {
-		c.endpoints[id] = e
-	}
-	return c
-}
-
-func (s *store) config() *routing.Config {
-	return &routing.Config{Version: s.version, Revision: routing.Revision(s.era, s.number)}
-}
-
-func (s *store) ReadConfig(context.Context) (*routing.Config, uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.config(), routing.Revision(s.era, s.number), nil
-}
-
-func (s *store) ListEndpoints(context.Context) ([]routing.Endpoint, uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []routing.Endpoint
-	for _, e := range s.endpoints {
-		out = append(out, e)
-	}
-	return out, routing.Revision(s.era, s.number), nil
-}
-
-// wait blocks until the store is past the revision, and fails if that is of an earlier era.
-func (s *store) wait(ctx context.Context, since uint64, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		era, number, wake := s.era, s.number, s.wake
-		s.mu.Unlock()
-		switch {
-		case era != routing.Era(since):
-			return routing.ErrGone
-		case number > routing.Number(since):
-			return nil
+// copied returns the state of the platform for a later restore.
+func (f *fake) copied() *fake {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &fake{revision: f.revision, config: f.config, endpoints: maps.Clone(f.endpoints), changes: slices.Clone(f.changes)}
+}
+
+// restore has the platform come back from a copy, in the next era.
+func (f *fake) restore(c *fake) {
+	f.change(func() {
+		era := routing.Era(f.revision) + 1
+		again := func(revision uint64) uint64 { return routing.Revision(era, routing.Number(revision)) }
+		f.revision, f.endpoints, f.changes = again(c.revision), maps.Clone(c.endpoints), nil
+		for _, old := range c.changes {
+			f.changes = append(f.changes, change{old.EndpointChange, again(old.revision)})
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-timer.C:
-			return nil
-		case <-wake:
+		if f.config = nil; c.config != nil {
+			f.config = &routing.Config{Version: c.config.Version, Revision: again(c.config.Revision)}
 		}
-	}
-}
-
-func (s *store) WatchConfig(ctx context.Context, since uint64, wait time.Duration) (*routing.Config, uint64, error) {
-	if err := s.wait(ctx, since, wait); err != nil {
-		return nil, 0, err
-	}
-	return s.ReadConfig(ctx)
-}
-
-func (s *store) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) ([]routing.EndpointChange, uint64, error) {
-	if err := s.wait(ctx, since, wait); err != nil {
-		return nil, 0, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.era != routing.Era(since) {
-		return nil, 0, routing.ErrGone
-	}
-	var out []routing.EndpointChange
-	for _, c := range s.changes {
-		if c.number > routing.Number(since) {
-			out = append(out, c.endpoint)
-		}
-	}
-	return out, routing.Revision(s.era, s.number), nil
-}
-
-func follow(t *testing.T, s *store) *mirror.Mirror {
-	t.Helper()
-	began := time.Now()
-	m := mirror.New(s, limits, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, func() time.Duration { return time.Since(began) + time.Hour })
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go m.Run(ctx)
-	return m
+	})
 }
 
 // Guards against what was acknowledged and is undone when the store comes back from a copy: an older configuration with keys that
 // were withdrawn, requests to endpoints that are leaving or gone, and new writes that are ignored because their revisions are lower.
 func TestStoreComesBackFromACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStore()
+		f := newFake()
+		f.setConfig(1)
 		for _, id := range []string{"stays", "leaves", "goes", "comes"} {
 			if id != "comes" {
-				s.put(routing.Endpoint{ID: id, Born: 1})
+				f.put(routing.Endpoint{ID: id, Born: 1})
 			}
 		}
-		m := follow(t, s)
+		m := start(t, f)
 		time.Sleep(time.Second)
-		copied := s.copied()
-		s.write(func() { s.version = 5 })
-		s.put(routing.Endpoint{ID: "leaves", Born: 1, Leaving: true})
-		s.remove("goes")
-		s.put(routing.Endpoint{ID: "comes", Born: 1})
+		copied := f.copied()
+		f.setConfig(5)
+		f.put(routing.Endpoint{ID: "leaves", Born: 1, Leaving: true})
+		f.remove("goes")
+		f.put(routing.Endpoint{ID: "comes", Born: 1})
 		time.Sleep(3 * time.Second)
-		s.restore(copied)
+		f.restore(copied)
 		time.Sleep(time.Second)
 		byID := m.Endpoints().ByID
 		if _, gone := byID["goes"]; gone || !byID["leaves"].Leaving || len(byID) != 3 || m.Table().Config.Version != 5 {
 			t.Fatal(byID, m.Table().Config.Version)
 		}
 		// What was written is written again, and then something new.
-		s.write(func() { s.version = 5 })
-		s.put(routing.Endpoint{ID: "comes", Born: 1})
-		s.put(routing.Endpoint{ID: "goes", Born: 2})
-		s.write(func() { s.version = 6 })
+		f.setConfig(5)
+		f.put(routing.Endpoint{ID: "comes", Born: 1})
+		f.put(routing.Endpoint{ID: "goes", Born: 2})
+		f.setConfig(6)
 		time.Sleep(3 * time.Second)
 		byID = m.Endpoints().ByID
 		if len(byID) != 4 || byID["goes"].Born != 2 || !byID["leaves"].Leaving || m.Table().Config.Version != 6 {
 			t.Fatal(byID, m.Table().Config.Version)
 		}
-		s.put(routing.Endpoint{ID: "leaves", Born: 3})
+		f.put(routing.Endpoint{ID: "leaves", Born: 3})
 		time.Sleep(time.Second)
 		if byID = m.Endpoints().ByID; byID["leaves"].Leaving {
 			t.Fatal("a new start counts as leaving")
@@ -199,17 +78,24 @@
 	})
 }
 
+// start starts a mirror that ends with the test.
+func start(t *testing.T, f *fake) *mirror.Mirror {
+	t.Helper()
+	m, _ := follow(t.Context(), f)
+	return m
+}
+
 // Guards against an endpoint that is never used again, because it was gone for a while when the store came back.
 func TestEndpointOfACopyReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStore()
-		s.put(routing.Endpoint{ID: "a", Born: 1})
-		m := follow(t, s)
+		f := newFake()
+		f.put(routing.Endpoint{ID: "a", Born: 1})
+		m := start(t, f)
 		time.Sleep(time.Second)
-		copied := s.copied()
-		s.remove("a")
+		copied := f.copied()
+		f.remove("a")
 		time.Sleep(time.Second)
-		s.restore(copied)
+		f.restore(copied)
 		time.Sleep(5 * time.Second)
 		if len(m.Endpoints().ByID) != 0 {
 			t.Fatal("an endpoint that is gone is used")
@@ -232,22 +118,23 @@
 }
 
 func playEras(t *testing.T, random *rand.Rand) {
-	s := newStore()
-	instances := []*mirror.Mirror{follow(t, s), follow(t, s), follow(t, s)}
+	f := newFake()
+	f.setConfig(1)
+	instances := []*mirror.Mirror{start(t, f), start(t, f), start(t, f)}
 	time.Sleep(time.Second)
 	last, starts := map[*mirror.Mirror]uint64{}, int64(0)
-	copied, version := s.copied(), uint64(1)
+	copied, version := f.copied(), uint64(1)
 	truth := map[string]routing.Endpoint{}
 	write := func(id string) {
 		e := truth[id]
-		s.put(e)
+		f.put(e)
 	}
 	for range 60 {
 		id := fmt.Sprint("e", random.IntN(4))
 		switch random.IntN(8) {
 		case 0, 1:
 			version += 1 + random.Uint64N(3)
-			s.write(func() { s.version = version })
+			f.setConfig(version)
 		case 2, 3:
 			starts++
 			truth[id] = routing.Endpoint{ID: id, Born: starts}
@@ -259,15 +146,15 @@
 				write(id)
 			}
 		case 5:
-			copied = s.copied()
+			copied = f.copied()
 		case 6:
 			a, b := random.IntN(3), random.IntN(3)
 			instances[a].Adopt(instances[b].Copy(), "peer")
 		case 7:
-			s.restore(copied)
-			copied = s.copied()
+			f.restore(copied)
+			copied = f.copied()
 			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
-			s.write(func() { s.version = version })
+			f.setConfig(version)
 			for id := range truth {
 				write(id)
 			}
--- a/router/internal/app/mirror/mirror_test.go
+++ b/router/internal/app/mirror/mirror_test.go
@@ -23,12 +23,18 @@
 	config    *routing.Config
 	endpoints map[string]routing.Endpoint
 	revision  uint64
-	changes   []routing.EndpointChange
+	changes   []change
 	lists     int
 	watches   int
 	wake      chan struct{}
 }
 
+// change is a change of the list of endpoints at a revision.
+type change struct {
+	routing.EndpointChange
+	revision uint64
+}
+
 // limits are those of the tests: changes share a call for 400 ms.
 var limits = mirror.Limits{Config: 2 * time.Second, Endpoints: 2 * time.Second}
 
@@ -78,6 +84,8 @@
 			return 0, down
 		case gone:
 			return 0, routing.ErrGone
+		case routing.Era(revision) != routing.Era(since):
+			return 0, routing.ErrGone
 		case revision > since:
 			return revision, nil
 		}
@@ -108,22 +116,27 @@
 	if err != nil || revision == since {
 		return nil, revision, err
 	}
-	return f.changes, revision, nil
+	var out []routing.EndpointChange
+	for _, c := range f.changes {
+		if c.revision > since && c.revision <= revision {
+			out = append(out, c.EndpointChange)
+		}
+	}
+	return out, revision, nil
 }
 
 func (f *fake) put(e routing.Endpoint) {
 	f.change(func() {
 		f.endpoints[e.ID] = e
-		f.changes = []routing.EndpointChange{{ID: e.ID, Endpoint: &e}}
+		f.changes = append(f.changes, change{routing.EndpointChange{ID: e.ID, Endpoint: &e}, f.revision})
 	})
 }
 
 func (f *fake) remove(ids ...string) {
 	f.change(func() {
-		f.changes = nil
 		for _, id := range ids {
 			delete(f.endpoints, id)
-			f.changes = append(f.changes, routing.EndpointChange{ID: id})
+			f.changes = append(f.changes, change{routing.EndpointChange{ID: id}, f.revision})
 		}
 	})
 }
@@ -140,12 +153,8 @@
 		f := newFake()
 		f.endpoints["a"] = routing.Endpoint{ID: "a"}
 		f.endpoints["b"] = routing.Endpoint{ID: "b"}
-		start := time.Now()
-		boot := func() time.Duration { return time.Since(start) + time.Hour }
-		m := mirror.New(f, limits, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, boot)
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { m.Run(ctx); close(done) }()
+		m, done := follow(ctx, f)
 		time.Sleep(time.Second)
 		test(f, m)
 		cancel()
@@ -153,6 +162,16 @@
 	})
 }
 
+// follow starts a mirror of the fake platform. Done is closed when it has ended.
+func follow(ctx context.Context, f *fake) (m *mirror.Mirror, done chan struct{}) {
+	start := time.Now()
+	boot := func() time.Duration { return time.Since(start) + time.Hour }
+	m = mirror.New(f, limits, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, boot)
+	done = make(chan struct{})
+	go func() { m.Run(ctx); close(done) }()
+	return m, done
+}
+
 func has(m *mirror.Mirror, id string) bool { _, ok := m.Endpoints().ByID[id]; return ok }
 
 // Guards against a configuration that goes back, or comes late.
