End rounds of orders that take too long; forget engines that are gone

Found on reading the change: orders of one round follow each other, so that with a slow store the last of eleven would rest on work of many seconds ago; and what the dispatcher knows of engines that refused stayed for good.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -290,6 +291,14 @@
 	return nil
 }
 
+// Forget removes what is known of engines that are not in the list any more.
+func (d *Dispatcher) Forget(listed func(endpoint string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.full, func(id string, _ time.Duration) bool { return !listed(id) })
+	maps.DeleteFunc(d.refusals, func(id string, _ int) bool { return !listed(id) })
+}
+
 // refused takes the work out of the book again and keeps other requests away from the engine for a while.
 func (d *Dispatcher) refused(ctx context.Context, job *Job, p *Place, err error) {
 	now := d.Boot()
--- a/router/internal/app/rebalance/rebalance.go
+++ b/router/internal/app/rebalance/rebalance.go
@@ -30,6 +30,8 @@
 	lateEffect = 5 * time.Second
 	// claimValidity is how old a claim may be when its order is sent. An instance that was suspended in between drops it.
 	claimValidity = time.Second
+	// roundTime bounds the orders of one check, which follow each other: a slow store takes seconds for each claim.
+	roundTime = time.Second
 	// orderTimeout bounds an order, which engines answer at once.
 	orderTimeout = time.Second
 	// unlistedFor is how long an engine must be off the list until its claim is removed: longer than entries lapse for
@@ -148,6 +150,9 @@
 	}
 	chosen, to := planner.Next(now, pool)
 	for _, e := range chosen {
+		if s.Boot()-now > roundTime {
+			return // the work may be another by now
+		}
 		s.order(ctx, e.Endpoint, to, service.Engine.SwitchTime, pool)
 	}
 }
--- a/router/internal/app/rebalance/rebalance_test.go
+++ b/router/internal/app/rebalance/rebalance_test.go
@@ -193,6 +193,16 @@
 		Expect(f.orders).To(BeEmpty())
 	})
 
+	// Guards against orders that rest on work of many seconds ago, because each claim took long.
+	It("ends a round that takes too long", func() {
+		f := newFleet(20, 40)
+		f.run(4200 * time.Millisecond)
+		Expect(f.orders).To(BeEmpty())
+		f.claimTakes = 600 * time.Millisecond
+		f.service.Check(context.Background())
+		Expect(len(f.orders)).To(BeNumerically("<=", 2))
+	})
+
 	It("uses an engine again that refused, and never orders it again", func() {
 		f := newFleet(4, 12)
 		f.orderErr = fmt.Errorf("%w: status 409", routing.ErrNotRun)
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -196,17 +196,19 @@
 	}
 }
 
-// forgetEndpoints drops the outcomes of endpoints that are gone.
+// forgetEndpoints drops what is known of endpoints that are gone.
 func (p *parts) forgetEndpoints() {
 	listed := p.mirror.Endpoints().ByID
 	p.available.Forget(func(id string) (routing.Endpoint, bool) {
 		ep, known := listed[id]
 		return ep, known
 	}, clock.System{}.Boot())
-	p.health.Forget(len(listed), func(id string) bool {
-		_, known := listed[id]
-		return known
-	})
+	known := func(id string) bool {
+		_, ok := listed[id]
+		return ok
+	}
+	p.health.Forget(len(listed), known)
+	p.dispatcher.Forget(known)
 }
 
 type listener struct {
