Use endpoints that leave by hearsay if a service has no others

Found on reading the change: a service whose endpoints all say that they leave, rightly or not, got nothing after a second. The promise binds the instance to which an endpoint has said so; others may go on. The new case of TestAllLeave fails without it.

--- a/router/internal/domain/availability/availability.go
+++ b/router/internal/domain/availability/availability.go
@@ -34,9 +34,15 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
+// said is when an endpoint has said that it leaves, and whether it has said so to this instance.
+type said struct {
+	since time.Duration
+	here  bool
+}
+
 // state is immutable, since requests read it without a lock.
 type state struct {
-	leaving map[start]time.Duration
+	leaving map[start]said
 	pauses  map[start]time.Duration
 }
 
@@ -52,7 +58,7 @@
 // New returns an Availability that knows nothing. The function random returns a number in [0, 1).
 func New(random func() float64) *Availability {
 	a := &Availability{random: random}
-	a.state.Store(&state{leaving: map[start]time.Duration{}, pauses: map[start]time.Duration{}})
+	a.state.Store(&state{leaving: map[start]said{}, pauses: map[start]time.Duration{}})
 	return a
 }
 
@@ -65,15 +71,15 @@
 		n.Pause = max(0, min(n.Pause, maxPause))
 	}
 	s := a.state.Load()
-	if _, known := s.leaving[startOf(ep)]; (known || !n.Leaving) && n.Pause == 0 {
+	if (s.leaving[startOf(ep)].here || !n.Leaving) && n.Pause == 0 {
 		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	next := a.clone()
-	if _, known := next.leaving[startOf(ep)]; n.Leaving && !known {
-		next.leaving[startOf(ep)] = now
-		news = true
+	if l, known := next.leaving[startOf(ep)]; n.Leaving && !l.here {
+		next.leaving[startOf(ep)] = said{since: now, here: true}
+		news = !known
 	}
 	if n.Pause > 0 {
 		spread := min(time.Duration(returnSpread*float64(n.Pause)), maxReturnSpread)
@@ -91,8 +97,9 @@
 	return &state{leaving: maps.Clone(s.leaving), pauses: maps.Clone(s.pauses)}
 }
 
-// Usable returns the endpoints that want requests. Those that have said that they leave are used for up to grace after that if no
-// others are left: all servers of a service may say so, and callers still come.
+// Usable returns the endpoints that want requests. Those that have said that they leave are used if no others are left: all
+// servers of a service may say so, rightly or not, and callers still come. Those that have said so to this instance are used for up to
+// grace after that only.
 func (a *Availability) Usable(all []routing.Endpoint, grace, now time.Duration) []routing.Endpoint {
 	s := a.state.Load()
 	if len(s.leaving)+len(s.pauses) == 0 {
@@ -100,12 +107,12 @@
 	}
 	var usable, last []routing.Endpoint
 	for _, ep := range all {
-		since, leaving := s.leaving[startOf(ep)]
+		l, leaving := s.leaving[startOf(ep)]
 		switch {
 		case now < s.pauses[startOf(ep)]:
 		case !leaving:
 			usable = append(usable, ep)
-		case now-since < grace:
+		case !l.here || now-l.since < grace:
 			last = append(last, ep)
 		}
 	}
@@ -139,8 +146,8 @@
 // Tell lists the endpoints that leave, for the other instances.
 func (a *Availability) Tell(now time.Duration) []Leaving {
 	var out []Leaving
-	for s, since := range a.state.Load().leaving {
-		out = append(out, Leaving{Endpoint: s.id, Born: s.born, AgeMS: (now - since).Milliseconds()})
+	for s, l := range a.state.Load().leaving {
+		out = append(out, Leaving{Endpoint: s.id, Born: s.born, AgeMS: (now - l.since).Milliseconds()})
 	}
 	return out
 }
@@ -162,7 +169,7 @@
 	for _, l := range told {
 		s := start{l.Endpoint, l.Born}
 		if _, ok := next.leaving[s]; !ok && l.AgeMS >= 0 {
-			next.leaving[s] = now - time.Duration(l.AgeMS)*time.Millisecond
+			next.leaving[s] = said{since: now - time.Duration(l.AgeMS)*time.Millisecond}
 		}
 	}
 	a.state.Store(next)
@@ -182,7 +189,7 @@
 		ep, ok := listed(s.id)
 		return !ok || ep.Born != s.born
 	}
-	maps.DeleteFunc(next.leaving, func(s start, since time.Duration) bool { return gone(s) && now-since > forgetAfter })
+	maps.DeleteFunc(next.leaving, func(s start, l said) bool { return gone(s) && now-l.since > forgetAfter })
 	maps.DeleteFunc(next.pauses, func(s start, until time.Duration) bool { return now >= until })
 	a.state.Store(next)
 }
--- a/router/internal/domain/availability/availability_test.go
+++ b/router/internal/domain/availability/availability_test.go
@@ -56,6 +56,11 @@
 	v := newAvailability()
 	v.Note(a, routing.Notice{Leaving: true}, 10*time.Second)
 	v.Note(b, routing.Notice{Leaving: true}, 10500*time.Millisecond)
+	other := newAvailability()
+	other.Hear(v.Tell(11*time.Second), 11*time.Second)
+	if got := ids(other.Usable([]routing.Endpoint{a, b}, grace, time.Minute)); got != "ab" {
+		t.Error("an instance to which they have not said so:", got)
+	}
 	for at, want := range map[time.Duration]string{10600 * time.Millisecond: "ab", 11200 * time.Millisecond: "b", 12 * time.Second: ""} {
 		if got := ids(v.Usable([]routing.Endpoint{a, b}, grace, at)); got != want {
 			t.Errorf("at %v: %q, not %q", at, got, want)
