--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs the tests of the given modules under the race detector.
 #
+# One spec of lab/e2e sometimes gets a refusal for the rate (KNOWN-RED.txt). Exactly this failure is printed and passed over.
+#
 # The package quotasync runs by itself: Go's race detector, or the runtime under it, sometimes dies there (KNOWN-RED.txt). Exactly
 # these crashes are printed and passed over, and the package must then pass without the detector.
 set -euo pipefail
@@ -12,11 +14,25 @@
   packages+=("./$module/...")
 done
 mapfile -t others < <(go list "${packages[@]}" | grep -vx "$crashing")
-go test -race -timeout 20m "${others[@]}"
-
-alone=(-count=1 -timeout 20m "$crashing")
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
+
+# only_known_failure succeeds if the spec of KNOWN-RED.txt is all that failed, as it is described there.
+only_known_failure() {
+  local spec='leaving endpoints get no new work while their open streams complete \[It\] by the engines'"'"' own reports'
+  local plain
+  plain=$(sed 's/\x1b\[[0-9;]*m//g' "$output")
+  [ "$(grep -c $'^FAIL\t' <<<"$plain")" = 1 ] && grep -q $'^FAIL\ttanagerwood.dev/lab/e2e\t' <<<"$plain" &&
+    [ "$(grep -c '\[FAIL\]' <<<"$plain")" = 1 ] && grep -q "\[FAIL\] $spec" <<<"$plain" &&
+    grep -q 'status 429 outcome "not_run" code "rate_limited"' <<<"$plain" && ! grep -q 'DATA RACE\|^panic:' <<<"$plain"
+}
+
+if ! go test -race -timeout 20m "${others[@]}" 2>&1 | tee "$output"; then
+  only_known_failure || exit 1
+  echo "KNOWN-RED: a spec of lab/e2e was refused for the rate; see KNOWN-RED.txt"
+fi
+
+alone=(-count=1 -timeout 20m "$crashing")
 if go test -race "${alone[@]}" >"$output" 2>&1; then
   cat "$output"
   exit 0
