Log and count the request limits that endpoints announce

An endpoint may announce with Server-Limit how many requests per second it takes from all instances together. Each instance now logs a limit that is new, changes or ends (endpoint.limit, with the requests that it has sent meanwhile), and has the gauges endpoints.limited and limit.requests_sent. No request is sent differently.

--- a/api/routing/revision.go
+++ b/api/routing/revision.go
@@ -22,4 +22,28 @@
 	Leaving bool
 	// Pause is the time during which the endpoint asks for no requests from this instance; zero if it does not ask for a pause.
 	Pause time.Duration
+	// Limit is what the response says about the rate of requests that the endpoint accepts.
+	Limit LimitNotice
 }
+
+// LimitNotice is what a response says about an endpoint's request limit. The limit applies to all instances together and holds
+// until a response that would name it names none. The zero value says nothing about it.
+type LimitNotice struct {
+	State LimitState
+	// PerSecond is the number of requests per second that the endpoint accepts; set if State is LimitNamed.
+	PerSecond float64
+}
+
+// LimitState is the state of an endpoint's request limit according to one response.
+type LimitState int
+
+const (
+	// LimitUnknown means that the response is of a kind that need not name the limit.
+	LimitUnknown LimitState = iota
+	// LimitNone means that the endpoint has no limit.
+	LimitNone
+	// LimitNamed means that the endpoint has a limit.
+	LimitNamed
+	// LimitInvalid means that the response names a limit that cannot be decoded. It changes nothing.
+	LimitInvalid
+)
--- a/router/internal/domain/availability/availability.go
+++ b/router/internal/domain/availability/availability.go
@@ -1,6 +1,6 @@
-// Package availability tracks the notices that endpoints send in their answers: that they are leaving, or that this instance
-// should send them no requests for a while. A leaving notice applies to one incarnation of an endpoint and is shared with the
-// other instances; a pause applies to this instance alone.
+// Package availability tracks the notices that endpoints send in their answers: that they are leaving, that this instance should
+// send them no requests for a while, or how many requests per second they accept. All apply to one incarnation of an endpoint. A
+// leaving notice is shared with the other instances; a pause applies to this instance alone.
 package availability
 
 import (
@@ -45,6 +45,7 @@
 type state struct {
 	leaving map[incarnation]leavingNotice
 	pauses  map[incarnation]time.Duration
+	limits  map[incarnation]limit
 }
 
 // Tracker holds the notices of all endpoints. It is safe for concurrent use. Times are since boot.
@@ -54,12 +55,14 @@
 	mu      sync.Mutex
 	state   atomic.Pointer[state]
 	invalid atomic.Int64
+	// sentUnderLimit counts the requests that were sent to endpoints with a limit.
+	sentUnderLimit atomic.Int64
 }
 
 // New returns an empty Tracker. The function random returns a number in [0, 1).
 func New(random func() float64) *Tracker {
 	t := &Tracker{random: random}
-	t.state.Store(&state{leaving: map[incarnation]leavingNotice{}, pauses: map[incarnation]time.Duration{}})
+	t.state.Store(&state{leaving: map[incarnation]leavingNotice{}, pauses: map[incarnation]time.Duration{}, limits: map[incarnation]limit{}})
 	return t
 }
 
@@ -95,7 +98,7 @@
 // clone copies the state; t.mu must be held.
 func (t *Tracker) clone() *state {
 	s := t.state.Load()
-	return &state{leaving: maps.Clone(s.leaving), pauses: maps.Clone(s.pauses)}
+	return &state{leaving: maps.Clone(s.leaving), pauses: maps.Clone(s.pauses), limits: maps.Clone(s.limits)}
 }
 
 // Usable returns the endpoints that accept requests. Leaving endpoints are returned only if there are no others: all servers of a
@@ -177,10 +180,11 @@
 	return true
 }
 
-// Prune deletes leaving notices that are older than retention and whose incarnation is not listed, and pauses that are over.
+// Prune deletes leaving notices and limits that are older than retention and whose incarnation is not listed, and pauses that are
+// over.
 func (t *Tracker) Prune(listed func(endpoint string) (routing.Endpoint, bool), now time.Duration) {
 	s := t.state.Load()
-	if len(s.leaving)+len(s.pauses) == 0 {
+	if len(s.leaving)+len(s.pauses)+len(s.limits) == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -192,6 +196,7 @@
 	}
 	maps.DeleteFunc(next.leaving, func(inc incarnation, l leavingNotice) bool { return unlisted(inc) && now-l.since > retention })
 	maps.DeleteFunc(next.pauses, func(inc incarnation, until time.Duration) bool { return now >= until })
+	maps.DeleteFunc(next.limits, func(inc incarnation, l limit) bool { return (unlisted(inc) || l.ended) && now-l.statedAt > retention })
 	t.state.Store(next)
 }
 
@@ -199,7 +204,7 @@
 // platform.
 const retention = time.Minute
 
-// InvalidNotices returns the number of notices with an invalid pause.
+// InvalidNotices returns the number of notices with an invalid pause or limit.
 func (t *Tracker) InvalidNotices() int64 { return t.invalid.Load() }
 
 // Counts returns the numbers of leaving and of paused endpoints.
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -63,8 +63,8 @@
 	})
 }
 
-// newRegistry returns a metrics registry with gauges for dropped log lines, invalid latency samples and notices, leaving and
-// paused endpoints, and the era of the platform's store.
+// newRegistry returns a metrics registry with gauges for dropped log lines, invalid latency samples and notices, leaving, paused
+// and limited endpoints, and the era of the platform's store.
 func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, storeEra func() uint64) metrics.Registry {
 	r := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("pace.ignored", r, invalidSamples)
@@ -77,6 +77,8 @@
 		_, paused := tracker.Counts(clock.System{}.Boot())
 		return int64(paused)
 	})
+	metrics.NewRegisteredFunctionalGauge("endpoints.limited", r, func() int64 { return int64(tracker.LimitedCount()) })
+	metrics.NewRegisteredFunctionalGauge("limit.requests_sent", r, tracker.TotalSentUnderLimit)
 	metrics.NewRegisteredFunctionalGauge("platform.era", r, func() int64 { return int64(storeEra()) })
 	if droppedLines != nil {
 		metrics.NewRegisteredFunctionalGauge("log.dropped_lines", r, droppedLines)
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -139,9 +139,14 @@
 // leavingGraceDivisor divides the drain propagation limit, within which a leaving endpoint must stop receiving requests.
 const leavingGraceDivisor = 2
 
-// recordNotice records an endpoint's notice that it is leaving or asks for a pause, and reports a leaving endpoint to the peers.
+// recordNotice records an endpoint's notices: that it is leaving, asks for a pause, or has a request limit. It reports a leaving
+// endpoint to the peers.
 func (n *Node) recordNotice(ep routing.Endpoint, notice routing.Notice) {
 	p := n.components.Load()
+	if p.availability.RecordLimit(ep, notice.Limit, clock.System{}.Boot()) {
+		n.options.Logger.Info().Str("event", "endpoint.limit").Str("endpoint", ep.ID).Bool("ended", notice.Limit.State == routing.LimitNone).
+			Float64("per_second", notice.Limit.PerSecond).Int64("sent", p.availability.SentUnderLimit(ep)).Msg("")
+	}
 	if !p.availability.RecordNotice(ep, notice, clock.System{}.Boot()) {
 		return
 	}
@@ -176,6 +181,7 @@
 	do.ProvideValue(i, stages.NewTransitions())
 	endpoints := platform.NewEndpoints(endpointDialTimeout, deadConnectionTimeout, maxIdleConnections)
 	endpoints.OnNotice(n.recordNotice)
+	endpoints.OnSend(availabilityTracker.CountSend)
 	do.ProvideValue(i, endpoints)
 	do.Provide(i, func(i do.Injector) (*routingcache.Cache, error) {
 		limits := routingcache.PropagationLimits{Config: s.ConfigPropagationLimit, Endpoints: s.DrainPropagationLimit}
