Let the shared limiter hold quotas of any kind

sharedlimit knew customers only, although its buckets need no more than a key, a rate and a burst. Its methods take a Quota now, so that the request limits of endpoints, which also bind all instances together, can use the same buckets and reports. No behaviour changes; the specs of sharedlimit and gossip pass with the type of their quota replaced.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -250,7 +250,7 @@
 		return nil
 	}
 	r.cost = requestCost(r.customer, r.req.Caller.Demand)
-	ok, wait := r.RateLimiter.Take(r.customer, r.cost, r.SinceBoot())
+	ok, wait := r.RateLimiter.Take(sharedlimit.CustomerQuota(r.customer), r.cost, r.SinceBoot())
 	if ok {
 		return nil
 	}
@@ -329,7 +329,7 @@
 // refundIfNotRun refunds the cost of a failed request that no endpoint can have run.
 func (r *requestState) refundIfNotRun(err error) {
 	if err != nil && r.cost > 0 && !r.mayHaveRun {
-		r.RateLimiter.Refund(r.customer, r.cost)
+		r.RateLimiter.Refund(sharedlimit.CustomerQuota(r.customer), r.cost)
 	}
 }
 
--- a/router/internal/app/gossip/collectors_test.go
+++ b/router/internal/app/gossip/collectors_test.go
@@ -12,6 +12,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/domain/inflight"
+	"tanagerwood.dev/router/internal/domain/sharedlimit"
 )
 
 // fleet is a number of instances that start within 300 ms of each other.
@@ -241,7 +242,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 300)
 		time.Sleep(5 * time.Second)
-		customer := &routing.Customer{Name: "c", RatePerSecond: 20_000, Burst: 20_000}
+		customer := &sharedlimit.Quota{Key: "c", RatePerSecond: 20_000, Burst: 20_000}
 		f.addCustomer(customer)
 		var admitted atomic.Int64
 		began := time.Now()
--- a/router/internal/app/gossip/fuzz_test.go
+++ b/router/internal/app/gossip/fuzz_test.go
@@ -31,7 +31,7 @@
 		f.Add([]byte(seed))
 	}
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	customer := &routing.Customer{Name: "c", RatePerSecond: 1, Burst: 1000}
+	customer := &sharedlimit.Quota{Key: "c", RatePerSecond: 1, Burst: 1000}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var m gossip.Message
 		if json.Unmarshal(raw, &m) != nil {
--- a/router/internal/app/gossip/gossip_test.go
+++ b/router/internal/app/gossip/gossip_test.go
@@ -44,7 +44,7 @@
 	// datagrams counts the datagrams that each instance has sent and received.
 	datagrams map[string]int
 	// customers holds the customers of the configuration by name.
-	customers map[string]*routing.Customer
+	customers map[string]*sharedlimit.Quota
 }
 
 func (n *network) setCut(name string, cut bool) {
@@ -78,21 +78,21 @@
 	health      *health.Tracker
 }
 
-func (n *network) customer(name string) *routing.Customer {
+func (n *network) customer(name string) *sharedlimit.Quota {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.customers[name]
 }
 
 // addCustomer adds a customer to the configuration of all instances.
-func (n *network) addCustomer(c *routing.Customer) {
+func (n *network) addCustomer(c *sharedlimit.Quota) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.customers[c.Name] = c
+	n.customers[c.Key] = c
 }
 
 func newNetwork() *network {
-	return &network{nodes: map[string]*node{}, cut: map[string]bool{}, listed: map[string]routing.Instance{}, datagrams: map[string]int{}, customers: map[string]*routing.Customer{},
+	return &network{nodes: map[string]*node{}, cut: map[string]bool{}, listed: map[string]routing.Instance{}, datagrams: map[string]int{}, customers: map[string]*sharedlimit.Quota{},
 		separated: func(string, string) bool { return false }}
 }
 
@@ -304,7 +304,7 @@
 func TestNewInstancesKnowWhatOthersAdmit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		customer := &routing.Customer{Name: "c", RatePerSecond: 1000, Burst: 20_000}
+		customer := &sharedlimit.Quota{Key: "c", RatePerSecond: 1000, Burst: 20_000}
 		n.addCustomer(customer)
 		var nodes []*node
 		for i := range 40 {
--- a/router/internal/app/gossip/slow_test.go
+++ b/router/internal/app/gossip/slow_test.go
@@ -11,6 +11,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/inflight"
+	"tanagerwood.dev/router/internal/domain/sharedlimit"
 )
 
 // slow is a platform whose answers take a while to arrive, as large configurations do on slow links.
@@ -100,7 +101,7 @@
 		n := newNetwork()
 		a, b := n.start(t, "a", 1), n.start(t, "b", 1)
 		time.Sleep(20 * time.Second)
-		customer := &routing.Customer{Name: "c", RatePerSecond: 1000, Burst: 1000}
+		customer := &sharedlimit.Quota{Key: "c", RatePerSecond: 1000, Burst: 1000}
 		n.setCut("a", true)
 		a.book.Add("e", inflight.Load{Requests: 3})
 		a.limiter.Take(customer, 500, a.Boot())
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -1,5 +1,5 @@
-// Package sharedlimit enforces the rate and burst of each customer across all instances. Each instance has a token
-// bucket for a customer. It takes what it admits itself from the bucket at once, and what the other instances admit as
+// Package sharedlimit enforces quotas, such as the rate and burst of a customer, across all instances. Each instance has a token
+// bucket for a quota. It takes what it admits itself from the bucket at once, and what the other instances admit as
 // soon as they report it. An instance whose totals have not been confirmed for the silence timeout counts as silent and is
 // assumed to admit its share of the rate, so that instances that are cut off from each other admit no more than the rate
 // in total.
@@ -26,10 +26,23 @@
 	sufficientFraction = 0.9
 )
 
-// Limiter holds the buckets of the customers. It is safe for concurrent use.
+// Quota is what all instances together may admit: a rate in units per second, and a burst. A rate of zero means no limit.
+type Quota struct {
+	// Key identifies the quota at all instances.
+	Key           string
+	RatePerSecond float64
+	Burst         float64
+}
+
+// CustomerQuota returns the quota of a customer, in tokens or requests.
+func CustomerQuota(c *routing.Customer) *Quota {
+	return &Quota{Key: c.Name, RatePerSecond: c.RatePerSecond, Burst: c.Burst}
+}
+
+// Limiter holds the buckets of the quotas. It is safe for concurrent use.
 type Limiter struct {
-	// findCustomer returns the customer of the given name, or nil if there is none.
-	findCustomer func(name string) *routing.Customer
+	// findQuota returns the quota of the given key, or nil if there is none.
+	findQuota func(key string) *Quota
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -45,14 +58,14 @@
 type bucket struct {
 	level   float64
 	updated time.Duration
-	// rate and burst are those of the customer at the last update.
+	// rate and burst are those of the quota at the last update.
 	rate, burst float64
 }
 
 // levelAt returns the level at the given time if nothing more is taken.
 func (b *bucket) levelAt(now time.Duration) float64 {
 	if b.burst == 0 {
-		return b.level // this instance has had no request of the customer
+		return b.level // this instance has had no request under the quota
 	}
 	return min(b.burst, b.level+max(0, now-b.updated).Seconds()*b.rate)
 }
@@ -65,7 +78,7 @@
 	confirmedAt time.Duration
 	// initialized is false until the first report of the peer. What it admitted before that is not charged here.
 	initialized bool
-	// spent holds the last reported totals of the peer, by customer. assumed holds what was charged beyond them while
+	// spent holds the last reported totals of the peer, by key. assumed holds what was charged beyond them while
 	// the peer was silent.
 	spent   map[string]int64
 	assumed map[string]float64
@@ -79,10 +92,10 @@
 	return &peer{confirmedAt: neverConfirmed, spent: map[string]int64{}, assumed: map[string]float64{}, charged: map[string]float64{}, weight: weight}
 }
 
-// New returns an empty limiter. The function returns the customer of the given name, or nil if there is none.
-func New(customers func(name string) *routing.Customer) *Limiter {
+// New returns an empty limiter. The function returns the quota of the given key, or nil if there is none.
+func New(findQuota func(key string) *Quota) *Limiter {
 	return &Limiter{
-		findCustomer: customers, buckets: map[string]*bucket{}, spent: map[string]int64{}, peers: map[string]*peer{}, charged: map[string]float64{}, silenceTimeout: minSilenceTimeout,
+		findQuota: findQuota, buckets: map[string]*bucket{}, spent: map[string]int64{}, peers: map[string]*peer{}, charged: map[string]float64{}, silenceTimeout: minSilenceTimeout,
 	}
 }
 
@@ -99,36 +112,36 @@
 
 // Take admits a request of the given cost, or returns the time until enough tokens will have accrued. now is the time
 // since boot.
-func (l *Limiter) Take(c *routing.Customer, cost int64, now time.Duration) (ok bool, wait time.Duration) {
-	if c.RatePerSecond <= 0 {
+func (l *Limiter) Take(q *Quota, cost int64, now time.Duration) (ok bool, wait time.Duration) {
+	if q.RatePerSecond <= 0 {
 		return true, 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.refill(c, now)
-	required := min(float64(cost), sufficientFraction*c.Burst)
+	b := l.refill(q, now)
+	required := min(float64(cost), sufficientFraction*q.Burst)
 	if b.level < required {
-		return false, time.Duration((required - b.level) / c.RatePerSecond * float64(time.Second))
+		return false, time.Duration((required - b.level) / q.RatePerSecond * float64(time.Second))
 	}
 	b.level -= float64(cost)
-	l.spent[c.Name] += cost
+	l.spent[q.Key] += cost
 	return true, 0
 }
 
 // Refund returns what a request did not use.
-func (l *Limiter) Refund(c *routing.Customer, cost int64) {
-	if c.RatePerSecond <= 0 {
+func (l *Limiter) Refund(q *Quota, cost int64) {
+	if q.RatePerSecond <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.spent[c.Name] -= cost
-	if b := l.buckets[c.Name]; b != nil {
+	l.spent[q.Key] -= cost
+	if b := l.buckets[q.Key]; b != nil {
 		b.level += float64(cost)
 	}
 }
 
-// LocalSpent returns what this instance has admitted since its start, by customer.
+// LocalSpent returns what this instance has admitted since its start, by key.
 func (l *Limiter) LocalSpent() map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -142,7 +155,7 @@
 }
 
 // ApplyReport applies the totals that another instance has admitted since its start. A partial report leaves out some
-// customers. Of an instance that reports for the first time, only what it admits beyond the baseline is charged; with a
+// keys. Of an instance that reports for the first time, only what it admits beyond the baseline is charged; with a
 // nil baseline, all that it has reported so far is the baseline.
 func (l *Limiter) ApplyReport(name string, incarnation uint64, spent, baseline map[string]int64, partial bool, now time.Duration) {
 	l.mu.Lock()
@@ -166,56 +179,56 @@
 	}
 }
 
-// applySpent charges what a peer has spent since its last report. It also creates buckets of customers without requests
+// applySpent charges what a peer has spent since its last report. It also creates buckets of quotas without requests
 // at this instance, because other instances ask it for their levels. l.mu is held.
 func (l *Limiter) applySpent(p *peer, spent map[string]int64, now time.Duration) {
-	for customer, n := range spent {
-		if c := l.findCustomer(customer); c != nil && c.RatePerSecond > 0 && l.buckets[customer] == nil && n != p.spent[customer] {
-			l.refill(c, now)
+	for key, n := range spent {
+		if q := l.findQuota(key); q != nil && q.RatePerSecond > 0 && l.buckets[key] == nil && n != p.spent[key] {
+			l.refill(q, now)
 		}
-		l.charge(p, customer, float64(n)-float64(p.spent[customer])-p.assumed[customer])
-		p.spent[customer] = n
-		delete(p.assumed, customer)
+		l.charge(p, key, float64(n)-float64(p.spent[key])-p.assumed[key])
+		p.spent[key] = n
+		delete(p.assumed, key)
 	}
 }
 
-// charge takes an amount from a customer's bucket for a peer. A negative amount returns no more than was taken for the
-// peer, so that no report can raise a customer's limit. l.mu is held.
-func (l *Limiter) charge(p *peer, customer string, amount float64) {
-	amount = max(amount, -p.charged[customer])
-	if b := l.buckets[customer]; b != nil {
+// charge takes an amount from a bucket for a peer. A negative amount returns no more than was taken for the
+// peer, so that no report can raise a limit. l.mu is held.
+func (l *Limiter) charge(p *peer, key string, amount float64) {
+	amount = max(amount, -p.charged[key])
+	if b := l.buckets[key]; b != nil {
 		b.level -= amount
 	}
-	p.charged[customer] += amount
-	l.charged[customer] += amount
+	p.charged[key] += amount
+	l.charged[key] += amount
 }
 
-// SpentExcluding returns what all instances except one have spent, by customer, as reported to this instance or assumed.
+// SpentExcluding returns what all instances except one have spent, by key, as reported to this instance or assumed.
 // Only the difference between two results is meaningful.
 func (l *Limiter) SpentExcluding(name string) map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]int64, len(l.buckets))
-	for customer, n := range l.spent {
-		out[customer] = n
+	for key, n := range l.spent {
+		out[key] = n
 	}
 	var charged map[string]float64
 	if p := l.peers[name]; p != nil {
 		charged = p.charged
 	}
-	for customer, n := range l.charged {
-		out[customer] += int64(n - charged[customer])
+	for key, n := range l.charged {
+		out[key] += int64(n - charged[key])
 	}
 	return out
 }
 
-// BucketLevels returns the level of each bucket, by customer.
+// BucketLevels returns the level of each bucket, by key.
 func (l *Limiter) BucketLevels(now time.Duration) map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]int64, len(l.buckets))
-	for customer, b := range l.buckets {
-		out[customer] = int64(b.levelAt(now))
+	for key, b := range l.buckets {
+		out[key] = int64(b.levelAt(now))
 	}
 	return out
 }
@@ -227,7 +240,7 @@
 	Incarnation uint64
 	// Instances is the number of the other instances.
 	Instances int
-	// Spent is what they have spent, and Levels what is left in the buckets, by customer.
+	// Spent is what they have spent, and Levels what is left in the buckets, by key.
 	Spent, Levels map[string]int64
 }
 
@@ -252,9 +265,9 @@
 		l.confirmUpToDate(p, now)
 		l.capLevels(r.Levels, now)
 	}
-	for customer, level := range r.Levels {
-		if l.buckets[customer] == nil {
-			l.buckets[customer] = &bucket{level: float64(level), updated: now}
+	for key, level := range r.Levels {
+		if l.buckets[key] == nil {
+			l.buckets[key] = &bucket{level: float64(level), updated: now}
 		}
 	}
 	l.applySpent(p, r.Spent, now)
@@ -263,8 +276,8 @@
 
 // capLevels lowers the buckets to the given levels where these are lower. l.mu is held.
 func (l *Limiter) capLevels(levels map[string]int64, now time.Duration) {
-	for customer, level := range levels {
-		if b := l.buckets[customer]; b != nil {
+	for key, level := range levels {
+		if b := l.buckets[key]; b != nil {
 			b.level -= max(0, b.levelAt(now)-float64(level))
 		}
 	}
@@ -292,12 +305,12 @@
 	}
 }
 
-// confirmUpToDate returns what was assumed for customers that the peer did not serve, and updates confirmedAt. l.mu is
+// confirmUpToDate returns what was assumed for quotas that the peer did not use, and updates confirmedAt. l.mu is
 // held.
 func (l *Limiter) confirmUpToDate(p *peer, now time.Duration) {
-	for customer, n := range p.assumed {
-		l.charge(p, customer, -n)
-		delete(p.assumed, customer)
+	for key, n := range p.assumed {
+		l.charge(p, key, -n)
+		delete(p.assumed, key)
 	}
 	p.confirmedAt = now
 }
@@ -343,24 +356,24 @@
 func (l *Limiter) RemoveAggregate() { l.RemovePeer(aggregatePeer) }
 
 // refill adds what has accrued since the last call, less the shares of the silent instances. l.mu is held.
-func (l *Limiter) refill(c *routing.Customer, now time.Duration) *bucket {
-	b := l.buckets[c.Name]
+func (l *Limiter) refill(q *Quota, now time.Duration) *bucket {
+	b := l.buckets[q.Key]
 	if b == nil {
-		b = &bucket{level: initialLevelFraction * c.Burst, updated: now}
-		l.buckets[c.Name] = b
+		b = &bucket{level: initialLevelFraction * q.Burst, updated: now}
+		l.buckets[q.Key] = b
 	}
-	b.rate, b.burst = c.RatePerSecond, c.Burst
+	b.rate, b.burst = q.RatePerSecond, q.Burst
 	elapsed := max(0, now-b.updated).Seconds()
 	b.updated = now
-	accrued := elapsed * c.RatePerSecond
+	accrued := elapsed * q.RatePerSecond
 	b.level += accrued
 	share := accrued / float64(l.totalWeight+1)
 	for _, p := range l.peers {
 		if now-p.confirmedAt > l.silenceTimeout {
-			p.assumed[c.Name] += share * float64(p.weight)
-			l.charge(p, c.Name, share*float64(p.weight))
+			p.assumed[q.Key] += share * float64(p.weight)
+			l.charge(p, q.Key, share*float64(p.weight))
 		}
 	}
-	b.level = min(b.level, c.Burst)
+	b.level = min(b.level, q.Burst)
 	return b
 }
--- a/router/internal/domain/sharedlimit/sharedlimit_test.go
+++ b/router/internal/domain/sharedlimit/sharedlimit_test.go
@@ -9,7 +9,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 )
 
@@ -18,11 +17,11 @@
 	RunSpecs(t, "shared limit")
 }
 
-var customer = &routing.Customer{Name: "c", RatePerSecond: 1000, Burst: 2000, CountsTokens: true}
+var customer = &sharedlimit.Quota{Key: "c", RatePerSecond: 1000, Burst: 2000}
 
-// findCustomer returns the only customer if the name is its own.
-func findCustomer(name string) *routing.Customer {
-	if name == customer.Name {
+// findCustomer returns the only quota if the key is its own.
+func findCustomer(key string) *sharedlimit.Quota {
+	if key == customer.Key {
 		return customer
 	}
 	return nil
@@ -188,7 +187,7 @@
 	})
 
 	It("does not limit customers without a rate", func() {
-		ok, _ := sharedlimit.New(findCustomer).Take(&routing.Customer{Name: "free"}, 1<<40, time.Minute)
+		ok, _ := sharedlimit.New(findCustomer).Take(&sharedlimit.Quota{Key: "free"}, 1<<40, time.Minute)
 		Expect(ok).To(BeTrue())
 	})
 })
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -170,9 +170,11 @@
 	do.ProvideValue(i, latencyEstimator)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
 		cache := do.MustInvoke[*routingcache.Cache](i)
-		return sharedlimit.New(func(name string) *routing.Customer {
+		return sharedlimit.New(func(key string) *sharedlimit.Quota {
 			if t := cache.Table(); t != nil {
-				return t.CustomerByName(name)
+				if c := t.CustomerByName(key); c != nil {
+					return sharedlimit.CustomerQuota(c)
+				}
 			}
 			return nil
 		}), nil
