--- a/router/internal/app/gossip/gossip_test.go
+++ b/router/internal/app/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/endpointlimit"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
@@ -76,6 +77,8 @@
 	heard       map[string]int
 	transitions *stages.Transitions
 	health      *health.Tracker
+	notices     *availability.Tracker
+	limits      *endpointlimit.Limiter
 }
 
 func (n *network) customer(name string) *sharedlimit.Quota {
@@ -235,12 +238,20 @@
 	t.Helper()
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	boot := func() time.Duration { return time.Since(start) + 30*365*24*time.Hour }
-	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: sharedlimit.New(n.customer), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
+	notices := availability.New(func() float64 { return 0 })
+	limiter := sharedlimit.New(func(key string) *sharedlimit.Quota {
+		if q := endpointlimit.FindQuota(notices, key); q != nil {
+			return q
+		}
+		return n.customer(key)
+	})
+	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
 	nd.mirror = routingcache.New(platform, routingcache.PropagationLimits{Config: 2 * time.Second, Endpoints: 2 * time.Second}, quiet, boot)
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
-		Mirror: nd.mirror, Limiter: nd.limiter, EndpointLoad: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Availability: availability.New(func() float64 { return 0 }), Boot: boot, Logger: quiet,
+		Mirror: nd.mirror, Limiter: nd.limiter, EndpointLoad: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Availability: notices, Boot: boot, Logger: quiet,
 	})
+	nd.limits = endpointlimit.New(endpointlimit.Deps{Notices: notices, Quotas: limiter, OnAdmit: nd.TriggerReport, SinceBoot: boot})
 	n.mu.Lock()
 	n.nodes[name] = nd
 	n.mu.Unlock()
