Announce request limits in the soak and check that they are kept

The check is the users' rule: over instances that had passed on a response with the limit half a second before, in any 4 s from 3 s after the first one; a fault of an instance since then excuses it.

--- a/lab/soak/bounds.go
+++ b/lab/soak/bounds.go
@@ -15,6 +15,11 @@
 	Rollback time.Duration
 	// Drain is how long a server may still receive requests after it has announced that it is leaving.
 	Drain time.Duration
+	// LimitSettle is how long after its first announcement a server's request limit is binding, LimitNotice how long an instance
+	// may take to apply what a server has announced to it. In each LimitWindow a server receives at most what the limit allows,
+	// times LimitTolerance, plus LimitSlack requests.
+	LimitSettle, LimitNotice, LimitWindow time.Duration
+	LimitTolerance, LimitSlack            float64
 	// CancelDelay is how long servers may keep working on a request after its caller has disconnected.
 	CancelDelay time.Duration
 	// Grace is how long a planned stop may take.
@@ -32,6 +37,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		Stable: 3 * time.Second, ApplyDelay: 2 * time.Second, Rollback: 250 * time.Millisecond, Drain: 2 * time.Second,
+		LimitSettle: 3 * time.Second, LimitNotice: 500 * time.Millisecond, LimitWindow: 4 * time.Second, LimitTolerance: 1.5, LimitSlack: 5,
 		CancelDelay: 500 * time.Millisecond, Grace: 8 * time.Second, Recovery: 12 * time.Second,
 		QuotaWindow: 8 * time.Second, QuotaExcess: 0.1, QuotaSlack: 120_000,
 	}
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -19,6 +19,8 @@
 	// runs holds the runs of each request in order of time; servers holds all servers that ever ran.
 	runs    map[string][]standin.Run
 	servers map[string]*serverBoot
+	// limited holds the servers that announced request limits.
+	limited map[string]serverLimits
 	exits   []processExit
 	// lateStops, unrecovered and stillBusy name instances and servers that exceeded a bound.
 	lateStops, unrecovered, stillBusy []string
@@ -41,6 +43,7 @@
 	}
 	e.checkUnrequested()
 	e.checkOrders()
+	e.checkLimits()
 	e.checkRollback()
 	e.checkQuota()
 	e.checkCanceled()
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -19,7 +20,7 @@
 // 40 s; version 2 moves the route and removes the revocable key. One request is sent at 10 s.
 func healthyRun() (*execution, *sentRequest) {
 	e := &execution{
-		bounds: DefaultBounds(), faults: &timeline{}, runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{},
+		bounds: DefaultBounds(), faults: &timeline{}, runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{}, limited: map[string]serverLimits{},
 		versions: []version{
 			{number: 1, at: at(0), movedService: counterService, revocableKeyActive: true}, {number: 2, at: at(20), movedService: otherService},
 			{number: 3, at: at(40), movedService: otherService},
@@ -54,6 +55,17 @@
 	return s
 }
 
+// limitExceeded has server c1 announce a limit of 2 requests a second, and drop it to 1, and receive 20 requests in 4 s.
+func (e *execution) limitExceeded() {
+	l := serverLimits{limits: []standin.Limit{{From: at(9), PerSecond: 2}, {From: at(14), PerSecond: 1}, {From: at(30), Ended: true}}}
+	for n := range 20 {
+		seconds := 16 + 0.2*float64(n)
+		s := e.served(unsafeRequest, fmt.Sprint("limit-", n), "c1", seconds)
+		l.arrivals = append(l.arrivals, standin.Arrival{At: at(seconds), ID: s.id})
+	}
+	e.limited["c1"] = l
+}
+
 func (e *execution) disturbed(scope string, planned bool, from, to float64) {
 	e.faults.intervals = append(e.faults.intervals, interval{scope: scope, planned: planned, from: at(from), to: at(to)})
 }
@@ -119,6 +131,7 @@
 				e.served(rateLimitedRequest, "limited-"+time.Duration(len(e.sent)).String(), "c1", 11)
 			}
 		}),
+		Entry("a server above its limit", "request limits", func(e *execution, _ *sentRequest) { e.limitExceeded() }),
 		Entry("work on canceled requests", "callers gone", func(e *execution, _ *sentRequest) {
 			for range 5 {
 				s := e.served(unsafeStream, "brief-"+time.Duration(len(e.sent)).String(), "d1", 11)
@@ -162,6 +175,21 @@
 			e.served(movedRouteRequest, "moved-1", "c1", 30)
 		}),
 		Entry("a request to a leaving server within the drain time", func(e *execution, _ *sentRequest) { e.servers["c1"].leaving = at(9) }),
+		Entry("requests of an instance that has restarted since it was told a limit", func(e *execution, _ *sentRequest) {
+			e.limitExceeded()
+			for seconds := 15.0; seconds < 20; seconds += 0.5 {
+				e.disturbed("router-1", true, seconds, seconds+0.1)
+			}
+		}),
+		Entry("requests before a limit is binding", func(e *execution, _ *sentRequest) {
+			e.limitExceeded()
+			e.limited["c1"].limits[0].From = at(15)
+			e.limited["c1"] = serverLimits{limits: e.limited["c1"].limits[:1], arrivals: e.limited["c1"].arrivals[:10]}
+		}),
+		Entry("requests at a limit that allows them", func(e *execution, _ *sentRequest) {
+			e.limitExceeded()
+			e.limited["c1"].limits[1].PerSecond = 3
+		}),
 		Entry("an answer that a killed instance cut", func(e *execution, s *sentRequest) {
 			e.disturbed("router-1", false, 10.05, 12)
 			s.response = standin.Response{Err: errors.New("cut")}
--- a/lab/soak/parts_test.go
+++ b/lab/soak/parts_test.go
@@ -31,6 +31,7 @@
 			}
 			Expect(len(kinds)).To(BeNumerically("<", len(faultWeights)), "a plan leaves some faults out")
 		}
+		Expect(seen).To(HaveKey(ServerLimit))
 		for _, w := range faultWeights {
 			Expect(seen).To(HaveKey(w.value))
 		}
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -34,6 +34,7 @@
 	ServerPathPartition Fault = "server-path-cut"
 	ServerPathReset     Fault = "server-path-reset"
 	ServerPathSlow      Fault = "server-path-slow"
+	ServerLimit         Fault = "server-limit"
 	ConfigurationChange Fault = "configuration"
 	ConfigurationStorm  Fault = "configuration-storm"
 )
@@ -68,6 +69,10 @@
 }
 
 const (
+	// limitShare is the share of the plans in which servers announce request limits, and meanLimitPause the mean time between such
+	// faults, which last longer than that.
+	limitShare     = 0.5
+	meanLimitPause = 3 * time.Second
 	// warmUp is the time before the first fault, in which the checks see undisturbed traffic.
 	warmUp = 3 * time.Second
 	// meanPause is the mean time between faults, so that faults of the usual duration often overlap.
@@ -119,10 +124,27 @@
 			Target: random.IntN(1 << 16), Variant: random.IntN(1 << 16),
 		})
 	}
+	p.Actions = append(p.Actions, limitActions(seed, length)...)
 	slices.SortFunc(p.Actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
 
+// limitActions draws the request limits of a plan. They are drawn apart from the other faults, which are the same with and without
+// them.
+func limitActions(seed uint64, length time.Duration) (out []Action) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	if random.Float64() >= limitShare {
+		return nil
+	}
+	for at := warmUp; at < length; at += time.Duration(random.ExpFloat64() * float64(meanLimitPause)) {
+		out = append(out, Action{
+			At: at, Fault: ServerLimit, Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
+			Target: random.IntN(1 << 16), Variant: random.IntN(1 << 16),
+		})
+	}
+	return out
+}
+
 // drawKinds draws the kinds of faults that a plan uses.
 func drawKinds(random *rand.Rand) []weighted[Fault] {
 	var kinds []weighted[Fault]
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -180,6 +180,27 @@
 	b.server.Intercept(nil)
 }
 
+// limitPatterns are the variants of ServerLimit: the requests per second that a server announces in steps of equal length. Zero
+// announces no limit.
+var limitPatterns = [][]float64{{5}, {2, 10}, {10, 2}, {0.5}, {4, 0, 4}, {9, 6, 3}}
+
+// limitLength is the least time for which limits are announced. It exceeds the time until a limit is binding and the window in
+// which it is checked.
+const limitLength = 8 * time.Second
+
+func announceLimits(b *serverBoot, variant int, length time.Duration) {
+	pattern := limitPatterns[variant%len(limitPatterns)]
+	for _, perSecond := range pattern {
+		if perSecond == 0 {
+			b.server.EndLimit()
+		} else {
+			b.server.AnnounceLimit(perSecond)
+		}
+		time.Sleep(length / time.Duration(len(pattern)))
+	}
+	b.server.EndLimit()
+}
+
 // partition returns a silent network partition: both ways, or one way.
 func partition(variant int) Impairment {
 	return Impairment{HoldToTarget: variant%3 != 1, HoldFromTarget: variant%3 != 2}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -239,12 +239,26 @@
 			t.operator.change(a.Variant + n)
 			time.Sleep(stormPause)
 		}
+	case ServerLimit:
+		t.limitServers(a)
 	default:
 		return t.disturbServers(a, m)
 	}
 	return nil
 }
 
+// limitServers has one server or several announce request limits at the same time.
+func (t *testbed) limitServers(a Action) {
+	var group sync.WaitGroup
+	count := 1 + a.Variant/len(limitPatterns)%len(t.machines)
+	for n := range count {
+		if b := t.machines[(a.Target+n)%len(t.machines)].currentServer(); b != nil {
+			group.Go(func() { announceLimits(b, a.Variant+n, limitLength+a.Duration) })
+		}
+	}
+	group.Wait()
+}
+
 const (
 	stormLength = 10
 	stormPause  = 80 * time.Millisecond
@@ -456,11 +470,14 @@
 func (t *testbed) execution() *execution {
 	e := &execution{
 		bounds: t.options.Bounds, sent: t.load.sent, faults: &t.faults, versions: t.operator.all(), lateStops: t.lateStops,
-		runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{},
+		runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{}, limited: map[string]serverLimits{},
 	}
 	for _, m := range t.machines {
 		for _, b := range m.boots {
 			e.servers[b.server.ID] = b
+			if limits := b.server.Limits(); len(limits) > 0 {
+				e.limited[b.server.ID] = serverLimits{limits: limits, arrivals: b.server.Arrivals()}
+			}
 			for _, r := range b.server.Runs() {
 				e.runs[r.ID] = append(e.runs[r.ID], r)
 			}
