Send no request to an engine that has left since its slot was acquired

The slot is now checked before it is used: after leavingGrace, an engine that is gone, listed as leaving or has announced its leave gets no request, and another one is chosen.

--- a/router/internal/app/dispatch/slot.go
+++ b/router/internal/app/dispatch/slot.go
@@ -40,6 +40,9 @@
 	return s
 }
 
+// AcquiredAt returns the time since boot at which the slot was acquired.
+func (s *Slot) AcquiredAt() time.Duration { return s.acquiredAt }
+
 // MarkUsed marks the reservation as used, so that Release does not release it at the engine.
 func (s *Slot) MarkUsed() { s.used = true }
 
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -172,11 +172,12 @@
 // decode opens the stream at the slot's engine and relays it.
 func (r *requestState) decode(slot *dispatch.Slot, handle *routing.KVHandle) error {
 	ep := slot.Endpoint
-	if r.State.Paused(ep) {
+	if err := r.checkSlot(slot); err != nil {
+		r.recordFailure(ep, err)
 		if handle != nil {
 			r.releaseHandle(*handle)
 		}
-		return fmt.Errorf("%w: the endpoint has asked for a pause", routing.ErrNotRun)
+		return err
 	}
 	ctx, progress, stop := r.withStallTimeout(handle == nil)
 	defer stop()
@@ -203,6 +204,18 @@
 	return err
 }
 
+// checkSlot checks whether the engine of a slot still accepts the request. The slot was acquired before the prefill, which may have
+// taken seconds.
+func (r *requestState) checkSlot(slot *dispatch.Slot) error {
+	switch ep := slot.Endpoint; {
+	case r.State.Paused(ep):
+		return fmt.Errorf("%w: the endpoint has asked for a pause", routing.ErrNotRun)
+	case r.State.Left(ep, slot.AcquiredAt()):
+		return fmt.Errorf("%w: the endpoint is leaving", routing.ErrNotRun)
+	}
+	return nil
+}
+
 // errStalled ends a stream whose connection stays open but that sends no event for longer than callers wait.
 var errStalled = errors.New("the endpoint sent no event within the stall timeout")
 
--- a/router/internal/domain/availability/availability.go
+++ b/router/internal/domain/availability/availability.go
@@ -126,6 +126,12 @@
 	return usable
 }
 
+// Leaving reports whether an endpoint has announced that it leaves.
+func (t *Tracker) Leaving(ep routing.Endpoint) bool {
+	_, leaving := t.state.Load().leaving[incarnationOf(ep)]
+	return leaving
+}
+
 // Paused reports whether an endpoint has asked for a pause that is not over.
 func (t *Tracker) Paused(ep routing.Endpoint, now time.Duration) bool {
 	return now < t.state.Load().pauses[incarnationOf(ep)]
--- a/router/internal/node/node_test.go
+++ b/router/internal/node/node_test.go
@@ -36,10 +36,12 @@
 type testCluster struct {
 	store    *standin.Store
 	storeURL string
-	plain    []*standin.Server
-	prefill  *standin.Server
-	decode   []*standin.Server
-	version  int
+	// urls holds the URLs of the servers by id.
+	urls    map[string]string
+	plain   []*standin.Server
+	prefill *standin.Server
+	decode  []*standin.Server
+	version int
 }
 
 const configurationJSON = `{"version":%d,"routes":[
@@ -53,7 +55,7 @@
   {"name":"small","api_keys":["small-key"],"unit":"token_stream","plain_tokens":200,"rate_per_s":100,"burst":1000}]}`
 
 func newTestCluster() *testCluster {
-	cluster := &testCluster{store: standin.NewStore(), prefill: standin.NewServer("p-1", "prefill")}
+	cluster := &testCluster{store: standin.NewStore(), urls: map[string]string{}, prefill: standin.NewServer("p-1", "prefill")}
 	server := httptest.NewServer(cluster.store)
 	DeferCleanup(server.Close)
 	cluster.storeURL = strings.TrimPrefix(server.URL, "http://")
@@ -82,8 +84,18 @@
 		h.CloseClientConnections()
 		h.Close()
 	})
-	c.store.Put("servers", s.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","stage":%q}`,
-		service, strings.TrimPrefix(h.URL, "http://"), s.Stage))
+	c.store.Put("servers", s.ID, serverEntry(s, service, h.URL, "ready"))
+	c.urls[s.ID] = h.URL
+}
+
+func serverEntry(s *standin.Server, service, url, state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":%q,"stage":%q}`,
+		service, strings.TrimPrefix(url, "http://"), state, s.Stage)
+}
+
+// announceLeaving has a server announce in the store that it leaves.
+func (c *testCluster) announceLeaving(s *standin.Server, service string) {
+	c.store.Put("servers", s.ID, serverEntry(s, service, c.urls[s.ID], "draining"))
 }
 
 // router is a running node.
@@ -105,7 +117,10 @@
 	return out
 }
 
-func (c *testCluster) start(name string) *router {
+func (c *testCluster) start(name string) *router { return c.startWith(name, func(*settings.Node) {}) }
+
+// startWith starts a router whose settings are changed by the function.
+func (c *testCluster) startWith(name string, change func(*settings.Node)) *router {
 	free := freeAddresses(4)
 	s := &settings.Node{
 		Instance: name, Domain: "z", CallerListen: free[0], ReadyListen: free[1], MetricsListen: free[2],
@@ -113,6 +128,7 @@
 		CPUShare: 1, ConfigPropagationLimit: 2 * time.Second, DrainPropagationLimit: 2 * time.Second,
 		RetryRatio: 0.2, FixedRetries: 1000, RetryWindow: 10 * time.Second,
 	}
+	change(s)
 	r := &router{settings: s, done: make(chan error, 1)}
 	r.Node = node.New(node.Options{Settings: s, Logger: &log.Logger{Writer: &log.IOWriter{Writer: GinkgoWriter}}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/internal/node/notices_test.go
+++ b/router/internal/node/notices_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"tanagerwood.dev/platform/standin"
+	"tanagerwood.dev/router/internal/settings"
 )
 
 var _ = Describe("endpoint notices", func() {
@@ -69,6 +73,34 @@
 		Expect(first.Load() + second.Load()).To(BeNumerically("<=", 2))
 	})
 
+	// Guards against a request to an engine that has been leaving for long, because its slot was acquired before and the prefill took
+	// its time to fail (DRAIN on a day of deegrol-coop).
+	It("sends no request to an engine that has left while the prompt was processed", func() {
+		cluster := newTestCluster()
+		a := cluster.startWith("a", func(s *settings.Node) { s.DrainPropagationLimit = 500 * time.Millisecond })
+		leaving := make(chan *standin.Server, 1)
+		var once sync.Once
+		cluster.prefill.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			once.Do(func() {
+				for _, s := range cluster.decode {
+					if s.OpenLeases() > 0 {
+						cluster.announceLeaving(s, "m")
+						leaving <- s
+					}
+				}
+			})
+			_, _ = io.Copy(io.Discard, r.Body) // the end of the connection shows only after the body
+			select {
+			case <-r.Context().Done(): // the prefill has timed out
+			case <-time.After(eventuallyTimeout):
+			}
+			return true
+		})
+		answer := a.stream("/digest/x")
+		Expect(answer.status).To(Equal(http.StatusOK))
+		Expect((<-leaving).Runs()).To(BeEmpty())
+	})
+
 	// Guards against sending reservations and prompts to engines during a pause that they asked for.
 	It("runs requests on other engines while the prefill engine pauses", func() {
 		cluster := newTestCluster()
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -116,6 +116,16 @@
 // Paused implements forward.RoutingState.
 func (s routingState) Paused(ep routing.Endpoint) bool { return s.availability.Paused(ep, s.boot()) }
 
+// Left implements forward.RoutingState. An endpoint was not leaving when it was chosen, and may get requests for leavingGrace after
+// its announcement.
+func (s routingState) Left(ep routing.Endpoint, chosenAt time.Duration) bool {
+	if s.boot()-chosenAt < s.leavingGrace {
+		return false
+	}
+	listed, known := s.Endpoints().ByID[ep.ID]
+	return !known || listed.StartedMS != ep.StartedMS || listed.Leaving || s.availability.Leaving(ep)
+}
+
 // endpointsInStage returns the endpoints of a service that the platform lists in a stage, without those that are leaving or
 // changing to another stage.
 func (s routingState) endpointsInStage(service string, stage routing.Stage) []routing.Endpoint {
