Keep limits for requests whose slots were acquired before

An engine may announce its limit between the assignment of a slot and the request, which follows a prefill that may take seconds; such requests were not taken from the limit. The slot now records whether the limit admitted it; if not, the request is admitted before it is sent, or goes to another engine.

--- a/router/internal/app/dispatch/slot.go
+++ b/router/internal/app/dispatch/slot.go
@@ -21,10 +21,12 @@
 	load       inflight.Load
 	// outputTokens is the number of tokens generated so far, tokensPerEvent the number of tokens in an event of the engine's
 	// streams.
-	outputTokens     int64
-	tokensPerEvent   int64
-	acquiredAt       time.Duration
-	used             bool
+	outputTokens   int64
+	tokensPerEvent int64
+	acquiredAt     time.Duration
+	used           bool
+	// admitted is set if the engine had a request limit when the slot was acquired, which admitted the request.
+	admitted         bool
 	shortageRecorded bool
 	once             sync.Once
 }
@@ -33,6 +35,7 @@
 func (d *Dispatcher) newSlot(req *SlotRequest, ep routing.Endpoint) *Slot {
 	s := &Slot{Endpoint: ep, dispatcher: d, service: req.Service, demand: req.Demand, acquiredAt: d.SinceBoot(),
 		load: inflight.Load{Requests: 1, Tokens: d.MemoryEstimator.RequestMemory(req.Service, req.Demand, 0)}}
+	s.admitted = d.Limits.Limited(ep)
 	if _, engine := d.engineSize(req.Service); engine != nil {
 		s.tokensPerEvent = engine.EventTokens
 	}
@@ -43,6 +46,10 @@
 // AcquiredAt returns the time since boot at which the slot was acquired.
 func (s *Slot) AcquiredAt() time.Duration { return s.acquiredAt }
 
+// Admitted reports whether the request was admitted by the engine's request limit. A limit that the engine has announced since
+// then has not admitted it.
+func (s *Slot) Admitted() bool { return s.admitted }
+
 // MarkUsed marks the reservation as used, so that Release does not release it at the engine.
 func (s *Slot) MarkUsed() { s.used = true }
 
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -212,6 +212,8 @@
 		return fmt.Errorf("%w: the endpoint has asked for a pause", routing.ErrNotRun)
 	case r.State.Left(ep, slot.AcquiredAt()):
 		return fmt.Errorf("%w: the endpoint is leaving", routing.ErrNotRun)
+	case !slot.Admitted() && !r.Limits.Admit(ep):
+		return fmt.Errorf("%w: the endpoint is at the request limit that it has announced", routing.ErrNotRun)
 	}
 	return nil
 }
--- a/router/internal/domain/endpointlimit/endpointlimit.go
+++ b/router/internal/domain/endpointlimit/endpointlimit.go
@@ -30,7 +30,8 @@
 	// Notices holds the limits that endpoints have announced.
 	Notices *availability.Tracker
 	Quotas  *sharedlimit.Limiter
-	// OnAdmit is called when a request to a limited endpoint was admitted, which the other instances must learn at once.
+	// OnAdmit is called when a request to a limited endpoint was admitted, which the other instances must learn at once. It must not
+	// block: callers may hold locks.
 	OnAdmit   func()
 	SinceBoot func() time.Duration
 }
