Restart the watches of an earlier era when the store was restored

The store ends a watch from a revision that it does not have, but it may have reached the revision again before the watch starts; the call then waits for its end, although the watch of the endpoints knows the new era meanwhile. A feed now lists again if its revision is of an earlier era than any response showed, and a new era restarts the other feed's watch. Eras of other instances are not used: a wrong one would make an instance list for ever.

routingcache: TestNewEraRestartsTheOtherWatch failed before (version 1 in force after 2 s) and passes.

--- a/router/internal/app/routingcache/restore_test.go
+++ b/router/internal/app/routingcache/restore_test.go
@@ -1,6 +1,7 @@
 package routingcache_test
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -182,3 +183,33 @@
 		}
 	}
 }
+
+// stuckWatch is a platform whose watches of the configuration tell nothing until their wait is over.
+type stuckWatch struct{ *fakePlatform }
+
+func (stuckWatch) WatchConfig(ctx context.Context, since uint64, wait time.Duration) (*routing.Config, uint64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+		return nil, since, nil
+	}
+}
+
+// Guards against a configuration that is learnt seconds late because the restored store has reached the revision of its watch again,
+// although the watch of the endpoints has shown the new era.
+func TestNewEraRestartsTheOtherWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		f.setConfig(1)
+		m, _ := runCache(t.Context(), stuckWatch{f})
+		time.Sleep(time.Second)
+		f.restore(f.backup())
+		f.setConfig(2)
+		f.put(routing.Endpoint{ID: "a", StartedMS: 1})
+		time.Sleep(limits.Config)
+		if version := m.Table().Config.Version; version != 2 {
+			t.Error("version", version, "is in force")
+		}
+	})
+}
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -89,6 +89,8 @@
 	// departures holds what must survive a restore of the store from a backup.
 	departures   departureLog
 	restartWatch [2]chan struct{}
+	// era is the highest era of the store in a response.
+	era atomic.Uint64
 }
 
 // noOutage is the value of recoveredAt when there was no outage.
@@ -200,6 +202,9 @@
 	away := false
 	for ctx.Err() == nil {
 		next, interrupted, err := uint64(0), false, error(nil)
+		if routing.Era(revision) < m.era.Load() {
+			revision = 0 // the store was restored, and may have assigned the revision again to another change
+		}
 		if revision == 0 {
 			next, err = f.list(ctx)
 			discardRestart(f.restart)
@@ -208,6 +213,9 @@
 		}
 		switch {
 		case err == nil:
+			if m.recordEra(next) {
+				discardRestart(f.restart)
+			}
 			if away {
 				m.logger.Info().Str("event", "platform.regained").Str("feed", f.name).Dur("away", m.sinceBoot()-reached).Msg("")
 			}
@@ -233,7 +241,22 @@
 	}
 }
 
-// discardRestart drops a restart request that came during a list call, whose response is already newer.
+// recordEra records the era of a revision of the store. If it is a new one, watches that began in an earlier era are restarted: the
+// store may not end them, since it has other changes under the same revisions.
+func (m *Cache) recordEra(revision uint64) (isNew bool) {
+	for {
+		known := m.era.Load()
+		if routing.Era(revision) <= known {
+			return false
+		}
+		if m.era.CompareAndSwap(known, routing.Era(revision)) {
+			m.RestartWatches()
+			return true
+		}
+	}
+}
+
+// discardRestart drops a restart request that came during a call, whose response is already newer.
 func discardRestart(restart <-chan struct{}) {
 	select {
 	case <-restart:
--- a/router/internal/app/routingcache/routingcache_test.go
+++ b/router/internal/app/routingcache/routingcache_test.go
@@ -163,7 +163,7 @@
 }
 
 // runCache starts a cache of the fake platform. done is closed when it has ended.
-func runCache(ctx context.Context, f *fakePlatform) (m *routingcache.Cache, done chan struct{}) {
+func runCache(ctx context.Context, f routingcache.PlatformClient) (m *routingcache.Cache, done chan struct{}) {
 	start := time.Now()
 	boot := func() time.Duration { return time.Since(start) + time.Hour }
 	m = routingcache.New(f, limits, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, boot)
