Record the end of a limit once

After the end of a limit, each response of the endpoint renewed the statement that there is none, under the tracker's lock, for the minute in which it is kept; for endpoints without a limit the request path stays free of locks now. The order of statements is tested: availability TestLimits (late, equal, invalid and foreign statements).

--- a/router/internal/domain/availability/availability.go
+++ b/router/internal/domain/availability/availability.go
@@ -1,6 +1,6 @@
 // Package availability tracks the notices that endpoints send in their answers: that they are leaving, that this instance should
-// send them no requests for a while, or how many requests per second they accept. All apply to one incarnation of an endpoint. A
-// leaving notice is shared with the other instances; a pause applies to this instance alone.
+// send them no requests for a while, or how many requests per second they accept. All apply to one incarnation of an endpoint.
+// Leaving notices and limits are shared with the other instances; a pause applies to this instance alone.
 package availability
 
 import (
@@ -186,8 +186,8 @@
 	return true
 }
 
-// Prune deletes leaving notices and limits that are older than retention and whose incarnation is not listed, and pauses that are
-// over.
+// Prune deletes leaving notices and limits that are older than retention and whose incarnation is not listed, limits that ended
+// before that, and pauses that are over.
 func (t *Tracker) Prune(listed func(endpoint string) (routing.Endpoint, bool), now time.Duration) {
 	s := t.state.Load()
 	if len(s.leaving)+len(s.pauses)+len(s.limits) == 0 {
--- a/router/internal/domain/availability/availability_test.go
+++ b/router/internal/domain/availability/availability_test.go
@@ -104,3 +104,46 @@
 		t.Error(v.InvalidNotices())
 	}
 }
+
+// Guards against limits that are kept after they have ended, or lost, because of statements to other instances that are older or
+// arrive late.
+func TestLimits(t *testing.T) {
+	named := func(perSecond float64) routing.LimitNotice {
+		return routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}
+	}
+	none := routing.LimitNotice{State: routing.LimitNone}
+	v, other := newTracker(), newTracker()
+	check := func(v *availability.Tracker, what string, want float64) {
+		t.Helper()
+		if perSecond, limited := v.LimitOf(a); perSecond*map[bool]float64{true: 1}[limited] != want {
+			t.Errorf("%s: the limit is %v (%t), want %v", what, perSecond, limited, want)
+		}
+	}
+	if v.RecordLimit(a, none, time.Second) || !v.RecordLimit(a, named(5), 2*time.Second) || v.RecordLimit(a, named(5), 3*time.Second) {
+		t.Error("only the first statement of a limit is a change")
+	}
+	v.RecordLimit(a, routing.LimitNotice{State: routing.LimitInvalid}, 3*time.Second)
+	check(v, "after an invalid statement", 5)
+	if changed := other.MergePeerLimits(v.OwnLimits(4*time.Second), 4*time.Second); len(changed) != 1 {
+		t.Error("changes at another instance:", changed)
+	}
+	check(other, "another instance", 5)
+	late := v.OwnLimits(4 * time.Second)
+	if !v.RecordLimit(a, none, 5*time.Second) {
+		t.Error("the end of a limit is a change")
+	}
+	check(v, "ended", 0)
+	v.MergePeerLimits(late, 4050*time.Millisecond)
+	check(v, "after an earlier statement", 0)
+	v.MergePeerLimits([]availability.StatedLimit{{Endpoint: a.ID, StartMS: 1, PerSecond: 7, AgeMS: 0}}, 5050*time.Millisecond)
+	check(v, "after a statement of the same time", 0)
+	other.MergePeerLimits(v.OwnLimits(6*time.Second), 6*time.Second)
+	check(other, "another instance after the end", 0)
+	v.MergePeerLimits([]availability.StatedLimit{{Endpoint: a.ID, StartMS: 1, PerSecond: 7, AgeMS: 0}}, 7*time.Second)
+	check(v, "after a later statement", 7)
+	if limits := v.OwnLimits(8 * time.Second); len(limits) != 0 {
+		t.Error("what another instance was told is reported as its own:", limits)
+	}
+	v.MergePeerLimits([]availability.StatedLimit{{Endpoint: a.ID, StartMS: 1, PerSecond: 9, AgeMS: 1 << 62}, {Endpoint: b.ID, PerSecond: -1}}, 9*time.Second)
+	check(v, "after an invalid report", 7)
+}
--- a/router/internal/domain/availability/limits.go
+++ b/router/internal/domain/availability/limits.go
@@ -39,7 +39,8 @@
 	if n.State == routing.LimitInvalid {
 		t.invalid.Add(1)
 	}
-	if _, known := t.state.Load().limits[incarnationOf(ep)]; n.State != routing.LimitNamed && (n.State != routing.LimitNone || !known) {
+	_, limited := t.LimitOf(ep)
+	if n.State != routing.LimitNamed && !(n.State == routing.LimitNone && limited) {
 		return false
 	}
 	t.mu.Lock()
