--- a/lab/internal/experiment/aggregate.go
+++ b/lab/internal/experiment/aggregate.go
@@ -274,19 +274,21 @@
 
 // WriteMarkdown writes the medians as a Markdown table.
 func (s Summary) WriteMarkdown(w io.Writer) error {
-	fmt.Fprintln(w, "| scenario | policy | seeds | goodput/s | good | ÷ best baseline | ÷ load 1.0 | wasted prefill | worst served | inside rate | "+
+	var page strings.Builder
+	fmt.Fprintln(&page, "| scenario | policy | seeds | goodput/s | good | ÷ best baseline | ÷ load 1.0 | wasted prefill | worst served | inside rate | "+
 		"wrongful | refused inside | excess | first p50/p95 ms | interval p95 ms | cut | CPU ms/request |")
-	_, err := fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(&page, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, g := range s.Groups {
 		m := g.Median
-		_, err = fmt.Fprintf(w, "| %s | %s | %d | %.2f | %.1f%% | %s | %s | %.2f%% | %.3f | %.3f | %.2f%% | %.2f%% | %.0f | %.0f/%.0f | %.1f | %.0f | %s |\n",
+		fmt.Fprintf(&page, "| %s | %s | %d | %.2f | %.1f%% | %s | %s | %.2f%% | %.3f | %.3f | %.2f%% | %.2f%% | %.0f | %.0f/%.0f | %.1f | %.0f | %s |\n",
 			g.Scenario, g.Policy, len(g.Seeds), m[MeasureGoodput], 100*m[MeasureGoodPortion], formatRatio(g.GoodputOverBestBaseline), formatRatio(g.GoodputOverLoad1),
 			100*m[MeasureWastedPrefill], m[MeasureWorstServed], m[MeasureWorstServedInsideRate], 100*m[MeasureWrongfulRefusals], 100*m[MeasureRefusedInsideRate], m[MeasureExcessTokens],
 			m[MeasureFirstTokenP50], m[MeasureFirstTokenP95], m[MeasureTokenIntervalP95], m[MeasureCutAnswers], formatRatio(m[MeasureCPUPerRequest]))
 	}
 	if len(s.Missing) > 0 {
-		_, err = fmt.Fprintf(w, "\n%d cells of the plan have no result; summary.json lists them.\n", len(s.Missing))
+		fmt.Fprintf(&page, "\n%d cells of the plan have no result; summary.json lists them.\n", len(s.Missing))
 	}
+	_, err := io.WriteString(w, page.String())
 	return err
 }
 
