Shorten the assignment of engines with a limit

assignEngine read as one loop that told own requests from those of other instances by two flags. It finds the chosen candidate first and then says what happens to it.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -440,7 +440,8 @@
 	})
 }
 
-// assignEngine selects an engine from the candidates and adds the request to that candidate's load.
+// assignEngine selects an engine from the candidates, whose request limit admits the request, and adds the request to that
+// candidate's load.
 func (d *Dispatcher) assignEngine(candidates []engines.Candidate, capacity engines.Capacity, tokens int64, own *waitlist.Entry) *routing.Endpoint {
 	allowed := candidates
 	if own != nil && len(own.ExcludedEngines) > 0 {
@@ -451,22 +452,16 @@
 		return nil
 	}
 	ep := allowed[best].Endpoint
-	limited := d.Limits.Limited(ep)
-	admitted := own == nil || d.Limits.Admit(ep)
-	for i := range candidates {
-		if candidates[i].Endpoint.ID != ep.ID {
-			continue
-		}
+	chosen := slices.IndexFunc(candidates, func(c engines.Candidate) bool { return c.Endpoint.ID == ep.ID })
+	if own == nil {
 		// A request of another instance is admitted there. What the limit still allows is left to it.
-		candidates[i].Full = limited && (own == nil || !admitted)
-		if admitted {
-			candidates[i].Load.Requests++
-			candidates[i].Load.Tokens += tokens
-		}
-	}
-	if !admitted {
+		candidates[chosen].Full = d.Limits.Limited(ep)
+	} else if !d.Limits.Admit(ep) {
+		candidates[chosen].Full = true
 		return d.assignEngine(candidates, capacity, tokens, own)
 	}
+	candidates[chosen].Load.Requests++
+	candidates[chosen].Load.Tokens += tokens
 	return &ep
 }
 
