--- a/api/h1/dial.go
+++ b/api/h1/dial.go
@@ -31,7 +31,8 @@
 	}
 }
 
-// KeepAlive returns the keep-alive settings that close an unresponsive idle connection after about twice the silence.
+// KeepAlive returns the keep-alive settings that close an unresponsive idle connection: probes begin after half of the silence, or
+// a second if that is more, and the connection is closed after keepAliveProbes of them, a second apart.
 func KeepAlive(silence time.Duration) net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: max(time.Second, silence/keepAliveProbes), Interval: time.Second, Count: keepAliveProbes}
 }
--- a/router/internal/domain/retrybudget/retrybudget.go
+++ b/router/internal/domain/retrybudget/retrybudget.go
@@ -77,7 +77,7 @@
 
 // advance clears the steps that have left the window.
 func (b *Budget) advance(service string, now time.Duration) *counts {
-	step := int64(now / (b.settings.Window / windowSteps))
+	step := int64(now / max(1, b.settings.Window/windowSteps))
 	c := b.services[service]
 	if c == nil {
 		c = &counts{step: step}
--- a/router/internal/domain/retrybudget/retrybudget_test.go
+++ b/router/internal/domain/retrybudget/retrybudget_test.go
@@ -33,6 +33,13 @@
 		Expect(retries(b, time.Minute+5*time.Second)).To(BeZero())
 	})
 
+	// Guards against a panic on the request path with a window that is too short to be divided into steps.
+	It("accepts a window of no length", func() {
+		b := retrybudget.New(retrybudget.Settings{Ratio: 1}, func() int { return 1 })
+		b.RecordRequest("s", time.Minute)
+		Expect(b.TryRetry("s", time.Hour)).To(BeFalse())
+	})
+
 	It("grows with the requests and drops those outside the window", func() {
 		b := retrybudget.New(bounds, func() int { return 1 })
 		for range 100 {
--- a/router/internal/port/port.go
+++ b/router/internal/port/port.go
@@ -73,7 +73,7 @@
 }
 
 // EngineCall is one attempt to run a request on an engine. Body is the caller's JSON object; the adapter adds the
-// extension, sets "stream" and removes nothing else.
+// extension, sets "stream" and the token limit, and removes the fields that only the router may set.
 type EngineCall struct {
 	// Path is the caller's path, /v1/chat/completions or /v1/completions.
 	Path      string
