Name the servers of each soak run differently

Servers had the same ids in all runs; counter3-1 of the one run crashed (endpoint.gone at 19:35:33.610), a server of the same id of the other run listened at its port, and the router's request, sent at 33.61 with the id that it expects, ran there. The ids now contain a random part for each run, so that such a request gets 421. The checks are unchanged.

--- a/lab/soak/parts_test.go
+++ b/lab/soak/parts_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/platform/standin"
 )
 
 var _ = Describe("plans", func() {
@@ -38,6 +40,22 @@
 	})
 })
 
+// Guards against requests of one run that are taken by a server of another run at the port of a crashed one (seeds 2714 and 3050,
+// run at the same time).
+var _ = It("names the servers of each run differently", func() {
+	ids := map[string]bool{}
+	for range 2 {
+		t := &testbed{store: standin.NewStore()}
+		t.addMachines()
+		m := t.machines[0]
+		Expect(m.start()).To(Succeed())
+		b := m.claim()
+		ids[b.server.ID] = true
+		Expect(m.end(b)).To(Succeed())
+	}
+	Expect(ids).To(HaveLen(2))
+})
+
 var _ = Describe("a proxy", func() {
 	var proxy *Proxy
 	var client, upstream net.Conn
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -32,7 +32,9 @@
 // machine is a place at which a server runs. A new server starts there after the previous one has crashed or left.
 type machine struct {
 	name, service, stage, domain string
-	store                        *standin.Store
+	// run distinguishes the servers of a run from those of others on the same computer, which reuse the ports of crashed servers.
+	run   string
+	store *standin.Store
 
 	mu      sync.Mutex
 	current *serverBoot
@@ -63,7 +65,7 @@
 func (m *machine) start() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	server := standin.NewServer(fmt.Sprint(m.name, "-", len(m.boots)+1), m.stage)
+	server := standin.NewServer(fmt.Sprint(m.name, "-", len(m.boots)+1, "-", m.run), m.stage)
 	server.Events, server.EventInterval, server.ServiceTime, server.Lease = streamEvents, eventInterval, plainServiceTime, lease
 	server.Slots = plainSlots
 	if m.stage != "" {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -134,6 +135,7 @@
 
 // addMachines adds the servers and assigns them to the failure domains in turn.
 func (t *testbed) addMachines() {
+	run := strconv.FormatUint(rand.Uint64(), 36)
 	for _, group := range []struct {
 		service, stage string
 		count          int
@@ -144,7 +146,7 @@
 		}
 		for n := range group.count {
 			t.machines = append(t.machines, &machine{
-				name: fmt.Sprint(name, n+1), service: group.service, stage: group.stage, domain: domains[n%len(domains)], store: t.store,
+				name: fmt.Sprint(name, n+1), run: run, service: group.service, stage: group.stage, domain: domains[n%len(domains)], store: t.store,
 			})
 		}
 	}
