Say notified where the soak's check of limits said told

Read as a newcomer: "told" is no term of the field, and the constant perSecond of the node specs did not say whose rate it is. Names, one entry's title and one text of a violation change; no check does.

--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -175,7 +175,7 @@
 			e.served(movedRouteRequest, "moved-1", "c1", 30)
 		}),
 		Entry("a request to a leaving server within the drain time", func(e *execution, _ *sentRequest) { e.servers["c1"].leaving = at(9) }),
-		Entry("requests of an instance that has restarted since it was told a limit", func(e *execution, _ *sentRequest) {
+		Entry("requests of an instance that has restarted since it was notified of a limit", func(e *execution, _ *sentRequest) {
 			e.limitExceeded()
 			for seconds := 15.0; seconds < 20; seconds += 0.5 {
 				e.disturbed("router-1", true, seconds, seconds+0.1)
--- a/lab/soak/limits.go
+++ b/lab/soak/limits.go
@@ -59,7 +59,7 @@
 	return b
 }
 
-// checkLimits checks that a server receives no more requests than it has announced from the instances that it has told, summed
+// checkLimits checks that a server receives no more requests than it has announced from the instances that it has notified, summed
 // over them.
 func (e *execution) checkLimits() {
 	sentBy := map[string]string{}
@@ -69,7 +69,7 @@
 	for server, l := range e.limited {
 		for _, series := range limitPeriods(l.limits) {
 			if len(series) > 0 {
-				e.checkLimitSeries(server, series, e.arrivalsFromTold(server, series, sentBy))
+				e.checkLimitSeries(server, series, e.arrivalsFromNotified(server, series, sentBy))
 			}
 		}
 	}
@@ -90,31 +90,31 @@
 		}
 		allowed := e.bounds.LimitTolerance*allowedBy(series, first, last) + e.bounds.LimitSlack
 		if float64(count) > allowed {
-			e.add("request limits", "", "%s received %d requests in %v from instances that it had told its limit; allowed %.0f", server, count, e.bounds.LimitWindow, allowed)
+			e.add("request limits", "", "%s received %d requests in %v from instances that it had notified of its limit; allowed %.0f", server, count, e.bounds.LimitWindow, allowed)
 			return
 		}
 	}
 }
 
-// arrivalsFromTold returns the times of a server's requests from instances that had passed on a response with its limit. A fault
+// arrivalsFromNotified returns the times of a server's requests from instances that had passed on a response with its limit. A fault
 // of an instance since then excuses its requests.
-func (e *execution) arrivalsFromTold(server string, series []limitPeriod, sentBy map[string]string) (out []time.Time) {
-	told := map[string][]time.Time{}
+func (e *execution) arrivalsFromNotified(server string, series []limitPeriod, sentBy map[string]string) (out []time.Time) {
+	notified := map[string][]time.Time{}
 	for _, s := range e.sent {
 		for _, r := range e.runs[s.id] {
 			if r.Server == server && s.response.Server == r.Server && r.Began.After(series[0].from) && s.done.Before(series[len(series)-1].to) {
-				told[s.instance] = append(told[s.instance], s.done)
+				notified[s.instance] = append(notified[s.instance], s.done)
 			}
 		}
 	}
-	for _, times := range told {
+	for _, times := range notified {
 		slices.SortFunc(times, time.Time.Compare)
 	}
 	for _, a := range e.limited[server].arrivals {
 		instance := sentBy[a.ID]
-		last, isTold := lastBefore(told[instance], a.At.Add(-e.bounds.LimitNotice))
+		last, isNotified := lastBefore(notified[instance], a.At.Add(-e.bounds.LimitNotice))
 		disturbed := func(v interval) bool { return v.scope == instance || v.scope == machineScope }
-		if isTold && !e.faults.overlaps(last, a.At, disturbed) {
+		if isNotified && !e.faults.overlaps(last, a.At, disturbed) {
 			out = append(out, a.At)
 		}
 	}
--- a/router/internal/node/limits_test.go
+++ b/router/internal/node/limits_test.go
@@ -20,7 +20,8 @@
 	// limitTolerance is the factor, and limitSlack the number of requests, by which a window may exceed the limit.
 	limitTolerance = 1.5
 	limitSlack     = 5
-	perSecond      = 4.0
+	// announcedLimit is the number of requests per second that the servers announce.
+	announcedLimit = 4.0
 )
 
 // mostInWindow returns the largest number of requests that arrived at a server within limitWindow after the limit was binding.
@@ -78,12 +79,12 @@
 		}
 		return cluster, routers
 	}
-	allowed := limitTolerance*perSecond*limitWindow.Seconds() + limitSlack
+	allowed := limitTolerance*announcedLimit*limitWindow.Seconds() + limitSlack
 
 	// Guards against instances that each use, or all ignore, the request limit that a plain server has announced for all of them.
 	It("is kept by all instances together at a plain server", func() {
 		cluster, routers := startThree()
-		cluster.plain[0].AnnounceLimit(perSecond)
+		cluster.plain[0].AnnounceLimit(announcedLimit)
 		statuses := loadInstances(routers, 40*time.Millisecond, limitSettleTime+limitWindow, func(r *router) response {
 			return r.send(context.Background(), http.MethodGet, "/look/x", "key")
 		})
@@ -95,8 +96,8 @@
 	// Guards against exceeding the limit of engines with prefills, reservations and streams.
 	It("is kept by all instances together at a prefill engine and a decode engine", func() {
 		cluster, routers := startThree()
-		cluster.prefill.AnnounceLimit(perSecond)
-		cluster.decode[0].AnnounceLimit(perSecond)
+		cluster.prefill.AnnounceLimit(announcedLimit)
+		cluster.decode[0].AnnounceLimit(announcedLimit)
 		statuses := loadInstances(routers, 60*time.Millisecond, limitSettleTime+limitWindow, func(r *router) response {
 			return r.stream("/digest/x")
 		})
