Log how a stream's answer was delimited and what was left of its last event

The line request.ended now has close_delimited and unfinished_bytes, and an answer of an endpoint says whether it ends with its connection.

go test ./router/internal/node: passes (43 s).

--- a/api/routing/call.go
+++ b/api/routing/call.go
@@ -49,6 +49,8 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, or -1 if it is not declared.
 	Length int64
+	// CloseDelimited is set if the body has neither a length nor chunks and ends with the endpoint's connection.
+	CloseDelimited bool
 	// Load is the endpoint's load at the time of the response; nil if the endpoint does not report it.
 	Load *Load
 }
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -155,6 +155,15 @@
 	// before this request.
 	eventCount int
 	priorWait  time.Duration
+	streamEnd  streamEnd
+}
+
+// streamEnd describes the end of the latest stream for the log line of its request.
+type streamEnd struct {
+	// closeDelimited is set if the stream ends with the endpoint's connection.
+	closeDelimited bool
+	// unfinishedBytes is the number of bytes after the last complete event.
+	unfinishedBytes int
 }
 
 // stepDurations holds the durations of a request's steps for its log line.
--- a/router/internal/app/forward/record.go
+++ b/router/internal/app/forward/record.go
@@ -58,6 +58,7 @@
 		entry = entry.Int64("prompt", r.demand().PromptTokens).Int64("output", r.demand().OutputTokens).Int64("expected", r.demand().ExpectedOutput).Int64("waited_ms", r.durations.slotWait.Milliseconds()).
 			Int64("prefill_ms", r.durations.prefill.Milliseconds()).Int64("first_event_ms", r.durations.firstEvent.Milliseconds()).
 			Int("events", r.eventCount).Int64("longest_pause_ms", r.durations.longestEventGap.Milliseconds())
+		entry = entry.Bool("close_delimited", r.streamEnd.closeDelimited).Int("unfinished_bytes", r.streamEnd.unfinishedBytes)
 		if late := r.lateness(); late != "" {
 			entry = entry.Str("late", string(late))
 		}
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -29,12 +29,16 @@
 	case answer.Status != http.StatusOK:
 		return r.forwardResponse(answer)
 	}
+	r.streamEnd = streamEnd{closeDelimited: answer.CloseDelimited}
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		ended := errors.Is(err, io.EOF)
+		if err != nil {
+			r.streamEnd.unfinishedBytes = len(pending) - sse.CompleteLen(pending)
+		}
 		complete := len(pending)
 		if !ended {
 			complete = sse.CompleteLen(pending)
