Treat a stream that ends inside an event as broken off

Cause: the relay took the end of the body for the end of the stream and then passed on all that it had read. That holds for bodies with a length or chunks, whose early end is an error. A body that ends with its connection ends in the same way whether the engine is done or has crashed.

A stream is now complete only if nothing but line ends follows its last event, and, if it ends with its connection, if it had an event at all. Otherwise the attempt fails like any other that breaks off: a resumable stream goes on at another engine, others are cut. Bodies that are no event streams, on routes that are not streaming, end as before.

--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -31,23 +31,23 @@
 	}
 	r.streamEnd = streamEnd{closeDelimited: answer.CloseDelimited}
 	var pending []byte
+	hasData := false
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		ended := errors.Is(err, io.EOF)
-		if err != nil {
-			r.streamEnd.unfinishedBytes = len(pending) - sse.CompleteLen(pending)
-		}
-		complete := len(pending)
-		if !ended {
-			complete = sse.CompleteLen(pending)
+		complete := sse.CompleteLen(pending)
+		r.streamEnd.unfinishedBytes = len(pending) - complete
+		if ended && !r.expectsEvents(answer) {
+			complete = len(pending)
 		}
 		if complete > 0 {
 			events := sse.CountEvents(pending[:complete])
 			r.eventCount += events
 			slot.RecordEvents(events)
 			if sse.HasData(pending[:complete]) {
+				hasData = true
 				progress()
 			}
 			if err := r.forwardEvents(answer, slot, pending[:complete], start); err != nil {
@@ -56,6 +56,10 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
+		case ended && sse.IsUnfinished(pending):
+			return errUnfinishedEvent
+		case ended && answer.CloseDelimited && !hasData && r.expectsEvents(answer):
+			return errNoEvents
 		case ended:
 			slot.RecordCompletion()
 			return r.finishStream(answer)
@@ -67,6 +71,18 @@
 	}
 }
 
+var (
+	// errUnfinishedEvent indicates a stream that broke off inside an event.
+	errUnfinishedEvent = fmt.Errorf("reading the stream: the stream ends inside an event: %w", io.ErrUnexpectedEOF)
+	// errNoEvents indicates a stream whose connection was closed before the first event. Nothing else tells it from a complete one.
+	errNoEvents = fmt.Errorf("reading the stream: the connection was closed before the first event: %w", io.ErrUnexpectedEOF)
+)
+
+// expectsEvents reports whether the body of an answer is a stream of events, which ends with a complete event.
+func (r *requestState) expectsEvents(answer *routing.Answer) bool {
+	return r.route.Kind == routing.Streaming || sse.IsEventStream(answer.Header.Get("Content-Type"))
+}
+
 // forwardEvents passes complete events on to the caller.
 func (r *requestState) forwardEvents(answer *routing.Answer, slot *dispatch.Slot, events []byte, start time.Duration) error {
 	if err := r.startResponse(answer); err != nil {
--- a/router/internal/domain/sse/sse.go
+++ b/router/internal/domain/sse/sse.go
@@ -2,7 +2,10 @@
 // line ends an event.
 package sse
 
-import "bytes"
+import (
+	"bytes"
+	"strings"
+)
 
 var (
 	eventEndLF   = []byte("\n\n")
@@ -26,6 +29,15 @@
 // CountEvents returns the number of events that end in b.
 func CountEvents(b []byte) int { return bytes.Count(b, eventEndLF) + bytes.Count(b, eventEndCRLF) }
 
+// IsUnfinished reports whether the rest of a stream after its complete events is a part of an event, and not only line ends.
+func IsUnfinished(rest []byte) bool { return len(bytes.Trim(rest, "\r\n")) > 0 }
+
+// IsEventStream reports whether a Content-Type is that of a stream of events.
+func IsEventStream(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // HasData reports whether any of the events carries data. Comments and empty events, which serve as keep-alives, do not.
 func HasData(events []byte) bool {
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
--- a/router/internal/domain/sse/sse_test.go
+++ b/router/internal/domain/sse/sse_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// Guards against a part of an event at the end of a stream that is taken for the end of a complete stream, and the reverse.
+func TestUnfinished(t *testing.T) {
+	for rest, want := range map[string]bool{"": false, "\n": false, "\r\n": false, "i": true, "data: a\n": true, "\ndata": true, ": c\r\n": true} {
+		if got := sse.IsUnfinished([]byte(rest)); got != want {
+			t.Errorf("%q: unfinished %t, want %t", rest, got, want)
+		}
+	}
+}
+
 // Guards against a stream that is resumed after the wrong event.
 func TestLastID(t *testing.T) {
 	for stream, want := range map[string]string{
