Relay the streams of plain services event by event

Cause: only the model path relayed streams; the plain path buffered every answer. Streaming routes, and answers that say that they are event streams, now go through the same relay in both paths: complete events only, stall timeout, resumption on resumable routes.

--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -45,7 +45,7 @@
 			return nil
 		}
 		r.recordFailure(ep, err)
-		if r.responseStarted {
+		if r.isFinal(err) {
 			return err
 		}
 		if !r.mayRetry(err) {
@@ -76,7 +76,7 @@
 
 // forwardWithheldFailure passes the withheld response on to the caller if there is one, and returns err otherwise.
 func (r *requestState) forwardWithheldFailure(err error) error {
-	if r.withheldResponse == nil {
+	if r.withheldResponse == nil || r.responseStarted {
 		return err
 	}
 	r.responseStarted = true
@@ -129,8 +129,8 @@
 	load := inflight.Load{Requests: 1}
 	r.EndpointLoad.Add(ep.ID, load)
 	defer r.EndpointLoad.Subtract(ep.ID, load)
-	ctx, cancel := context.WithTimeout(r.ctx, r.attemptTimeout())
-	defer cancel()
+	ctx, progress, stop := r.plainAttemptContext()
+	defer stop()
 	call := r.call
 	call.TimeLeft = r.timeLeft()
 	start := r.SinceBoot()
@@ -138,7 +138,7 @@
 	if err == nil {
 		r.attempts++
 		r.mayHaveRun = true
-		err = r.forwardResponse(answer)
+		err = r.forwardPlainAnswer(answer, start, progress)
 	} else if !errors.Is(err, routing.ErrNotRun) {
 		r.attempts++
 		r.mayHaveRun = true
@@ -147,6 +147,31 @@
 	return err
 }
 
+// plainAttemptContext returns the context of an attempt: with a stall timeout for a stream, and with attemptTimeout otherwise.
+func (r *requestState) plainAttemptContext() (ctx context.Context, progress, stop func()) {
+	if r.route.Kind == routing.Streaming {
+		return r.withStallTimeout(false)
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.attemptTimeout())
+	return ctx, func() {}, cancel
+}
+
+// forwardPlainAnswer passes an answer on: a stream as its events arrive, anything else as a whole.
+func (r *requestState) forwardPlainAnswer(answer *routing.Answer, start time.Duration, progress func()) error {
+	if r.responseStarted || answer.Status == http.StatusOK && r.expectsEvents(answer) {
+		return r.relayStream(answer, unrecordedStream{}, start, progress)
+	}
+	return r.forwardResponse(answer)
+}
+
+// unrecordedStream is the streamRecorder of streams of plain endpoints, whose memory is not estimated.
+type unrecordedStream struct{}
+
+func (unrecordedStream) RecordEvents(int)               {}
+func (unrecordedStream) RecordEventGap(time.Duration)   {}
+func (unrecordedStream) RecordFirstEvent(time.Duration) {}
+func (unrecordedStream) RecordCompletion()              {}
+
 // attemptTimeout is the timeout of an attempt: all the time left, or half of it if another attempt is possible.
 func (r *requestState) attemptTimeout() time.Duration {
 	left := r.timeLeft()
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
-	"tanagerwood.dev/router/internal/app/dispatch"
 	"tanagerwood.dev/router/internal/domain/sse"
 )
 
@@ -18,9 +17,17 @@
 // maxEventBytes is the maximum size of an event, which is buffered until it is complete.
 const maxEventBytes = 256 << 10
 
+// streamRecorder records the progress of a stream.
+type streamRecorder interface {
+	RecordEvents(n int)
+	RecordEventGap(gap time.Duration)
+	RecordFirstEvent(latency time.Duration)
+	RecordCompletion()
+}
+
 // relayStream passes a stream on as its events arrive. Only complete events are passed on, so that an interrupted stream can be
 // resumed at another endpoint. The function progress is called whenever events with data arrive.
-func (r *requestState) relayStream(answer *routing.Answer, slot *dispatch.Slot, start time.Duration, progress func()) error {
+func (r *requestState) relayStream(answer *routing.Answer, recorder streamRecorder, start time.Duration, progress func()) error {
 	defer answer.Body.Close()
 	r.status = answer.Status
 	switch {
@@ -45,12 +52,12 @@
 		if complete > 0 {
 			events := sse.CountEvents(pending[:complete])
 			r.eventCount += events
-			slot.RecordEvents(events)
+			recorder.RecordEvents(events)
 			if sse.HasData(pending[:complete]) {
 				hasData = true
 				progress()
 			}
-			if err := r.forwardEvents(answer, slot, pending[:complete], start); err != nil {
+			if err := r.forwardEvents(answer, recorder, pending[:complete], start); err != nil {
 				return err
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -61,7 +68,7 @@
 		case ended && answer.CloseDelimited && !hasData && r.expectsEvents(answer):
 			return errNoEvents
 		case ended:
-			slot.RecordCompletion()
+			recorder.RecordCompletion()
 			return r.finishStream(answer)
 		case err != nil:
 			return fmt.Errorf("reading the stream: %w", err)
@@ -84,7 +91,7 @@
 }
 
 // forwardEvents passes complete events on to the caller.
-func (r *requestState) forwardEvents(answer *routing.Answer, slot *dispatch.Slot, events []byte, start time.Duration) error {
+func (r *requestState) forwardEvents(answer *routing.Answer, recorder streamRecorder, events []byte, start time.Duration) error {
 	if err := r.startResponse(answer); err != nil {
 		return err
 	}
@@ -95,7 +102,7 @@
 	if lastAt := r.durations.lastEventAt; lastAt > 0 {
 		r.durations.longestEventGap = max(r.durations.longestEventGap, now-lastAt)
 		if lastAt > start {
-			slot.RecordEventGap(now - lastAt)
+			recorder.RecordEventGap(now - lastAt)
 		}
 	}
 	r.durations.lastEventAt = now
@@ -103,7 +110,7 @@
 		r.durations.firstEvent, r.durations.arrivalToFirstEvent = now-start, now-r.req.Arrived
 		if r.durations.prefill > 0 {
 			r.Timings.RecordDecodeStart(r.service.Name, r.durations.firstEvent)
-			slot.RecordFirstEvent(r.durations.firstEvent)
+			recorder.RecordFirstEvent(r.durations.firstEvent)
 		}
 		r.metrics.firstEvent.Update(r.durations.arrivalToFirstEvent.Milliseconds())
 	}
