Play answers that end with their connection in the soak

Servers of the soak may now answer with neither a length nor chunks, whole, broken off inside an event, or before the first one; the check of whole answers covers them.

--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -167,7 +167,10 @@
 }
 
 // misbehaviors are the variants of ServerMisbehavior.
-var misbehaviors = []standin.Fault{standin.DroppedResponses, standin.ServerErrors, standin.ExtraResponses, standin.TruncatedResponses, standin.Refusals}
+var misbehaviors = []standin.Fault{
+	standin.DroppedResponses, standin.ServerErrors, standin.ExtraResponses, standin.TruncatedResponses, standin.Refusals, standin.CloseDelimitedResponses,
+	standin.UnfinishedEvents, standin.EmptyStreams,
+}
 
 const (
 	// misbehaviorShare is the share of requests to which a faulty server applies the fault.
