--- /dev/null
+++ b/router/internal/node/quarantine_test.go
@@ -0,0 +1,146 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/platform/standin"
+)
+
+const (
+	deadlyPart = "dead"
+	// learningCrashes and learningTime bound how long the instances may learn what crashes engines, learntRequests the requests with the
+	// deadly part that may reach servers after that.
+	learningCrashes = 5
+	learningTime    = 3 * time.Second
+	learntRequests  = 3
+	// crashPause is the time until a crashed engine is replaced.
+	crashPause = 500 * time.Millisecond
+)
+
+// fragileEngines are decode engines that crash when they begin to answer a prompt with the deadly part, and are then replaced.
+type fragileEngines struct {
+	cluster *testCluster
+	started atomic.Int64
+
+	mu       sync.Mutex
+	crashes  []time.Time
+	arrivals []time.Time
+}
+
+// startFragile replaces the decode engines of the cluster by fragile ones.
+func (c *testCluster) startFragile(engines int) *fragileEngines {
+	f := &fragileEngines{cluster: c}
+	for _, s := range c.decode {
+		c.store.RemoveServer(s.ID)
+	}
+	for range engines {
+		f.start()
+	}
+	c.prefill.Intercept(func(_ http.ResponseWriter, req *http.Request) bool {
+		f.recordArrival(req)
+		return false
+	})
+	return f
+}
+
+func (f *fragileEngines) start() {
+	s := standin.NewServer(fmt.Sprint("fragile-", f.started.Add(1)), "decode")
+	s.EventInterval = 100 * time.Millisecond
+	h := httptest.NewServer(s)
+	s.Intercept(func(_ http.ResponseWriter, req *http.Request) bool {
+		f.recordArrival(req)
+		return false
+	})
+	s.CrashOn(deadlyPart, func() {
+		f.mu.Lock()
+		f.crashes = append(f.crashes, time.Now())
+		f.mu.Unlock()
+		_ = h.Listener.Close()
+		h.CloseClientConnections()
+		time.AfterFunc(crashPause, func() {
+			f.cluster.store.RemoveServer(s.ID)
+			f.start()
+		})
+	})
+	f.cluster.store.Put("servers", s.ID, serverEntry(s, "m", h.URL, "ready"))
+}
+
+func (f *fragileEngines) recordArrival(req *http.Request) {
+	if !standin.HasPart(req.Header, deadlyPart) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, time.Now())
+}
+
+// late returns the number of requests with the deadly part that reached servers after learningTime from the fifth crash.
+func (f *fragileEngines) late() (count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < learningCrashes {
+		return 0
+	}
+	learnt := f.crashes[learningCrashes-1].Add(learningTime)
+	for _, at := range f.arrivals {
+		if at.After(learnt) {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("a part of prompts that crashes engines", func() {
+	// Guards against requests of one kind that crash engines one after the other.
+	It("is learnt by all instances together, and sound requests that share the other parts are served", func() {
+		cluster := newTestCluster()
+		engines := cluster.startFragile(4)
+		var routers []*router
+		for _, name := range []string{"a", "b", "c"} {
+			routers = append(routers, cluster.start(name))
+		}
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		for i, r := range routers {
+			group.Go(func() { // sound requests
+				defer GinkgoRecover()
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(100 * time.Millisecond):
+						r.stream("/digest/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,c%d%d:50", n%3, i, n))
+					}
+				}
+			})
+		}
+		for n := range 25 { // one request with the deadly part after the other, at any instance
+			group.Go(func() {
+				defer GinkgoRecover()
+				routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,%s:70,d%d:50", n%3, deadlyPart, n))
+			})
+			time.Sleep(400 * time.Millisecond)
+		}
+		refused := routers[1].stream("/brief/x", "X-Prompt-Prefix", "aa:200,b1:50,"+deadlyPart+":70,e:50")
+		var served int
+		for n := range 30 {
+			if a := routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,f%d:50", n%3, n)); a.err == nil && a.status == http.StatusOK {
+				served++
+			}
+		}
+		close(stop)
+		group.Wait()
+		Expect(engines.late()).To(BeNumerically("<=", learntRequests))
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.header).To(HaveKey("Retry-After"))
+		Expect(served).To(Equal(30))
+	})
+})
