--- /dev/null
+++ b/router/internal/app/forward/quarantine.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/app/background"
+	"tanagerwood.dev/router/internal/fault"
+)
+
+const (
+	// provenAfter is how long an answer goes on until its prompt counts as harmless. A prompt that crashes engines does so at the
+	// beginning of the answer.
+	provenAfter = 500 * time.Millisecond
+	// crashProbes is the number of attempts to connect to an engine that may have crashed, crashProbeInterval the time between them:
+	// connections of a process that ends may be closed before its listener is.
+	crashProbes        = 2
+	crashProbeInterval = 100 * time.Millisecond
+	crashProbeTimeout  = 400 * time.Millisecond
+)
+
+// checkQuarantine returns an error if the request's prompt has a part that crashes engines.
+func (r *requestState) checkQuarantine() error {
+	remaining, blocked := r.Quarantine.Blocked(r.service.Name, r.req.Caller.SharedParts, r.SinceBoot())
+	if !blocked {
+		return nil
+	}
+	return fault.New(fault.PromptQuarantined, "a part of the prompt crashes the model's engines; do not send it again before Retry-After").
+		WithRetryAfter(remaining)
+}
+
+// recordAnswer notes that the answer has begun or goes on. An answer that has gone on for provenAfter, or has ended, clears the parts
+// of its prompt.
+func (r *requestState) recordAnswer(now time.Duration, ended bool) {
+	switch {
+	case r.answerBegan == 0 && !ended:
+		r.answerBegan = now
+	case r.answerBegan > 0 && !r.answerProven && (ended || now-r.answerBegan >= provenAfter):
+		r.answerProven = true
+		if r.Quarantine.RecordAnswer(r.service.Name, r.req.Caller.SharedParts, r.answerBegan, now) {
+			r.OnCrash()
+		}
+	}
+}
+
+// reportCrash records a crash of the engine if the attempt failed because the engine's process ended at the beginning of the answer.
+// Whether it ended is determined in the background.
+func (r *requestState) reportCrash(ep routing.Endpoint, err error) {
+	now := r.SinceBoot()
+	atBeginning := r.answerBegan == 0 || !r.answerProven && now-r.answerBegan < provenAfter
+	if len(r.req.Caller.SharedParts) == 0 || !atBeginning || r.ctx.Err() != nil || !isBrokenConnection(err) {
+		return
+	}
+	f, service, id, parts := r.Forwarder, r.service.Name, r.req.Caller.RequestID, r.req.Caller.SharedParts
+	go background.CallWithRecover(r.Logger, "crash probe", func() {
+		if !f.hasCrashed(ep) {
+			return
+		}
+		f.Quarantine.RecordCrash(service, ep.ID, id, parts, now)
+		f.Logger.Warn().Str("event", "engine.crashed").Str("endpoint", ep.ID).Str("request", id).Strs("parts", parts).
+			Int("quarantined", len(f.Quarantine.Quarantined(now))).Msg("the engine crashed at the beginning of the request's answer")
+		f.OnCrash()
+	})
+}
+
+// isBrokenConnection reports whether the endpoint closed or reset the connection before the end of its answer.
+func isBrokenConnection(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// hasCrashed reports whether no process listens at the endpoint's address any more.
+func (f *Forwarder) hasCrashed(ep routing.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	for range crashProbes {
+		if f.Client.RefusesConnections(ctx, ep) {
+			return true
+		}
+		background.SleepContext(ctx, crashProbeInterval)
+	}
+	return false
+}
--- /dev/null
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -0,0 +1,339 @@
+// Package quarantine finds the parts of prompts that crash engines and tells which requests must not be sent to them.
+//
+// Each crash of an engine that coincides with the beginning of an answer is recorded with the parts of that request's prompt. An answer
+// that goes on shows that its parts are harmless, and clears them from the crashes before it. A part that remains in several crashes,
+// while other requests of its service are answered, is quarantined: requests that hold everything these crashes have in common are
+// blocked until the crashes are forgotten. Crashes that happen by themselves hit requests at random, whose parts are cleared by the
+// next answer that shares them.
+//
+// Instances exchange the records. Records only lose parts, so that they can be merged in any order and more than once.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// crashThreshold is the number of crashes that quarantine a part.
+	crashThreshold = 3
+	// crashSpacing is the least time between crashes that count separately. Engines that lose power together crash within it.
+	crashSpacing = 300 * time.Millisecond
+	// retention is how long a crash is remembered.
+	retention = 10 * time.Minute
+	// maxCrashes bounds the records, maxParts the parts of each, and maxPartBytes the length of a part's id.
+	maxCrashes   = 64
+	maxParts     = 16
+	maxPartBytes = 64
+)
+
+// Crash is a crash of an engine at the beginning of a request's answer. Instances exchange it.
+type Crash struct {
+	// Request is the id of the request.
+	Request string `json:"request"`
+	// Endpoint is the endpoint that crashed.
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	// Parts holds the parts of the prompt that no later answer has cleared.
+	Parts []string `json:"parts,omitempty"`
+	// OthersServed is set once another request of the service has been answered after the crash.
+	OthersServed bool `json:"served,omitempty"`
+	// AgeMS is the time in milliseconds since the crash.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// crashID identifies a crash. A request crashes an endpoint at most once.
+type crashID struct{ request, endpoint string }
+
+// record is a crash as this instance has it. It is immutable.
+type record struct {
+	service      string
+	parts        []string
+	othersServed bool
+	// own is set if this instance has observed the crash.
+	own bool
+	// at is when the crash happened, learnedAt when this instance learned of it; since boot.
+	at, learnedAt time.Duration
+}
+
+// verdict blocks the requests of a service whose prompts hold all of the parts.
+type verdict struct {
+	service string
+	parts   []string
+	until   time.Duration
+}
+
+// state is immutable because the request path reads it without a lock.
+type state struct {
+	crashes  map[crashID]record
+	verdicts []verdict
+}
+
+// Tracker holds the crashes of all instances. It is safe for concurrent use. Times are since boot.
+type Tracker struct {
+	mu    sync.Mutex
+	state atomic.Pointer[state]
+	// ownChanges counts what this instance has added to or cleared from the records, blocked the requests that were blocked.
+	ownChanges, blocked atomic.Int64
+}
+
+// New returns an empty Tracker.
+func New() *Tracker {
+	t := &Tracker{}
+	t.state.Store(&state{crashes: map[crashID]record{}})
+	return t
+}
+
+// RecordCrash records that an endpoint crashed at the beginning of the answer to a request.
+func (t *Tracker) RecordCrash(service, endpoint, request string, parts []string, now time.Duration) {
+	c := Crash{Request: request, Endpoint: endpoint, Service: service, Parts: parts}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashes := maps.Clone(t.state.Load().crashes)
+	r := c.mergeInto(crashes, now)
+	r.own = true
+	crashes[c.id()] = r
+	t.store(crashes, now)
+	t.ownChanges.Add(1)
+}
+
+// RecordAnswer records that an answer which began at the given time went on. It clears the parts of its prompt from the crashes that
+// were known at that time, and reports whether anything has changed.
+func (t *Tracker) RecordAnswer(service string, parts []string, began, now time.Duration) bool {
+	clears := func(r record) bool {
+		return r.service == service && r.learnedAt <= began && (!r.othersServed || slices.ContainsFunc(r.parts, func(p string) bool { return slices.Contains(parts, p) }))
+	}
+	if !containsValue(t.state.Load().crashes, clears) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashes := maps.Clone(t.state.Load().crashes)
+	for id, r := range crashes {
+		if clears(r) {
+			r.othersServed = true
+			r.parts = without(r.parts, parts)
+			crashes[id] = r
+		}
+	}
+	t.store(crashes, now)
+	t.ownChanges.Add(1)
+	return true
+}
+
+func containsValue[K comparable, V any](m map[K]V, f func(V) bool) bool {
+	for _, v := range m {
+		if f(v) {
+			return true
+		}
+	}
+	return false
+}
+
+// without returns a copy of parts without those in removed.
+func without(parts, removed []string) []string {
+	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return slices.Contains(removed, p) })
+}
+
+// Blocked reports whether a request must not be sent, and for how long.
+func (t *Tracker) Blocked(service string, parts []string, now time.Duration) (remaining time.Duration, blocked bool) {
+	for _, v := range t.state.Load().verdicts {
+		if v.service == service && now < v.until && containsAll(parts, v.parts) {
+			t.blocked.Add(1)
+			return v.until - now, true
+		}
+	}
+	return 0, false
+}
+
+func containsAll(parts, wanted []string) bool {
+	for _, p := range wanted {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// All lists the records.
+func (t *Tracker) All(now time.Duration) []Crash {
+	return t.list(now, func(record) bool { return true })
+}
+
+// Own lists the records of crashes that this instance has observed.
+func (t *Tracker) Own(now time.Duration) []Crash {
+	return t.list(now, func(r record) bool { return r.own })
+}
+
+// Suspect lists the records that have a part of another record, and so may come to quarantine it.
+func (t *Tracker) Suspect(now time.Duration) []Crash {
+	occurrences := countParts(t.state.Load().crashes)
+	return t.list(now, func(r record) bool { return mostOccurrences(r, occurrences) > 1 })
+}
+
+func (t *Tracker) list(now time.Duration, include func(record) bool) (out []Crash) {
+	for id, r := range t.state.Load().crashes {
+		if include(r) {
+			out = append(out, Crash{Request: id.request, Endpoint: id.endpoint, Service: r.service, Parts: r.parts, OthersServed: r.othersServed, AgeMS: (now - r.at).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// countParts returns the number of records in which each part occurs.
+func countParts(crashes map[crashID]record) map[string]int {
+	occurrences := map[string]int{}
+	for _, r := range crashes {
+		for _, p := range r.parts {
+			occurrences[p]++
+		}
+	}
+	return occurrences
+}
+
+// mostOccurrences returns the largest number of occurrences of a part of the record.
+func mostOccurrences(r record, occurrences map[string]int) (most int) {
+	for _, p := range r.parts {
+		most = max(most, occurrences[p])
+	}
+	return most
+}
+
+// MergePeer merges records of another instance and reports whether anything has changed.
+func (t *Tracker) MergePeer(reported []Crash, now time.Duration) bool {
+	known := t.state.Load().crashes
+	if !slices.ContainsFunc(reported, func(c Crash) bool { return c.changes(known) }) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashes := maps.Clone(t.state.Load().crashes)
+	for _, c := range reported {
+		if c.changes(crashes) {
+			crashes[c.id()] = c.mergeInto(crashes, now)
+		}
+	}
+	t.store(crashes, now)
+	return true
+}
+
+func (c Crash) id() crashID { return crashID{c.Request, c.Endpoint} }
+
+func (c Crash) age() time.Duration { return time.Duration(c.AgeMS) * time.Millisecond }
+
+// changes reports whether merging the record changes the known ones.
+func (c Crash) changes(known map[crashID]record) bool {
+	r, ok := known[c.id()]
+	if !ok {
+		return c.AgeMS >= 0 && c.age() < retention
+	}
+	return c.OthersServed && !r.othersServed || !containsAll(c.Parts, r.parts)
+}
+
+// mergeInto returns the record merged with the known one, if there is one.
+func (c Crash) mergeInto(known map[crashID]record, now time.Duration) record {
+	r, ok := known[c.id()]
+	if !ok {
+		valid := slices.DeleteFunc(slices.Clone(c.Parts), func(p string) bool { return p == "" || len(p) > maxPartBytes })
+		return record{service: c.Service, parts: valid[:min(len(valid), maxParts)], othersServed: c.OthersServed, at: now - c.age(), learnedAt: now}
+	}
+	r.othersServed = r.othersServed || c.OthersServed
+	r.parts = slices.DeleteFunc(slices.Clone(r.parts), func(p string) bool { return !slices.Contains(c.Parts, p) })
+	return r
+}
+
+// Prune forgets old crashes.
+func (t *Tracker) Prune(now time.Duration) {
+	if !containsValue(t.state.Load().crashes, func(r record) bool { return now-r.at >= retention }) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.store(maps.Clone(t.state.Load().crashes), now)
+}
+
+// store replaces the records; t.mu must be held.
+func (t *Tracker) store(crashes map[crashID]record, now time.Duration) {
+	maps.DeleteFunc(crashes, func(_ crashID, r record) bool { return now-r.at >= retention })
+	for len(crashes) > maxCrashes {
+		delete(crashes, leastUseful(crashes))
+	}
+	t.state.Store(&state{crashes: crashes, verdicts: verdicts(crashes)})
+}
+
+// leastUseful returns the record to give up first: one without parts, otherwise the oldest with parts of no other record, otherwise
+// the oldest.
+func leastUseful(crashes map[crashID]record) crashID {
+	occurrences := countParts(crashes)
+	rank := func(r record) int { return min(mostOccurrences(r, occurrences), 2) }
+	return slices.MinFunc(slices.Collect(maps.Keys(crashes)), func(a, b crashID) int {
+		return cmp.Or(cmp.Compare(rank(crashes[a]), rank(crashes[b])), cmp.Compare(crashes[a].at, crashes[b].at),
+			cmp.Compare(a.request, b.request), cmp.Compare(a.endpoint, b.endpoint))
+	})
+}
+
+// verdicts derives the verdicts from the records.
+func verdicts(crashes map[crashID]record) (out []verdict) {
+	type key struct{ service, part string }
+	byPart := map[key][]record{}
+	for _, r := range crashes {
+		for _, p := range r.parts {
+			byPart[key{r.service, p}] = append(byPart[key{r.service, p}], r)
+		}
+	}
+	for k, records := range byPart {
+		if until, enough := quarantineEnd(records); enough {
+			out = append(out, verdict{service: k.service, parts: commonParts(records), until: until})
+		}
+	}
+	return out
+}
+
+// quarantineEnd reports whether the crashes quarantine what they have in common, and until when: until so many of them are forgotten
+// that fewer than crashThreshold are left.
+func quarantineEnd(records []record) (until time.Duration, enough bool) {
+	if !slices.ContainsFunc(records, func(r record) bool { return r.othersServed }) {
+		return 0, false // all requests may crash engines
+	}
+	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(b.at, a.at) })
+	count, last := 0, time.Duration(0)
+	for _, r := range records {
+		if count > 0 && last-r.at < crashSpacing {
+			continue
+		}
+		count, last = count+1, r.at
+		if count == crashThreshold {
+			return r.at + retention, true
+		}
+	}
+	return 0, false
+}
+
+// commonParts returns the parts that all of the crashes have.
+func commonParts(records []record) []string {
+	common := records[0].parts
+	for _, r := range records[1:] {
+		common = slices.DeleteFunc(slices.Clone(common), func(p string) bool { return !slices.Contains(r.parts, p) })
+	}
+	return slices.Sorted(slices.Values(common))
+}
+
+// Quarantined lists the parts of each verdict that is in force.
+func (t *Tracker) Quarantined(now time.Duration) (out [][]string) {
+	for _, v := range t.state.Load().verdicts {
+		if now < v.until && !slices.ContainsFunc(out, func(parts []string) bool { return slices.Equal(parts, v.parts) }) {
+			out = append(out, v.parts)
+		}
+	}
+	return out
+}
+
+// OwnChanges returns how often this instance has added to or cleared from the records.
+func (t *Tracker) OwnChanges() int64 { return t.ownChanges.Load() }
+
+// BlockedRequests returns the number of requests that were blocked.
+func (t *Tracker) BlockedRequests() int64 { return t.blocked.Load() }
