Quarantine parts of prompts that crash engines

One part of a prompt may crash each engine that begins to answer it.

Cause: a crash was learnt as an engine's failure, never as a request's. Each instance saw some of the crashes, and none of them saw which request they had in common.

An instance now records a crash if a stream broke off within 500 ms of its first event, or before it, and the engine's address refuses connections; cuts, resets and garbled answers leave the process running. The record has the parts of the prompt that other requests may share. An answer that goes on clears its parts from the crashes before it. Records only lose parts, so instances merge them in any order: they travel with the reports, in full in full states and, as far as they have parts in common, in views. A part that is left in three incidents, plus one for each incident between them with another cause, is quarantined, if any other request of the service was answered meanwhile: requests with everything these crashes have in common get 503 and a true Retry-After at once, before prefill, slot and charge. At most 64 records are kept, for ten minutes.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -103,6 +103,15 @@
 	return newConn(raw, func() { c.countClosed(address) }), nil
 }
 
+// Probe establishes a connection to the address and closes it. It returns the error of the attempt.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return raw.Close()
+}
+
 // takeIdle returns an idle connection. If there is none, it returns nil and counts a new one, which the caller must open.
 func (c *Client) takeIdle(address string, maxConns int) (*conn, error) {
 	c.mu.Lock()
--- a/api/routing/caller.go
+++ b/api/routing/caller.go
@@ -15,6 +15,8 @@
 	Timeout time.Duration
 	// Demand is nil if the request declares no tokens.
 	Demand *Demand
+	// SharedParts holds the ids of the parts of a model request's prompt that other requests may share: all but the last.
+	SharedParts []string
 	// Resumes is set if the request continues a stream after an event that the caller has already received.
 	Resumes bool
 	// Header holds the headers that are forwarded to the endpoint.
--- a/router/internal/adapter/frontend/frontend.go
+++ b/router/internal/adapter/frontend/frontend.go
@@ -160,6 +160,7 @@
 	fault.Overloaded:           http.StatusServiceUnavailable,
 	fault.InstanceNotConfirmed: http.StatusServiceUnavailable,
 	fault.NoEndpoint:           http.StatusServiceUnavailable,
+	fault.PromptQuarantined:    http.StatusServiceUnavailable,
 	fault.Timeout:              http.StatusGatewayTimeout,
 	fault.EndpointFailed:       http.StatusBadGateway,
 }
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -18,6 +18,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
+	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/retrydetect"
 	"tanagerwood.dev/router/internal/domain/routetable"
@@ -41,6 +42,8 @@
 	Decode(ctx context.Context, ep routing.Endpoint, maxConns int, call *routing.Call,
 		handle *routing.KVHandle, reservation *routing.Reservation) (*routing.Answer, error)
 	FreeHandle(ctx context.Context, ep routing.Endpoint, h routing.KVHandle) error
+	// RefusesConnections reports whether no process listens at the endpoint's address.
+	RefusesConnections(ctx context.Context, ep routing.Endpoint) bool
 }
 
 // RoutingState provides the current configuration and endpoints.
@@ -66,6 +69,8 @@
 	Dispatcher  *dispatch.Dispatcher
 	RateLimiter *sharedlimit.Limiter
 	RetryBudget *retrybudget.Budget
+	// Quarantine holds the parts of prompts that crash engines.
+	Quarantine *quarantine.Tracker
 	// Limits admits requests to endpoints that have announced a request limit.
 	Limits       *endpointlimit.Limiter
 	EndpointLoad *inflight.Tracker
@@ -81,7 +86,9 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// OnChange is called when the load of prefill engines changes, and when an endpoint is ejected.
-	OnChange  func()
+	OnChange func()
+	// OnCrash is called when the records of crashes change, which the other instances must learn at once.
+	OnCrash   func()
 	SinceBoot func() time.Duration
 	Logger    *log.Logger
 	Metrics   metrics.Registry
@@ -156,6 +163,10 @@
 	eventCount int
 	priorWait  time.Duration
 	streamEnd  streamEnd
+	// answerBegan is the time since boot of the first event of the current attempt, or zero. answerProven is set once its answer has
+	// gone on for provenAfter.
+	answerBegan  time.Duration
+	answerProven bool
 }
 
 // streamEnd describes the end of the latest stream for the log line of its request.
@@ -237,6 +248,9 @@
 	if r.service.Engine != nil {
 		r.syncPeers(ctx)
 	}
+	if err := r.checkQuarantine(); err != nil {
+		return err
+	}
 	return r.chargeRateLimit()
 }
 
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -69,6 +69,7 @@
 			return errNoEvents
 		case ended:
 			recorder.RecordCompletion()
+			r.recordAnswer(r.SinceBoot(), true)
 			return r.finishStream(answer)
 		case err != nil:
 			return fmt.Errorf("reading the stream: %w", err)
@@ -99,6 +100,7 @@
 		r.call.ResumeAfter = sse.LastEventID(events, r.call.ResumeAfter)
 	}
 	now := r.SinceBoot()
+	r.recordAnswer(now, false)
 	if lastAt := r.durations.lastEventAt; lastAt > 0 {
 		r.durations.longestEventGap = max(r.durations.longestEventGap, now-lastAt)
 		if lastAt > start {
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -26,6 +26,7 @@
 	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
+	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
@@ -126,8 +127,10 @@
 	Health       *health.Tracker
 	// Availability holds the endpoints that have announced that they leave, and those that have a request limit.
 	Availability *availability.Tracker
-	Boot         func() time.Duration
-	Logger       *log.Logger
+	// Quarantine holds the crashes of engines at the beginning of answers.
+	Quarantine *quarantine.Tracker
+	Boot       func() time.Duration
+	Logger     *log.Logger
 }
 
 // peer is the state of another instance, as far as it is known here.
@@ -167,6 +170,8 @@
 	// reported is the state in the last report, reportedWaiting its number of waiting requests.
 	reported        accounts
 	reportedWaiting int
+	// reportedCrashChanges is the number of changes of crash records that the reports include.
+	reportedCrashChanges int64
 
 	trigger chan struct{}
 	// statusTriggered is set if the next report must include the fields of periodic reports.
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -11,6 +11,7 @@
 	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
+	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 )
@@ -40,6 +41,9 @@
 	Leaving []availability.LeavingEndpoint `json:"leaving,omitempty"`
 	// Limits lists the request limits that endpoints have stated: in periodic messages those stated to the sender, in views all.
 	Limits []availability.StatedLimit `json:"limits,omitempty"`
+	// Crashes lists crashes of engines at the beginning of answers: in reports when the sender has changed a record, in full states
+	// those that it has observed, or all if it is a collector, and in views those that have parts in common.
+	Crashes []quarantine.Crash `json:"crashes,omitempty"`
 	// Stopped is set in the last message of an instance that stops as planned.
 	Stopped bool `json:"stopped,omitempty"`
 	// Partial messages hold only the Spent and Work entries that have changed since the sender's last report.
@@ -104,7 +108,7 @@
 	if withStatus {
 		m = s.addPeriodicFields(m)
 	}
-	if len(m.Spent)+len(m.Work)+len(m.Waiting)+s.reportedWaiting == 0 && !withStatus {
+	if len(m.Spent)+len(m.Work)+len(m.Waiting)+s.reportedWaiting+len(m.Crashes) == 0 && !withStatus {
 		s.mu.Unlock()
 		return
 	}
@@ -162,6 +166,10 @@
 	m := s.newMessage()
 	m.Partial = true
 	m.Spent, m.Work = diff(s.reported.spent, own.spent), diff(s.reported.work, own.work)
+	if changes := s.Quarantine.OwnChanges(); changes != s.reportedCrashChanges {
+		s.reportedCrashChanges = changes
+		m.Crashes = s.Quarantine.All(s.Boot())
+	}
 	return m
 }
 
@@ -169,6 +177,11 @@
 func (s *Service) fullState(own accounts) Message {
 	m := s.newMessage()
 	m.Spent, m.Work, m.SpentBaseline = own.spent, own.work, s.collectors.spentBaseline
+	if s.collectors.collecting() {
+		m.Crashes = s.Quarantine.All(s.Boot())
+	} else {
+		m.Crashes = s.Quarantine.Own(s.Boot())
+	}
 	return s.addPeriodicFields(m)
 }
 
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -53,6 +53,7 @@
 		return
 	}
 	s.mergeLimits(m, now) // before the requests that were sent under these limits
+	s.mergeCrashes(m, now)
 	s.Limiter.ApplyReport(m.Sender.Name, m.Sender.Incarnation, m.Spent, m.SpentBaseline, m.Partial, now)
 	if result.complete {
 		s.Limiter.ConfirmUpToDate(m.Sender.Name, m.Sender.Incarnation, now)
@@ -90,6 +91,14 @@
 	}
 }
 
+// mergeCrashes applies the crashes of engines that other instances have observed.
+func (s *Service) mergeCrashes(m Message, now time.Duration) {
+	before := len(s.Quarantine.Quarantined(now))
+	if s.Quarantine.MergePeer(m.Crashes, now) && len(s.Quarantine.Quarantined(now)) != before {
+		s.Logger.Warn().Str("event", "prompt.quarantined").Str("from", m.Sender.Name).Any("parts", s.Quarantine.Quarantined(now)).Msg("")
+	}
+}
+
 // sendFullStateTo sends the full state to an instance that has just started or has missed a message.
 func (s *Service) sendFullStateTo(address string) {
 	s.mu.Lock()
--- a/router/internal/domain/quarantine/quarantine.go
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -19,16 +19,16 @@
 )
 
 const (
-	// crashThreshold is the number of crashes that quarantine a part.
+	// crashThreshold is the number of incidents that quarantine a part.
 	crashThreshold = 3
-	// crashSpacing is the least time between crashes that count separately. Engines that lose power together crash within it.
-	crashSpacing = 300 * time.Millisecond
+	// crashSpacing is the time within which crashes count as one incident. Engines that lose power together crash within it.
+	crashSpacing = 100 * time.Millisecond
 	// retention is how long a crash is remembered.
 	retention = 10 * time.Minute
-	// maxCrashes bounds the records, maxParts the parts of each, and maxPartBytes the length of a part's id.
-	maxCrashes   = 64
-	maxParts     = 16
-	maxPartBytes = 64
+	// maxCrashes bounds the records, maxParts the parts of each, and maxIDBytes the length of each id in it.
+	maxCrashes = 64
+	maxParts   = 16
+	maxIDBytes = 64
 )
 
 // Crash is a crash of an engine at the beginning of a request's answer. Instances exchange it.
@@ -221,7 +221,9 @@
 	return true
 }
 
-func (c Crash) id() crashID { return crashID{c.Request, c.Endpoint} }
+func (c Crash) id() crashID { return crashID{truncate(c.Request), truncate(c.Endpoint)} }
+
+func truncate(id string) string { return id[:min(len(id), maxIDBytes)] }
 
 func (c Crash) age() time.Duration { return time.Duration(c.AgeMS) * time.Millisecond }
 
@@ -229,7 +231,7 @@
 func (c Crash) changes(known map[crashID]record) bool {
 	r, ok := known[c.id()]
 	if !ok {
-		return c.AgeMS >= 0 && c.age() < retention
+		return c.AgeMS >= 0 && c.AgeMS < retention.Milliseconds()
 	}
 	return c.OthersServed && !r.othersServed || !containsAll(c.Parts, r.parts)
 }
@@ -238,8 +240,8 @@
 func (c Crash) mergeInto(known map[crashID]record, now time.Duration) record {
 	r, ok := known[c.id()]
 	if !ok {
-		valid := slices.DeleteFunc(slices.Clone(c.Parts), func(p string) bool { return p == "" || len(p) > maxPartBytes })
-		return record{service: c.Service, parts: valid[:min(len(valid), maxParts)], othersServed: c.OthersServed, at: now - c.age(), learnedAt: now}
+		valid := slices.DeleteFunc(slices.Clone(c.Parts), func(p string) bool { return p == "" || len(p) > maxIDBytes })
+		return record{service: truncate(c.Service), parts: valid[:min(len(valid), maxParts)], othersServed: c.OthersServed, at: now - c.age(), learnedAt: now}
 	}
 	r.othersServed = r.othersServed || c.OthersServed
 	r.parts = slices.DeleteFunc(slices.Clone(r.parts), func(p string) bool { return !slices.Contains(c.Parts, p) })
@@ -260,57 +262,105 @@
 func (t *Tracker) store(crashes map[crashID]record, now time.Duration) {
 	maps.DeleteFunc(crashes, func(_ crashID, r record) bool { return now-r.at >= retention })
 	for len(crashes) > maxCrashes {
-		delete(crashes, leastUseful(crashes))
+		delete(crashes, leastUseful(crashes, t.state.Load().verdicts))
 	}
 	t.state.Store(&state{crashes: crashes, verdicts: verdicts(crashes)})
 }
 
-// leastUseful returns the record to give up first: one without parts, otherwise the oldest with parts of no other record, otherwise
-// the oldest.
-func leastUseful(crashes map[crashID]record) crashID {
+// leastUseful returns the record to give up first: the oldest that shares no part with others, otherwise the oldest that supports no
+// verdict, otherwise the oldest.
+func leastUseful(crashes map[crashID]record, inForce []verdict) crashID {
 	occurrences := countParts(crashes)
-	rank := func(r record) int { return min(mostOccurrences(r, occurrences), 2) }
+	rank := func(r record) int {
+		switch {
+		case slices.ContainsFunc(inForce, func(v verdict) bool { return v.service == r.service && containsAll(r.parts, v.parts) }):
+			return 2
+		case mostOccurrences(r, occurrences) > 1:
+			return 1
+		}
+		return 0
+	}
 	return slices.MinFunc(slices.Collect(maps.Keys(crashes)), func(a, b crashID) int {
 		return cmp.Or(cmp.Compare(rank(crashes[a]), rank(crashes[b])), cmp.Compare(crashes[a].at, crashes[b].at),
 			cmp.Compare(a.request, b.request), cmp.Compare(a.endpoint, b.endpoint))
 	})
 }
 
-// verdicts derives the verdicts from the records.
-func verdicts(crashes map[crashID]record) (out []verdict) {
-	type key struct{ service, part string }
-	byPart := map[key][]record{}
-	for _, r := range crashes {
+// incidents holds the crashes of a service in order of time.
+type incidents struct {
+	// records holds the records of each incident: crashes within crashSpacing of the first one.
+	records [][]record
+	// byPart holds the indexes of the incidents in which each part occurs, in ascending order.
+	byPart map[string][]int
+}
+
+func newIncidents(records []record) *incidents {
+	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.at, b.at) })
+	in := &incidents{byPart: map[string][]int{}}
+	for _, r := range records {
+		if last := len(in.records) - 1; last < 0 || r.at-in.records[last][0].at >= crashSpacing {
+			in.records = append(in.records, nil)
+		}
+		index := len(in.records) - 1
+		in.records[index] = append(in.records[index], r)
 		for _, p := range r.parts {
-			byPart[key{r.service, p}] = append(byPart[key{r.service, p}], r)
+			if at := in.byPart[p]; len(at) == 0 || at[len(at)-1] != index {
+				in.byPart[p] = append(at, index)
+			}
+		}
+	}
+	return in
+}
+
+// recurs reports whether an incident has a part that occurs in crashThreshold incidents.
+func (in *incidents) recurs(index int) bool {
+	return slices.ContainsFunc(in.records[index], func(r record) bool {
+		return slices.ContainsFunc(r.parts, func(p string) bool { return len(in.byPart[p]) >= crashThreshold })
+	})
+}
+
+// judge returns the verdict on a part. Each incident between its own that has another cause raises the threshold by one: while engines
+// crash for other reasons, a part may occur in several incidents by chance.
+func (in *incidents) judge(service, part string) (verdict, bool) {
+	own := in.byPart[part]
+	others, served := 0, false
+	for i := own[0]; i <= own[len(own)-1]; i++ {
+		if !slices.Contains(own, i) && !in.recurs(i) {
+			others++
 		}
 	}
-	for k, records := range byPart {
-		if until, enough := quarantineEnd(records); enough {
-			out = append(out, verdict{service: k.service, parts: commonParts(records), until: until})
+	var common []record
+	for _, i := range own {
+		for _, r := range in.records[i] {
+			if slices.Contains(r.parts, part) {
+				common = append(common, r)
+				served = served || r.othersServed
+			}
 		}
 	}
-	return out
+	if len(own) < crashThreshold+others || !served { // if no other request is answered, all of them may crash engines
+		return verdict{}, false
+	}
+	// The verdict ends when fewer than crashThreshold incidents are left.
+	last := in.records[own[len(own)-crashThreshold]][0].at
+	return verdict{service: service, parts: commonParts(common), until: last + retention}, true
 }
 
-// quarantineEnd reports whether the crashes quarantine what they have in common, and until when: until so many of them are forgotten
-// that fewer than crashThreshold are left.
-func quarantineEnd(records []record) (until time.Duration, enough bool) {
-	if !slices.ContainsFunc(records, func(r record) bool { return r.othersServed }) {
-		return 0, false // all requests may crash engines
+// verdicts derives the verdicts from the records.
+func verdicts(crashes map[crashID]record) (out []verdict) {
+	byService := map[string][]record{}
+	for _, r := range crashes {
+		byService[r.service] = append(byService[r.service], r)
 	}
-	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(b.at, a.at) })
-	count, last := 0, time.Duration(0)
-	for _, r := range records {
-		if count > 0 && last-r.at < crashSpacing {
-			continue
-		}
-		count, last = count+1, r.at
-		if count == crashThreshold {
-			return r.at + retention, true
+	for service, records := range byService {
+		in := newIncidents(records)
+		for part := range in.byPart {
+			if v, guilty := in.judge(service, part); guilty {
+				out = append(out, v)
+			}
 		}
 	}
-	return 0, false
+	return out
 }
 
 // commonParts returns the parts that all of the crashes have.
--- /dev/null
+++ b/router/internal/domain/quarantine/quarantine_test.go
@@ -0,0 +1,248 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"tanagerwood.dev/router/internal/domain/quarantine"
+)
+
+const service = "m"
+
+// crash records a crash of a new endpoint by a new request.
+func crash(t *quarantine.Tracker, now time.Duration, parts ...string) {
+	t.RecordCrash(service, fmt.Sprint("e", now), fmt.Sprint("r", now, parts), parts, now)
+}
+
+// answer records an answer that begins now.
+func answer(t *quarantine.Tracker, now time.Duration, parts ...string) {
+	t.RecordAnswer(service, parts, now, now+time.Second)
+}
+
+func blocked(t *quarantine.Tracker, now time.Duration, parts ...string) bool {
+	_, is := t.Blocked(service, parts, now)
+	return is
+}
+
+// Guards against requests that crash one engine after the other, and against blocking requests that share their other parts.
+func TestQuarantinesThePartThatCrashesHaveInCommon(t *testing.T) {
+	q := quarantine.New()
+	for n, parts := range [][]string{{"sys", "a", "dead"}, {"sys", "b", "dead"}, {"sys", "a", "dead"}} {
+		if blocked(q, time.Duration(n)*time.Second, "sys", "c", "dead") {
+			t.Error("blocked after", n, "crashes")
+		}
+		crash(q, time.Duration(n)*time.Second, parts...)
+		answer(q, time.Duration(n)*time.Second+time.Millisecond, "sys", "c")
+	}
+	if !blocked(q, 3*time.Second, "sys", "c", "dead") || !blocked(q, 3*time.Second, "dead") {
+		t.Error("not blocked")
+	}
+	if blocked(q, 3*time.Second, "sys", "a") || blocked(q, 3*time.Second, "sys", "b") || blocked(q, 3*time.Second) {
+		t.Error("a request without the part is blocked")
+	}
+	if _, other := q.Blocked("other", []string{"dead"}, 3*time.Second); other {
+		t.Error("blocked for another service")
+	}
+	if remaining, _ := q.Blocked(service, []string{"dead"}, 3*time.Second); remaining < time.Minute || remaining > 10*time.Minute {
+		t.Error("blocked for", remaining)
+	}
+}
+
+// Guards against blocking requests that have only some of the parts that always occurred together.
+func TestBlocksOnlyWhatCrashesHaveInCommon(t *testing.T) {
+	q := quarantine.New()
+	for n := range 4 {
+		crash(q, time.Duration(n)*time.Second, "x", "y")
+		answer(q, time.Duration(n)*time.Second+time.Millisecond, "sys")
+	}
+	if !blocked(q, 5*time.Second, "x", "y", "z") || blocked(q, 5*time.Second, "x") || blocked(q, 5*time.Second, "y") {
+		t.Error("want both parts, and only both, to be blocked:", q.Quarantined(5*time.Second))
+	}
+	answer(q, 6*time.Second, "y")
+	if !blocked(q, 7*time.Second, "x") || blocked(q, 7*time.Second, "y") {
+		t.Error("want the part that no answer has cleared:", q.Quarantined(7*time.Second))
+	}
+}
+
+// Guards against an outage in which all requests crash engines, and which lasts for as long as the crashes are remembered.
+func TestBlocksNothingWhileNoRequestIsAnswered(t *testing.T) {
+	q := quarantine.New()
+	for n := range 20 {
+		crash(q, time.Duration(n)*time.Second, "sys", fmt.Sprint("p", n%3))
+	}
+	if got := q.Quarantined(20 * time.Second); len(got) > 0 {
+		t.Error("quarantined:", got)
+	}
+}
+
+// Guards against crashes of many engines at once, for example by a loss of power, that mark a part which only then became frequent.
+func TestCrashesAtTheSameMomentCountOnce(t *testing.T) {
+	q := quarantine.New()
+	for n := range 9 {
+		crash(q, time.Second+time.Duration(n)*5*time.Millisecond, "sys", "new")
+	}
+	answer(q, 2*time.Second, "sys")
+	if blocked(q, 3*time.Second, "sys", "new") {
+		t.Error("blocked")
+	}
+}
+
+// Guards against marks by crashes that have nothing to do with prompts. In each run of ten minutes, engines crash every five seconds,
+// with up to two beginning answers each, while ten requests a second are answered; many parts are rare.
+func TestPlainCrashesMarkNoPart(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 30))
+		draw := func() []string {
+			return []string{"sys", fmt.Sprint("doc", int(random.ExpFloat64()*20)), fmt.Sprint("user", int(random.ExpFloat64()*50))}
+		}
+		q := quarantine.New()
+		for now := time.Duration(0); now < 10*time.Minute; now += 5 * time.Second {
+			for range random.IntN(3) {
+				crash(q, now, draw()...)
+			}
+			for n := range 50 {
+				answer(q, now+time.Duration(n+1)*100*time.Millisecond, draw()...)
+			}
+			if got := q.Quarantined(now); len(got) > 0 {
+				t.Errorf("seed %d: quarantined after %v: %v", seed, now, got)
+				break
+			}
+		}
+	}
+}
+
+// Guards against plain crashes that hide a part, and against two parts that hide each other.
+func TestFindsPartsAmongOtherCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 33))
+		q := quarantine.New()
+		for n := range 10 {
+			now := time.Duration(n) * time.Second
+			crash(q, now, "sys", fmt.Sprint("doc", n), fmt.Sprint("dead", n%2))
+			if n%4 == 0 {
+				crash(q, now+300*time.Millisecond, "sys", fmt.Sprint("other", n))
+			}
+			answer(q, now+time.Duration(random.IntN(900)+10)*time.Millisecond, "sys", fmt.Sprint("doc", n))
+		}
+		if !blocked(q, 10*time.Second, "sys", "dead0") || !blocked(q, 10*time.Second, "sys", "dead1") || blocked(q, 10*time.Second, "sys", "doc3") {
+			t.Error("seed", seed, "quarantined:", q.Quarantined(10*time.Second))
+		}
+	}
+}
+
+// Guards against a part that was harmless for long, and is therefore never found, and against an answer that began before a crash
+// and clears its part.
+func TestOnlyLaterAnswersClear(t *testing.T) {
+	q := quarantine.New()
+	for n := range 5 {
+		answer(q, time.Duration(n)*time.Second, "sys", "dead")
+	}
+	for n := range 3 {
+		now := time.Duration(10+n) * time.Second
+		crash(q, now, "sys", "dead")
+		q.RecordAnswer(service, []string{"sys", "dead"}, 9*time.Second, now+time.Millisecond)
+		answer(q, now+2*time.Millisecond, "sys")
+	}
+	if !blocked(q, 20*time.Second, "sys", "dead") {
+		t.Error("not blocked")
+	}
+}
+
+// Guards against a part that is blocked forever after the engines were mended.
+func TestForgetsCrashes(t *testing.T) {
+	q := quarantine.New()
+	for n := range 3 {
+		crash(q, time.Duration(n)*time.Second, "dead")
+		answer(q, time.Duration(n)*time.Second+time.Millisecond, "sys")
+	}
+	if !blocked(q, 9*time.Minute, "dead") || blocked(q, 11*time.Minute, "dead") {
+		t.Error("not blocked, or not forgotten")
+	}
+	q.Prune(11 * time.Minute)
+	if left := q.All(11 * time.Minute); len(left) > 0 {
+		t.Error("kept:", left)
+	}
+}
+
+// Guards against unbounded memory, and against crashes that push out those that quarantine a part.
+func TestBoundsRecords(t *testing.T) {
+	q := quarantine.New()
+	for n := range 3 {
+		crash(q, time.Duration(n)*time.Second, "dead")
+		answer(q, time.Duration(n)*time.Second+time.Millisecond, "sys")
+	}
+	long := make([]string, 1000)
+	for n := range long {
+		long[n] = fmt.Sprint("part-", n)
+	}
+	for n := range 2_000 {
+		q.RecordCrash(service, fmt.Sprint("e", n), fmt.Sprint("r", n), append([]string{fmt.Sprint("u", n)}, long[n%900:n%900+50]...), 5*time.Second)
+	}
+	records := q.All(6 * time.Second)
+	if len(records) > 64 || len(records[0].Parts) > 16 {
+		t.Error(len(records), "records with", len(records[0].Parts), "parts")
+	}
+	if !blocked(q, 6*time.Second, "dead") {
+		t.Error("the part is forgotten")
+	}
+}
+
+// Guards against instances that judge differently because they got the same records in another order, or more than once.
+func TestMergesInAnyOrder(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 31))
+		instances := []*quarantine.Tracker{quarantine.New(), quarantine.New(), quarantine.New()}
+		for step := range 200 {
+			now := time.Duration(step) * 100 * time.Millisecond
+			at := instances[random.IntN(3)]
+			parts := []string{fmt.Sprint("a", random.IntN(4)), fmt.Sprint("b", random.IntN(6))}
+			switch random.IntN(4) {
+			case 0:
+				crash(at, now, parts...)
+			case 1:
+				answer(at, now, parts...)
+			default:
+				instances[random.IntN(3)].MergePeer(at.All(now), now)
+			}
+		}
+		end := 20 * time.Second
+		for range 3 {
+			for _, from := range instances {
+				for _, to := range instances {
+					to.MergePeer(from.All(end), end)
+				}
+			}
+		}
+		if a, b, c := known(instances[0]), known(instances[1]), known(instances[2]); !reflect.DeepEqual(a, b) || !reflect.DeepEqual(b, c) {
+			t.Fatalf("seed %d: instances differ:\n%v\n%v\n%v", seed, a, b, c)
+		}
+	}
+}
+
+// known returns the records by request, without their ages.
+func known(q *quarantine.Tracker) map[string][]string {
+	out := map[string][]string{}
+	for _, c := range q.All(time.Minute) {
+		out[c.Request+" "+c.Endpoint] = append(slices.Sorted(slices.Values(c.Parts)), fmt.Sprint(c.OthersServed))
+	}
+	return out
+}
+
+// Guards against records of faulty instances: ages that overflow or lie in the future, and endless ids.
+func TestIgnoresInvalidRecords(t *testing.T) {
+	q := quarantine.New()
+	for _, age := range []int64{-1, 1 << 62, time.Hour.Milliseconds()} {
+		if q.MergePeer([]quarantine.Crash{{Request: "r", Endpoint: "e", Service: service, Parts: []string{"p"}, AgeMS: age}}, time.Minute) {
+			t.Error("taken over with an age of", age)
+		}
+	}
+	huge := string(make([]byte, 1<<20))
+	q.MergePeer([]quarantine.Crash{{Request: huge, Endpoint: huge, Service: huge, Parts: []string{huge, ""}}}, time.Minute)
+	if c := q.All(time.Minute)[0]; len(c.Request)+len(c.Endpoint)+len(c.Service) > 200 || len(c.Parts) > 0 {
+		t.Error("ids are not bounded")
+	}
+}
--- a/router/internal/fault/fault.go
+++ b/router/internal/fault/fault.go
@@ -35,6 +35,7 @@
 	IdempotencyKeyReused  Kind = "idempotency_key_reused"
 	IdempotencyKeyMissing Kind = "idempotency_key_missing"
 	NoEndpoint            Kind = "no_endpoint"
+	PromptQuarantined     Kind = "prompt_quarantined"
 	Draining              Kind = "draining"
 	Internal              Kind = "internal_error"
 	InvalidSettings       Kind = "invalid_settings"
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -207,6 +207,7 @@
 		return ep, known
 	}, clock.System{}.Boot())
 	p.limits.Prune()
+	p.quarantine.Prune(clock.System{}.Boot())
 	known := func(id string) bool {
 		_, ok := listed[id]
 		return ok
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -12,6 +12,7 @@
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/app/background"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 )
 
@@ -64,8 +65,8 @@
 }
 
 // newRegistry returns a metrics registry with gauges for dropped log lines, invalid latency samples and notices, leaving, paused
-// and limited endpoints, and the era of the platform's store.
-func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, storeEra func() uint64) metrics.Registry {
+// and limited endpoints, quarantined parts of prompts, and the era of the platform's store.
+func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, crashes *quarantine.Tracker, storeEra func() uint64) metrics.Registry {
 	r := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("pace.ignored", r, invalidSamples)
 	metrics.NewRegisteredFunctionalGauge("notices.ignored", r, tracker.InvalidNotices)
@@ -79,6 +80,10 @@
 	})
 	metrics.NewRegisteredFunctionalGauge("endpoints.limited", r, func() int64 { return int64(tracker.LimitedCount()) })
 	metrics.NewRegisteredFunctionalGauge("limit.requests_sent", r, tracker.TotalSentUnderLimit)
+	metrics.NewRegisteredFunctionalGauge("quarantine.prompts", r, func() int64 {
+		return int64(len(crashes.Quarantined(clock.System{}.Boot())))
+	})
+	metrics.NewRegisteredFunctionalGauge("quarantine.blocked_requests", r, crashes.BlockedRequests)
 	metrics.NewRegisteredFunctionalGauge("platform.era", r, func() int64 { return int64(storeEra()) })
 	if droppedLines != nil {
 		metrics.NewRegisteredFunctionalGauge("log.dropped_lines", r, droppedLines)
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -22,6 +22,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
+	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
@@ -40,6 +41,7 @@
 	availability *availability.Tracker
 	limits       *endpointlimit.Limiter
 	budget       *retrybudget.Budget
+	quarantine   *quarantine.Tracker
 	metrics      metrics.Registry
 }
 
@@ -55,6 +57,7 @@
 		availability: do.MustInvoke[*availability.Tracker](n.injector),
 		limits:       do.MustInvoke[*endpointlimit.Limiter](n.injector),
 		budget:       do.MustInvoke[*retrybudget.Budget](n.injector),
+		quarantine:   do.MustInvoke[*quarantine.Tracker](n.injector),
 		metrics:      do.MustInvoke[metrics.Registry](n.injector),
 	}
 }
@@ -187,9 +190,11 @@
 	latencyEstimator := latency.New()
 	availabilityTracker := availability.New(rand.Float64)
 	do.ProvideValue(i, availabilityTracker)
+	crashes := quarantine.New()
+	do.ProvideValue(i, crashes)
 	store := platform.NewStore(s.PlatformAddress, deadConnectionTimeout)
 	do.ProvideValue(i, store)
-	do.ProvideValue(i, newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, store.Era))
+	do.ProvideValue(i, newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era))
 	do.ProvideValue(i, inflight.NewTracker())
 	do.ProvideValue(i, latencyEstimator)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
@@ -234,7 +239,7 @@
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*routingcache.Cache](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			EndpointLoad: do.MustInvoke[*inflight.Tracker](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Transitions: do.MustInvoke[*stages.Transitions](i),
-			Health: do.MustInvoke[*health.Tracker](i), Availability: availabilityTracker, Boot: boot, Logger: logger,
+			Health: do.MustInvoke[*health.Tracker](i), Availability: availabilityTracker, Quarantine: crashes, Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*retrybudget.Budget, error) {
@@ -258,7 +263,8 @@
 			InstanceCount: n.fleetSize,
 			PeersSynced:   func() bool { return n.components.Load().peers.Joined() },
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
-			Random:        rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
+			Quarantine:    crashes, OnCrash: n.triggerReport,
+			Random: rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*rebalance.Rebalancer, error) {
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -15,22 +15,7 @@
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
 
-# only_known_failures PACKAGE NUMBER SPECS succeeds if the given number of specs that match is all that failed.
-only_known_failures() {
-  local package=$1 number=$2 specs=$3 plain
-  plain=$(sed 's/\x1b\[[0-9;]*m//g' "$output")
-  [ "$(grep -c $'^FAIL\t' <<<"$plain")" = 1 ] && grep -q $'^FAIL\t'"$package"$'\t' <<<"$plain" &&
-    [ "$(grep -c '\[FAIL\]' <<<"$plain")" = "$number" ] && [ "$(grep -c "\[FAIL\] $specs" <<<"$plain")" = "$number" ] &&
-    ! grep -q 'DATA RACE\|^panic:' <<<"$plain"
-}
-
-if ! go test -race -timeout 20m "${others[@]}" 2>&1 | tee "$output"; then
-  if only_known_failures tanagerwood.dev/router/internal/node 1 "a part of prompts that crashes engines \[It\] is learnt by all instances"; then
-    echo "KNOWN-RED: a spec of router/internal/node crashes one engine after the other; see KNOWN-RED.txt"
-  else
-    exit 1
-  fi
-fi
+go test -race -timeout 20m "${others[@]}"
 
 alone=(-count=1 -timeout 20m "$crashing")
 if go test -race "${alone[@]}" >"$output" 2>&1; then
