Read serve's list of instances around odd entries

Each entry is now decoded by itself, and one that describes no instance is skipped. platformhttp 'the list of instances is read around ...': six of six cases failed before, all pass.

--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
@@ -151,23 +153,56 @@
 
 // Instances implements port.Platform.
 func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
-	var list platform.InstanceList
+	var body rawBody
 	r := request{method: http.MethodGet, path: "/api/v1/instances"}
 	known := c.cachedInstances.Load()
 	if known != nil {
 		r.ifNoneMatch = known.etag
 	}
-	status, tag, err := c.callWithETag(ctx, r, &list)
+	status, tag, err := c.callWithETag(ctx, r, &body)
 	if err != nil {
 		return nil, err
 	}
 	if status == http.StatusNotModified && known != nil {
 		return slices.Clone(known.instances), nil
 	}
+	instances, err := decodeInstances(body)
+	if err != nil {
+		return nil, noResponseError(err, r, true)
+	}
 	if tag != "" {
-		c.cachedInstances.Store(&instanceList{etag: tag, instances: slices.Clone(list.Instances)})
+		c.cachedInstances.Store(&instanceList{etag: tag, instances: slices.Clone(instances)})
+	}
+	return instances, nil
+}
+
+// rawBody receives the body of a response that callWithETag does not decode.
+type rawBody []byte
+
+// decodeInstances decodes a list of instances. Each entry is decoded by itself, and one that does not describe an instance is skipped, so
+// that an odd entry of another writer does not hide the others.
+func decodeInstances(body []byte) ([]platform.Instance, error) {
+	list := gjson.GetBytes(body, "instances")
+	if !list.IsArray() || !strings.HasSuffix(list.Raw, "]") {
+		return nil, errors.New("the response has no list of instances")
+	}
+	var instances []platform.Instance
+	for _, entry := range list.Array() {
+		var in platform.Instance
+		if json.Unmarshal([]byte(entry.Raw), &in) != nil || in.Name == "" {
+			continue
+		}
+		if address, err := url.Parse(in.URL); err == nil && validPort(address.Port()) {
+			instances = append(instances, in)
+		}
 	}
-	return list.Instances, nil
+	return instances, nil
+}
+
+// validPort reports whether the port of a URL, which may be empty, is in range.
+func validPort(port string) bool {
+	_, err := strconv.ParseUint(port, 10, 16)
+	return port == "" || err == nil
 }
 
 func (c *Client) write(ctx context.Context, r request) (uint64, error) {
@@ -222,6 +257,10 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusCreated {
 		return resp.StatusCode, "", statusError(resp.StatusCode, body, r)
 	}
+	if raw, ok := into.(*rawBody); ok {
+		*raw = body
+		return resp.StatusCode, resp.Header.Get("ETag"), nil
+	}
 	if err := json.Unmarshal(body, into); err != nil {
 		return 0, "", noResponseError(fmt.Errorf("the response is not valid JSON: %w", err), r, true)
 	}
