Believe no refusal that may be an earlier one sent again

Reported by operators of similar systems, and true here: a server wrote an earlier refusal once more on a kept connection, and a caller was told that its request had not run although the server ran it (REFUSED), or it was sent to a second server (TWICE).

Cause: a response was matched to a request by the request's id alone, and a refusal without an id matched any. The id says nothing when the same request is sent again over the same connection, as after a KV cache that has expired, and a refused control call has none.

A request is no longer sent over a connection that has carried one with the same id. A failure without an id on a connection that has carried other requests makes the outcome unknown.

The soak plays such servers.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -60,17 +60,34 @@
 	// Header must not contain Host, Content-Length, Transfer-Encoding or Connection.
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to the request; if it is nil, the first response is used. A peer may first
-	// send an extra response to an earlier request, which is skipped.
-	Matches func(*http.Response) bool
+	// ID identifies the request among its repetitions; it may be empty. A request is not sent over a connection that has carried one
+	// with the same ID, because a faulty peer may send an earlier response again, and that would match.
+	ID string
+	// NewConnection has the request sent over a new connection, on which no earlier response can arrive.
+	NewConnection bool
+	// Match reports whether a response belongs to the request. kept is set if the connection has carried other requests before, whose
+	// responses a faulty peer may send again. If Match is nil, the first response is used.
+	Match func(resp *http.Response, kept bool) Match
 }
 
+// Match is whether a response belongs to a request.
+type Match int
+
+const (
+	// Belongs means that the response belongs to the request.
+	Belongs Match = iota
+	// BelongsToOther means that the response belongs to another request. It is skipped.
+	BelongsToOther
+	// Ambiguous means that the response may belong to the request or to an earlier one. The request fails with ErrNoMatchingResponse.
+	Ambiguous
+)
+
 // Do sends the request to the address over an idle connection or a new one, and returns when the head of the response is
 // read. At most maxConns connections to the address are open at once; zero means no limit. When ctx is done, the connection
 // is closed and the body cannot be read further. Closing the body before its end closes the connection, which cancels the
 // request at most peers.
 func (c *Client) Do(ctx context.Context, address string, maxConns int, r *Request) (*http.Response, error) {
-	cn, err := c.acquire(ctx, address, maxConns)
+	cn, err := c.acquire(ctx, address, maxConns, r)
 	if err != nil {
 		return nil, err
 	}
@@ -90,8 +107,8 @@
 	return resp, nil
 }
 
-func (c *Client) acquire(ctx context.Context, address string, maxConns int) (*conn, error) {
-	cn, err := c.takeIdle(address, maxConns)
+func (c *Client) acquire(ctx context.Context, address string, maxConns int, r *Request) (*conn, error) {
+	cn, err := c.takeIdle(address, maxConns, r)
 	if cn != nil || err != nil {
 		return cn, err
 	}
@@ -112,8 +129,9 @@
 	return raw.Close()
 }
 
-// takeIdle returns an idle connection. If there is none, it returns nil and counts a new one, which the caller must open.
-func (c *Client) takeIdle(address string, maxConns int) (*conn, error) {
+// takeIdle returns an idle connection that may carry the request. If there is none, it returns nil and counts a new one, which the caller
+// must open. An idle connection that may not carry the request is closed if its place is needed.
+func (c *Client) takeIdle(address string, maxConns int, r *Request) (*conn, error) {
 	c.mu.Lock()
 	var dead []*conn
 	defer func() {
@@ -128,15 +146,22 @@
 		c.peers[address] = p
 	}
 	now := time.Now()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		cn := p.idle[last]
-		p.idle = p.idle[:last]
-		if cn.usable(now) {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		cn := p.idle[i]
+		usable := cn.usable(now)
+		if usable && !cn.mayCarry(r) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if usable {
 			return cn, nil
 		}
 		dead = append(dead, cn)
 	}
+	if maxConns > 0 && p.open-len(dead) >= maxConns && len(p.idle) > 0 {
+		dead = append(dead, p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	if maxConns > 0 && p.open-len(dead) >= maxConns {
 		return nil, ErrTooManyConnections
 	}
@@ -196,6 +221,7 @@
 // exchange writes the request and reads the head of the response. The returned channel is closed when the whole body has
 // been written.
 func exchange(cn *conn, r *Request) (*http.Response, <-chan struct{}, error) {
+	kept := cn.recordRequest(r.ID)
 	head := appendHead(nil, r)
 	written := make(chan struct{})
 	if len(r.Body) <= syncBodyBytes {
@@ -215,7 +241,7 @@
 			}
 		}()
 	}
-	resp, err := readHead(cn, r)
+	resp, err := readHead(cn, r, kept)
 	return resp, written, err
 }
 
@@ -234,10 +260,10 @@
 )
 
 // ErrNoMatchingResponse means that the peer sent responses, none of which belongs to the request.
-var ErrNoMatchingResponse = errors.New("h1: the peer's answers belong to other requests; the request may have been carried out")
+var ErrNoMatchingResponse = errors.New("h1: the peer's answers belong, or may belong, to other requests; the request may have been carried out")
 
 // readHead reads the head of the response. Interim responses and responses to other requests are skipped.
-func readHead(cn *conn, r *Request) (*http.Response, error) {
+func readHead(cn *conn, r *Request, kept bool) (*http.Response, error) {
 	defer cn.unlimitHead()
 	for range maxSkipped {
 		cn.limitHead()
@@ -246,14 +272,18 @@
 			return nil, fmt.Errorf("h1: reading the answer: %w", err)
 		}
 		cn.unlimitHead()
+		match := Belongs
+		if r.Match != nil {
+			match = r.Match(resp, kept)
+		}
 		switch {
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("h1: the peer switches protocols without being asked")
 		case resp.StatusCode < 200:
 			continue
-		case r.Matches == nil || r.Matches(resp):
+		case match == Belongs:
 			return resp, nil
-		case resp.Close:
+		case match == Ambiguous || resp.Close:
 			return nil, ErrNoMatchingResponse
 		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxSkippedBytes); err != io.EOF {
--- a/api/h1/conn.go
+++ b/api/h1/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,8 +35,11 @@
 	// idleTimeout is how long the peer keeps the connection open without a request.
 	idleTimeout time.Duration
 	idleSince   time.Time
-	closeOnce   sync.Once
-	onClose     func()
+	// carried holds the IDs of the latest requests, at most maxCarriedIDs; hasCarried is set after the first request.
+	carried    []string
+	hasCarried bool
+	closeOnce  sync.Once
+	onClose    func()
 }
 
 func newConn(c net.Conn, onClose func()) *conn {
@@ -75,6 +79,27 @@
 	return err
 }
 
+// maxCarriedIDs is the number of requests whose IDs a connection remembers. Repetitions of a request follow within its timeout.
+const maxCarriedIDs = 64
+
+// recordRequest records that the connection carries a request, and reports whether it has carried others before.
+func (c *conn) recordRequest(id string) (kept bool) {
+	kept, c.hasCarried = c.hasCarried, true
+	if id == "" {
+		return kept
+	}
+	if len(c.carried) == maxCarriedIDs {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
+	return kept
+}
+
+// mayCarry reports whether a request may be sent over the connection, which is idle.
+func (c *conn) mayCarry(r *Request) bool {
+	return !r.NewConnection && (r.ID == "" || !slices.Contains(c.carried, r.ID))
+}
+
 // usable reports whether an idle connection can be used for another request: it has not been idle for too long, and the
 // peer has neither closed it nor sent bytes that belong to no request.
 func (c *conn) usable(now time.Time) bool {
--- a/api/h1/fuzz_test.go
+++ b/api/h1/fuzz_test.go
@@ -31,7 +31,12 @@
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		cn := newConn(replayConn{bytes.NewReader(answer)}, func() {})
 		mine := func(r *http.Response) bool { return r.Header.Get("X-Id") == "mine" }
-		resp, _, err := exchange(cn, &Request{Method: "GET", Target: "/", Host: "h", Matches: mine})
+		resp, _, err := exchange(cn, &Request{Method: "GET", Target: "/", Host: "h", Match: func(resp *http.Response, _ bool) Match {
+			if mine(resp) {
+				return Belongs
+			}
+			return BelongsToOther
+		}})
 		if err != nil {
 			return
 		}
--- a/api/h1/h1_test.go
+++ b/api/h1/h1_test.go
@@ -103,12 +103,17 @@
 func TestSkipsAnswersToOtherRequests(t *testing.T) {
 	late := "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nlate"
 	address, _ := scriptedPeer(t, false, "HTTP/1.1 103 Early Hints\r\n\r\n"+late+okResponse)
-	mine := func(resp *http.Response) bool { return resp.Header.Get("X-Id") == "mine" }
-	if _, body, err := get(client(), address, &h1.Request{Matches: mine}); body != "ok" || err != nil {
+	mine := func(resp *http.Response, _ bool) h1.Match {
+		if resp.Header.Get("X-Id") == "mine" {
+			return h1.Belongs
+		}
+		return h1.BelongsToOther
+	}
+	if _, body, err := get(client(), address, &h1.Request{Match: mine}); body != "ok" || err != nil {
 		t.Fatal(body, err)
 	}
 	address, _ = scriptedPeer(t, true, late)
-	if _, _, err := get(client(), address, &h1.Request{Matches: mine}); err == nil || errors.Is(err, h1.ErrNotSent) {
+	if _, _, err := get(client(), address, &h1.Request{Match: mine}); err == nil || errors.Is(err, h1.ErrNotSent) {
 		t.Fatal("an answer to another request alone must fail, as one that may have run:", err)
 	}
 }
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -169,7 +169,7 @@
 // misbehaviors are the variants of ServerMisbehavior.
 var misbehaviors = []standin.Fault{
 	standin.DroppedResponses, standin.ServerErrors, standin.ExtraResponses, standin.TruncatedResponses, standin.Refusals, standin.CloseDelimitedResponses,
-	standin.UnfinishedEvents, standin.EmptyStreams,
+	standin.UnfinishedEvents, standin.EmptyStreams, standin.RepeatedRefusals,
 }
 
 const (
