Go on with a stream only where the next server goes on with it

Reported by operators of similar systems, and partly true here: a stream had begun and broke off, and the next server answered with an error. Status codes other than 200 never reached the caller's stream, nor did a refusal or a lost connection. A server that begins the stream anew would have repeated events, and a stream whose events have no ids would have been sent again from its start.

Cause: the relay checked the status of the next answer and nothing else. After the first part of a response, an answer must now be a stream of events (or have no content type), and its first id must be greater than the last one passed on; a stream is resumed only if its events have ids.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -147,8 +147,8 @@
 
 	// mayHaveRun is set once an endpoint may have started to process the request.
 	mayHaveRun bool
-	// responseStarted is set once a part of the response was passed on to the caller.
-	responseStarted bool
+	// responseStarted is set once a part of the response was passed on to the caller, dataSent once an event with data was.
+	responseStarted, dataSent bool
 	// peersSynced is set once the state of the other instances as of this request is known.
 	peersSynced      bool
 	sends            int
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -50,7 +50,11 @@
 
 // isFinal reports whether another attempt is pointless or not allowed.
 func (r *requestState) isFinal(err error) bool {
-	return fault.Is(err, fault.Overloaded) || fault.Is(err, fault.PromptQuarantined) || fault.Is(err, fault.CallerDisconnected) || r.responseStarted && !r.route.Resumable
+	if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.PromptQuarantined) || fault.Is(err, fault.CallerDisconnected) {
+		return true
+	}
+	canResume := r.route.Resumable && (!r.dataSent || r.call.ResumeAfter != "")
+	return r.responseStarted && !canResume
 }
 
 // tryModel makes one attempt: it acquires a slot at a decode engine, runs the prefill and relays the stream.
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -30,9 +30,11 @@
 func (r *requestState) relayStream(answer *routing.Answer, recorder streamRecorder, start time.Duration, progress func()) error {
 	defer answer.Body.Close()
 	r.status = answer.Status
-	switch {
-	case answer.Status != http.StatusOK && r.responseStarted:
+	switch contentType := answer.Header.Get("Content-Type"); {
+	case r.responseStarted && answer.Status != http.StatusOK:
 		return fmt.Errorf("%w: status %d", errEndpointFailure, answer.Status)
+	case r.responseStarted && contentType != "" && !sse.IsEventStream(contentType):
+		return fmt.Errorf("%w: content type %q in place of the rest of a stream", errEndpointFailure, contentType)
 	case answer.Status != http.StatusOK:
 		return r.forwardResponse(answer)
 	}
@@ -54,7 +56,10 @@
 			r.eventCount += events
 			recorder.RecordEvents(events)
 			if sse.HasData(pending[:complete]) {
-				hasData = true
+				if !hasData && !sse.Follows(pending[:complete], r.call.ResumeAfter) {
+					return fmt.Errorf("%w: the stream does not go on after event %q", errEndpointFailure, r.call.ResumeAfter)
+				}
+				hasData, r.dataSent = true, true
 				progress()
 			}
 			if err := r.forwardEvents(answer, recorder, pending[:complete], start); err != nil {
--- a/router/internal/domain/sse/sse.go
+++ b/router/internal/domain/sse/sse.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 )
 
@@ -48,6 +49,20 @@
 	return false
 }
 
+// Follows reports whether the first ID in the events is greater than the given one. It is true if either is no number.
+func Follows(events []byte, id string) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		value, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		first, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		last, lastErr := strconv.ParseUint(id, 10, 64)
+		return err != nil || lastErr != nil || first > last
+	}
+	return true
+}
+
 // LastEventID returns the ID of the last event that has one, or previous if none has.
 func LastEventID(events []byte, previous string) string {
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
--- a/router/internal/domain/sse/sse_test.go
+++ b/router/internal/domain/sse/sse_test.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// Guards against a resumed stream that begins again, and against the end of one whose IDs are no numbers.
+func TestFollows(t *testing.T) {
+	for events, want := range map[string]bool{
+		"id: 8\ndata: a\n\nid: 1\n\n": true, "id: 7\n\n": false, "id:1\r\ndata: a\r\n\r\n": false, "data: a\n\n": true, "id: x\n\n": true, "": true,
+	} {
+		if got := sse.Follows([]byte(events), "7"); got != want {
+			t.Errorf("%q: follows %t, want %t", events, got, want)
+		}
+	}
+	if !sse.Follows([]byte("id: 1\n\n"), "") {
+		t.Error("the first event of a stream does not follow")
+	}
+}
+
 // Guards against bytes that are lost, or events that are split, depending on how the stream is divided into chunks.
 func FuzzComplete(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3"), uint8(3))
