Play a part of prompts that crashes engines in the soak; ask instances at once

Two checks follow the users' rules: after the fifth crash and 3 s at most three such requests reach servers from instances without a fault, and streams without the part begin at least half as often as before.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -21,7 +21,9 @@
 	servers map[string]*serverBoot
 	// limited holds the servers that announced request limits.
 	limited map[string]serverLimits
-	exits   []processExit
+	// deadly holds what was observed of the part that crashes engines.
+	deadly deadlyObservations
+	exits  []processExit
 	// lateStops, unrecovered and stillBusy name instances and servers that exceeded a bound.
 	lateStops, unrecovered, stillBusy []string
 
@@ -44,6 +46,8 @@
 	e.checkUnrequested()
 	e.checkOrders()
 	e.checkLimits()
+	e.checkDeadlyRequests()
+	e.checkSoundStreams()
 	e.checkRollback()
 	e.checkQuota()
 	e.checkCanceled()
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -66,6 +66,38 @@
 	e.limited["c1"] = l
 }
 
+// deadlyRequests has five engines crash by 10 s, and requests with the deadly part arrive from 14 s on.
+func (e *execution) deadlyRequests(count int) {
+	for n := range 5 {
+		e.deadly.crashes = append(e.deadly.crashes, at(6+float64(n)))
+	}
+	for n := range count {
+		s := e.refused(unsafeStream, fmt.Sprint("deadly-", n), http.StatusBadGateway, 14+float64(n))
+		s.deadly = true
+		e.deadly.arrivals = append(e.deadly.arrivals, standin.Arrival{At: s.began, ID: s.id})
+	}
+}
+
+// soundStreams has 20 streams sent from each of two times on, of which the given numbers begin.
+func (e *execution) soundStreams(before, after int) {
+	for start, begun := range map[float64]int{1: before, 20: after} {
+		for n := range 20 {
+			s := e.refused(unsafeStream, fmt.Sprint("sound-", start, n), http.StatusServiceUnavailable, start+0.1*float64(n))
+			if n < begun {
+				s.response = standin.Response{Status: http.StatusOK, Server: "d1", Body: wholeStream(s.id)}
+				e.ran(s, "d1", start+0.1*float64(n))
+			}
+		}
+	}
+}
+
+func wholeStream(id string) (body string) {
+	for n := range streamEvents {
+		body += fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n+1, n+1, id)
+	}
+	return body
+}
+
 func (e *execution) disturbed(scope string, planned bool, from, to float64) {
 	e.faults.intervals = append(e.faults.intervals, interval{scope: scope, planned: planned, from: at(from), to: at(to)})
 }
@@ -132,6 +164,11 @@
 			}
 		}),
 		Entry("a server above its limit", "request limits", func(e *execution, _ *sentRequest) { e.limitExceeded() }),
+		Entry("requests that go on crashing engines", "deadly prompts", func(e *execution, _ *sentRequest) { e.deadlyRequests(4) }),
+		Entry("sound streams that are refused with those that crash engines", "sound prompts", func(e *execution, _ *sentRequest) {
+			e.deadlyRequests(0)
+			e.soundStreams(20, 9)
+		}),
 		Entry("work on canceled requests", "callers gone", func(e *execution, _ *sentRequest) {
 			for range 5 {
 				s := e.served(unsafeStream, "brief-"+time.Duration(len(e.sent)).String(), "d1", 11)
@@ -190,6 +227,11 @@
 			e.limitExceeded()
 			e.limited["c1"].limits[1].PerSecond = 3
 		}),
+		Entry("a few requests that crash engines after they are known", func(e *execution, _ *sentRequest) { e.deadlyRequests(3) }),
+		Entry("requests that crash engines, of an instance that has just started", func(e *execution, _ *sentRequest) {
+			e.deadlyRequests(4)
+			e.disturbed("router-1", false, 13, 14)
+		}),
 		Entry("an answer that a killed instance cut", func(e *execution, s *sentRequest) {
 			e.disturbed("router-1", false, 10.05, 12)
 			s.response = standin.Response{Err: errors.New("cut")}
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -74,7 +74,9 @@
 	// canceledAt is when the caller disconnected; zero if it did not.
 	canceledAt time.Time
 	// version is the version whose own route was requested; zero for other kinds.
-	version  int
+	version int
+	// deadly is set if the prompt has the part that crashes engines.
+	deadly   bool
 	response standin.Response
 }
 
@@ -83,6 +85,7 @@
 	seed     uint64
 	operator *operator
 	balancer *balancer
+	deadly   *deadlyPart
 
 	mu   sync.Mutex
 	next int
@@ -168,6 +171,7 @@
 		q.PromptTokens, q.OutputTokens = limitedTokens, 1
 	case unsafeStream, resumableStream:
 		q.PromptTokens, q.OutputTokens, q.Timeout = promptTokens, outputTokens, streamCallerTimeout
+		q.PromptParts, s.deadly = l.deadly.promptParts(id)
 	}
 	q.Path = s.path
 	return s, q
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -35,6 +35,7 @@
 	ServerPathReset     Fault = "server-path-reset"
 	ServerPathSlow      Fault = "server-path-slow"
 	ServerLimit         Fault = "server-limit"
+	DeadlyPart          Fault = "deadly-part"
 	ConfigurationChange Fault = "configuration"
 	ConfigurationStorm  Fault = "configuration-storm"
 )
@@ -125,6 +126,7 @@
 		})
 	}
 	p.Actions = append(p.Actions, limitActions(seed, length)...)
+	p.Actions = append(p.Actions, deadlyActions(seed, length)...)
 	slices.SortFunc(p.Actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -33,8 +33,9 @@
 type machine struct {
 	name, service, stage, domain string
 	// run distinguishes the servers of a run from those of others on the same computer, which reuse the ports of crashed servers.
-	run   string
-	store *standin.Store
+	run    string
+	store  *standin.Store
+	deadly *deadlyPart
 
 	mu      sync.Mutex
 	current *serverBoot
@@ -81,6 +82,7 @@
 	}
 	b := &serverBoot{server: server, service: m.service, stage: m.stage, http: &http.Server{Handler: server}, path: path}
 	m.current, m.boots = b, append(m.boots, b)
+	server.CrashOn(deadlyPartID, func() { m.deadly.crash(m, b) })
 	server.SwitchTime = switchTime
 	server.OnStageChange = func(stage string) { m.stageChanged(b, stage) }
 	m.store.PutServer(m.entry(b, false))
@@ -129,6 +131,17 @@
 	return b
 }
 
+// claimIf is like claim, but only if the given server is the current one.
+func (m *machine) claimIf(b *serverBoot) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current != b {
+		return false
+	}
+	m.current = nil
+	return true
+}
+
 func (m *machine) end(b *serverBoot) error {
 	m.mu.Lock()
 	b.stoppedAt = time.Now()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -63,6 +63,7 @@
 	instances []*instance
 	balancer  *balancer
 	load      *load
+	deadly    *deadlyPart
 	faults    timeline
 	stopStore func()
 
@@ -98,6 +99,7 @@
 		t.load.run(loadCtx, o.Callers)
 	}()
 	t.runPlan(ctx)
+	t.deadly.stop()
 	unrecovered := t.awaitRecovery(ctx)
 	stopLoad()
 	<-loadDone
@@ -116,6 +118,7 @@
 		return nil, err
 	}
 	t := &testbed{options: o, store: standin.NewStore()}
+	t.deadly = &deadlyPart{faults: &t.faults}
 	server := httptest.NewServer(t.store)
 	t.stopStore = func() {
 		server.CloseClientConnections()
@@ -129,7 +132,7 @@
 		return nil, err
 	}
 	t.balancer = newBalancer(t.instances)
-	t.load = &load{seed: o.Plan.Seed, operator: t.operator, balancer: t.balancer}
+	t.load = &load{seed: o.Plan.Seed, operator: t.operator, balancer: t.balancer, deadly: t.deadly}
 	return t, nil
 }
 
@@ -146,7 +149,7 @@
 		}
 		for n := range group.count {
 			t.machines = append(t.machines, &machine{
-				name: fmt.Sprint(name, n+1), run: run, service: group.service, stage: group.stage, domain: domains[n%len(domains)], store: t.store,
+				name: fmt.Sprint(name, n+1), run: run, service: group.service, stage: group.stage, domain: domains[n%len(domains)], store: t.store, deadly: t.deadly,
 			})
 		}
 	}
@@ -243,6 +246,8 @@
 		}
 	case ServerLimit:
 		t.limitServers(a)
+	case DeadlyPart:
+		t.deadly.play(a)
 	default:
 		return t.disturbServers(a, m)
 	}
@@ -399,21 +404,32 @@
 	return nil
 }
 
-// awaitRecovery waits until every instance serves each kind of request, and returns those that do not within the bound.
+// awaitRecovery waits until every instance serves each kind of request, and returns those that do not within the bound. The instances
+// are asked at the same time, since a stream alone takes over half a second.
 func (t *testbed) awaitRecovery(ctx context.Context) (failing []string) {
 	ctx, cancel := context.WithTimeout(ctx, t.options.Bounds.Recovery)
 	defer cancel()
-	random := rand.New(rand.NewPCG(t.options.Plan.Seed, 0))
-	for _, i := range t.instances {
-		for _, k := range []kind{safeRequest, unsafeRequest, unsafeStream, resumableStream, newestRouteRequest} {
-			if !t.serves(ctx, i, k, random) {
-				failing = append(failing, fmt.Sprint(i.name, " ", k))
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for n, i := range t.instances {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(t.options.Plan.Seed, recoveryStream+uint64(n)))
+			for _, k := range []kind{safeRequest, unsafeRequest, unsafeStream, resumableStream, newestRouteRequest} {
+				if !t.serves(ctx, i, k, random) {
+					mu.Lock()
+					failing = append(failing, fmt.Sprint(i.name, " ", k))
+					mu.Unlock()
+				}
 			}
-		}
+		})
 	}
+	group.Wait()
 	return failing
 }
 
+// recoveryStream is the first of the random streams of a seed from which the requests after the last fault are drawn.
+const recoveryStream = 1 << 32
+
 func (t *testbed) serves(ctx context.Context, i *instance, k kind, random *rand.Rand) bool {
 	caller := standin.NewCaller()
 	defer caller.Close()
@@ -473,6 +489,7 @@
 	e := &execution{
 		bounds: t.options.Bounds, sent: t.load.sent, faults: &t.faults, versions: t.operator.all(), lateStops: t.lateStops,
 		runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{}, limited: map[string]serverLimits{},
+		deadly: t.deadly.observations(),
 	}
 	for _, m := range t.machines {
 		for _, b := range m.boots {
@@ -480,6 +497,7 @@
 			if limits := b.server.Limits(); len(limits) > 0 {
 				e.limited[b.server.ID] = serverLimits{limits: limits, arrivals: b.server.Arrivals()}
 			}
+			e.deadly.arrivals = append(e.deadly.arrivals, b.server.DeadlyArrivals()...)
 			for _, r := range b.server.Runs() {
 				e.runs[r.ID] = append(e.runs[r.ID], r)
 			}
--- a/lab/soak/timeline.go
+++ b/lab/soak/timeline.go
@@ -10,6 +10,8 @@
 const (
 	storeScope   = "store"
 	serversScope = "servers"
+	// deadlyScope marks the crashes of engines by the deadly part of prompts.
+	deadlyScope = "deadly"
 	// machineScope marks periods in which the machine did not run this process, and so possibly none of the others.
 	machineScope = "machine"
 )
