Keep what crashes engines through a restart of all instances

Crash records lived in the instances' memory. When all of them were killed at the same time, as users do in drills, the part was learnt again crash by crash, and more requests than the rule allows reached servers.

Cause: nothing of what was learnt was kept where it outlives the instances, which have no disks. The leading instance now keeps the records that support a quarantine in one object of the platform's store, with the time of each crash: it reads it once after its start and writes it when what is quarantined changes, or the store was restored from a backup.

--- a/router/internal/domain/quarantine/quarantine.go
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -175,6 +175,17 @@
 	return t.list(now, func(r record) bool { return mostOccurrences(r, occurrences) > 1 })
 }
 
+// Supporting lists the records that support a verdict.
+func (t *Tracker) Supporting(now time.Duration) []Crash {
+	inForce := t.state.Load().verdicts
+	return t.list(now, func(r record) bool { return r.supports(inForce) })
+}
+
+// supports reports whether the record is one of those from which a verdict was derived.
+func (r record) supports(inForce []verdict) bool {
+	return slices.ContainsFunc(inForce, func(v verdict) bool { return v.service == r.service && containsAll(r.parts, v.parts) })
+}
+
 func (t *Tracker) list(now time.Duration, include func(record) bool) (out []Crash) {
 	for id, r := range t.state.Load().crashes {
 		if include(r) {
@@ -248,6 +259,15 @@
 	return r
 }
 
+// Restore merges records that were stored, as if this instance had observed them, and reports whether anything has changed.
+func (t *Tracker) Restore(stored []Crash, now time.Duration) bool {
+	changed := t.MergePeer(stored, now)
+	if changed {
+		t.ownChanges.Add(1)
+	}
+	return changed
+}
+
 // Prune forgets old crashes.
 func (t *Tracker) Prune(now time.Duration) {
 	if !containsValue(t.state.Load().crashes, func(r record) bool { return now-r.at >= retention }) {
@@ -273,7 +293,7 @@
 	occurrences := countParts(crashes)
 	rank := func(r record) int {
 		switch {
-		case slices.ContainsFunc(inForce, func(v verdict) bool { return v.service == r.service && containsAll(r.parts, v.parts) }):
+		case r.supports(inForce):
 			return 2
 		case mostOccurrences(r, occurrences) > 1:
 			return 1
@@ -379,6 +399,7 @@
 			out = append(out, v.parts)
 		}
 	}
+	slices.SortFunc(out, slices.Compare)
 	return out
 }
 
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -188,6 +188,7 @@
 func (n *Node) startLoops(ctx context.Context, p *components) {
 	for name, loop := range map[string]func(context.Context){
 		"mirror": p.routingCache.Run, "peers": p.peers.Run, "dispatcher": p.dispatcher.Run, "rebalancer": p.rebalancer.Run, "settings": n.watchSettings,
+		"quarantine": p.crashStore.Run,
 		"connections": func(ctx context.Context) {
 			background.RunEvery(ctx, idleCheckInterval, func(context.Context) {
 				p.endpoints.CloseIdle()
--- a/router/internal/node/quarantine_test.go
+++ b/router/internal/node/quarantine_test.go
@@ -144,3 +144,25 @@
 		Expect(served).To(Equal(15))
 	})
 })
+
+var _ = Describe("what the instances have learnt about parts of prompts", func() {
+	// Guards against engines that crash again and again whenever all instances start at the same time.
+	It("outlives a restart of all instances", func() {
+		cluster := newTestCluster()
+		cluster.startFragile(4)
+		r := cluster.start("a")
+		refuses := func(r *router) bool {
+			return r.stream("/brief/x", "X-Prompt-Prefix", "aa:200,"+deadlyPart+":70,e:50").status == http.StatusServiceUnavailable
+		}
+		Eventually(func() bool {
+			Expect(r.stream("/digest/x", "X-Prompt-Prefix", "aa:200,f:50").err).NotTo(HaveOccurred())
+			return refuses(r)
+		}, eventuallyTimeout).WithPolling(crashPause).Should(BeTrue())
+		time.Sleep(2 * time.Second) // until it is stored
+		r.Stop()
+		Eventually(r.done, eventuallyTimeout).Should(Receive())
+		again := cluster.start("b")
+		time.Sleep(time.Second) // until it is read
+		Expect(refuses(again)).To(BeTrue())
+	})
+})
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -11,6 +11,7 @@
 	"tanagerwood.dev/platform"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/adapter/frontend"
+	"tanagerwood.dev/router/internal/app/crashstore"
 	"tanagerwood.dev/router/internal/app/dispatch"
 	"tanagerwood.dev/router/internal/app/forward"
 	"tanagerwood.dev/router/internal/app/gossip"
@@ -42,6 +43,7 @@
 	limits       *endpointlimit.Limiter
 	budget       *retrybudget.Budget
 	quarantine   *quarantine.Tracker
+	crashStore   *crashstore.Keeper
 	metrics      metrics.Registry
 }
 
@@ -58,6 +60,7 @@
 		limits:       do.MustInvoke[*endpointlimit.Limiter](n.injector),
 		budget:       do.MustInvoke[*retrybudget.Budget](n.injector),
 		quarantine:   do.MustInvoke[*quarantine.Tracker](n.injector),
+		crashStore:   do.MustInvoke[*crashstore.Keeper](n.injector),
 		metrics:      do.MustInvoke[metrics.Registry](n.injector),
 	}
 }
@@ -267,6 +270,13 @@
 			Random: rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
+	do.Provide(i, func(i do.Injector) (*crashstore.Keeper, error) {
+		peers := do.MustInvoke[*gossip.Service](i)
+		return crashstore.New(crashstore.Deps{
+			Store: do.MustInvoke[*platform.Store](i), Quarantine: crashes, IsLeader: func() bool { return peers.Joined() && peers.IsLeader() },
+			OnLoad: n.triggerReport, Boot: boot, Now: time.Now, Logger: logger,
+		}), nil
+	})
 	do.Provide(i, func(i do.Injector) (*rebalance.Rebalancer, error) {
 		peers := do.MustInvoke[*gossip.Service](i)
 		return rebalance.New(rebalance.Deps{
