Find a part that crashes engines also in most requests

With the part in six of ten requests, engines crashed every 100 ms or so and were all away together; hardly any other answer went on for 500 ms, which the quarantine waited for as evidence that not all requests crash engines.

Cause: the same evidence was asked for two different conclusions. That a part is harmless needs an answer that has gone on: three events now, or 500 ms. That a part is not simply in all requests needs only that an answer without it has begun. The records hold this for each part. A part that merely shares requests with the culprit, in the same incidents, is not suspected; and up to three culprits at a time don't count as other causes for each other.

A quarantine ends four minutes after the part's last crash, so that a mended engine is found, and begins again with the next crash for as long as the crashes before are remembered.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -163,9 +163,10 @@
 	eventCount int
 	priorWait  time.Duration
 	streamEnd  streamEnd
-	// answerBegan is the time since boot of the first event of the current attempt, or zero. answerProven is set once its answer has
-	// gone on for provenAfter.
+	// answerBegan is the time since boot of the first event of the current attempt, or zero, and answerEvents the number of its
+	// events. answerProven is set once the answer shows that the prompt does not crash engines.
 	answerBegan  time.Duration
+	answerEvents int
 	answerProven bool
 }
 
--- a/router/internal/app/forward/quarantine.go
+++ b/router/internal/app/forward/quarantine.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// provenAfter is how long an answer goes on until its prompt counts as harmless. A prompt that crashes engines does so at the
-	// beginning of the answer.
-	provenAfter = 500 * time.Millisecond
+	// provenAfter is how long an answer goes on, and provenEvents the number of its events, until its prompt counts as harmless. A
+	// prompt that crashes engines does so at the beginning of the answer.
+	provenAfter  = 500 * time.Millisecond
+	provenEvents = 3
 	// crashProbes is the number of attempts to connect to an engine that may have crashed, crashProbeInterval the time between them:
 	// connections of a process that ends may be closed before its listener is.
 	crashProbes        = 2
@@ -33,17 +34,22 @@
 		WithRetryAfter(remaining)
 }
 
-// recordAnswer notes that the answer has begun or goes on. An answer that has gone on for provenAfter, or has ended, clears the parts
-// of its prompt.
-func (r *requestState) recordAnswer(now time.Duration, ended bool) {
-	switch {
-	case r.answerBegan == 0 && !ended:
+// recordAnswer notes that events of the answer have arrived, or that it has ended. An answer that has gone on for provenAfter, has had
+// provenEvents or has ended is proven.
+func (r *requestState) recordAnswer(events int, ended bool) {
+	now := r.SinceBoot()
+	r.answerEvents += events
+	begins := r.answerBegan == 0 && r.answerEvents > 0
+	if begins {
 		r.answerBegan = now
-	case r.answerBegan > 0 && !r.answerProven && (ended || now-r.answerBegan >= provenAfter):
-		r.answerProven = true
-		if r.Quarantine.RecordAnswer(r.service.Name, r.req.Caller.SharedParts, r.answerBegan, now) {
-			r.OnCrash()
-		}
+	}
+	proven := r.answerBegan > 0 && (ended || r.answerEvents >= provenEvents || now-r.answerBegan >= provenAfter)
+	if !begins && (r.answerProven || !proven) {
+		return
+	}
+	r.answerProven = proven
+	if r.Quarantine.RecordAnswer(r.service.Name, r.req.Caller.SharedParts, proven, r.answerBegan, now) {
+		r.OnCrash()
 	}
 }
 
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -61,6 +61,7 @@
 				}
 				hasData, r.dataSent = true, true
 				progress()
+				r.recordAnswer(events, false)
 			}
 			if err := r.forwardEvents(answer, recorder, pending[:complete], start); err != nil {
 				return err
@@ -74,7 +75,7 @@
 			return errNoEvents
 		case ended:
 			recorder.RecordCompletion()
-			r.recordAnswer(r.SinceBoot(), true)
+			r.recordAnswer(0, true)
 			return r.finishStream(answer)
 		case err != nil:
 			return fmt.Errorf("reading the stream: %w", err)
@@ -105,7 +106,6 @@
 		r.call.ResumeAfter = sse.LastEventID(events, r.call.ResumeAfter)
 	}
 	now := r.SinceBoot()
-	r.recordAnswer(now, false)
 	if lastAt := r.durations.lastEventAt; lastAt > 0 {
 		r.durations.longestEventGap = max(r.durations.longestEventGap, now-lastAt)
 		if lastAt > start {
--- a/router/internal/domain/quarantine/quarantine.go
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -2,9 +2,8 @@
 //
 // Each crash of an engine that coincides with the beginning of an answer is recorded with the parts of that request's prompt. An answer
 // that goes on shows that its parts are harmless, and clears them from the crashes before it. A part that remains in several crashes,
-// while other requests of its service are answered, is quarantined: requests that hold everything these crashes have in common are
-// blocked until the crashes are forgotten. Crashes that happen by themselves hit requests at random, whose parts are cleared by the
-// next answer that shares them.
+// while answers to requests without it begin, is quarantined for a while: requests that hold everything these crashes have in common are
+// blocked. Crashes that happen by themselves hit requests at random, whose parts are cleared by the next answer that shares them.
 //
 // Instances exchange the records. Records only lose parts, so that they can be merged in any order and more than once.
 package quarantine
@@ -23,8 +22,13 @@
 	crashThreshold = 3
 	// crashSpacing is the time within which crashes count as one incident. Engines that lose power together crash within it.
 	crashSpacing = 100 * time.Millisecond
+	// quarantineTime is how long after its last crash a part is blocked. If it crashes an engine after that, it is blocked again at
+	// once, as long as the crashes before are remembered.
+	quarantineTime = 4 * time.Minute
 	// retention is how long a crash is remembered.
 	retention = 10 * time.Minute
+	// maxCulprits is the number of parts that are assumed to crash engines at the same time.
+	maxCulprits = 3
 	// maxCrashes bounds the records, maxParts the parts of each, and maxIDBytes the length of each id in it.
 	maxCrashes = 64
 	maxParts   = 16
@@ -40,8 +44,9 @@
 	Service  string `json:"service"`
 	// Parts holds the parts of the prompt that no later answer has cleared.
 	Parts []string `json:"parts,omitempty"`
-	// OthersServed is set once another request of the service has been answered after the crash.
-	OthersServed bool `json:"served,omitempty"`
+	// Others holds those of the parts without which an answer of the service has begun after the crash. The others may be in all
+	// requests, which may all crash engines.
+	Others []string `json:"others,omitempty"`
 	// AgeMS is the time in milliseconds since the crash.
 	AgeMS int64 `json:"age_ms"`
 }
@@ -51,22 +56,14 @@
 
 // record is a crash as this instance has it. It is immutable.
 type record struct {
-	service      string
-	parts        []string
-	othersServed bool
+	service       string
+	parts, others []string
 	// own is set if this instance has observed the crash.
 	own bool
 	// at is when the crash happened, learnedAt when this instance learned of it; since boot.
 	at, learnedAt time.Duration
 }
 
-// verdict blocks the requests of a service whose prompts hold all of the parts.
-type verdict struct {
-	service string
-	parts   []string
-	until   time.Duration
-}
-
 // state is immutable because the request path reads it without a lock.
 type state struct {
 	crashes  map[crashID]record
@@ -101,23 +98,21 @@
 	t.ownChanges.Add(1)
 }
 
-// RecordAnswer records that an answer which began at the given time went on. It clears the parts of its prompt from the crashes that
-// were known at that time, and reports whether anything has changed.
-func (t *Tracker) RecordAnswer(service string, parts []string, began, now time.Duration) bool {
-	clears := func(r record) bool {
-		return r.service == service && r.learnedAt <= began && (!r.othersServed || slices.ContainsFunc(r.parts, func(p string) bool { return slices.Contains(parts, p) }))
+// RecordAnswer records an answer that began at the given time. It concerns the crashes that were known at that time. If the answer is
+// proven, because it has gone on, it clears the parts of its prompt from them. RecordAnswer reports whether anything has changed.
+func (t *Tracker) RecordAnswer(service string, parts []string, proven bool, began, now time.Duration) bool {
+	affects := func(r record) bool {
+		return r.service == service && r.learnedAt <= began && (proven && containsAny(r.parts, parts) || !containsAll(r.others, without(r.parts, parts)))
 	}
-	if !containsValue(t.state.Load().crashes, clears) {
+	if !containsValue(t.state.Load().crashes, affects) {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	crashes := maps.Clone(t.state.Load().crashes)
 	for id, r := range crashes {
-		if clears(r) {
-			r.othersServed = true
-			r.parts = without(r.parts, parts)
-			crashes[id] = r
+		if affects(r) {
+			crashes[id] = r.afterAnswer(parts, proven)
 		}
 	}
 	t.store(crashes, now)
@@ -125,6 +120,21 @@
 	return true
 }
 
+// afterAnswer returns the record after an answer to a request with the given parts.
+func (r record) afterAnswer(parts []string, proven bool) record {
+	r.others = union(r.others, without(r.parts, parts))
+	if proven {
+		r.parts, r.others = without(r.parts, parts), without(r.others, parts)
+	}
+	return r
+}
+
+func union(a, b []string) []string { return append(slices.Clone(a), without(b, a)...) }
+
+func containsAny(parts, wanted []string) bool {
+	return slices.ContainsFunc(wanted, func(p string) bool { return slices.Contains(parts, p) })
+}
+
 func containsValue[K comparable, V any](m map[K]V, f func(V) bool) bool {
 	for _, v := range m {
 		if f(v) {
@@ -189,7 +199,7 @@
 func (t *Tracker) list(now time.Duration, include func(record) bool) (out []Crash) {
 	for id, r := range t.state.Load().crashes {
 		if include(r) {
-			out = append(out, Crash{Request: id.request, Endpoint: id.endpoint, Service: r.service, Parts: r.parts, OthersServed: r.othersServed, AgeMS: (now - r.at).Milliseconds()})
+			out = append(out, Crash{Request: id.request, Endpoint: id.endpoint, Service: r.service, Parts: r.parts, Others: r.others, AgeMS: (now - r.at).Milliseconds()})
 		}
 	}
 	return out
@@ -244,7 +254,7 @@
 	if !ok {
 		return c.AgeMS >= 0 && c.AgeMS < retention.Milliseconds()
 	}
-	return c.OthersServed && !r.othersServed || !containsAll(c.Parts, r.parts)
+	return !containsAll(c.Parts, r.parts) || !containsAll(r.others, intersection(c.Others, r.parts))
 }
 
 // mergeInto returns the record merged with the known one, if there is one.
@@ -252,13 +262,17 @@
 	r, ok := known[c.id()]
 	if !ok {
 		valid := slices.DeleteFunc(slices.Clone(c.Parts), func(p string) bool { return p == "" || len(p) > maxIDBytes })
-		return record{service: truncate(c.Service), parts: valid[:min(len(valid), maxParts)], othersServed: c.OthersServed, at: now - c.age(), learnedAt: now}
+		return record{service: truncate(c.Service), parts: valid[:min(len(valid), maxParts)], others: intersection(c.Others, valid), at: now - c.age(), learnedAt: now}
 	}
-	r.othersServed = r.othersServed || c.OthersServed
-	r.parts = slices.DeleteFunc(slices.Clone(r.parts), func(p string) bool { return !slices.Contains(c.Parts, p) })
+	r.parts = intersection(r.parts, c.Parts)
+	r.others = intersection(union(r.others, c.Others), r.parts)
 	return r
 }
 
+func intersection(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(p string) bool { return !slices.Contains(b, p) })
+}
+
 // Restore merges records that were stored, as if this instance had observed them, and reports whether anything has changed.
 func (t *Tracker) Restore(stored []Crash, now time.Duration) bool {
 	changed := t.MergePeer(stored, now)
@@ -306,92 +320,6 @@
 	})
 }
 
-// incidents holds the crashes of a service in order of time.
-type incidents struct {
-	// records holds the records of each incident: crashes within crashSpacing of the first one.
-	records [][]record
-	// byPart holds the indexes of the incidents in which each part occurs, in ascending order.
-	byPart map[string][]int
-}
-
-func newIncidents(records []record) *incidents {
-	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.at, b.at) })
-	in := &incidents{byPart: map[string][]int{}}
-	for _, r := range records {
-		if last := len(in.records) - 1; last < 0 || r.at-in.records[last][0].at >= crashSpacing {
-			in.records = append(in.records, nil)
-		}
-		index := len(in.records) - 1
-		in.records[index] = append(in.records[index], r)
-		for _, p := range r.parts {
-			if at := in.byPart[p]; len(at) == 0 || at[len(at)-1] != index {
-				in.byPart[p] = append(at, index)
-			}
-		}
-	}
-	return in
-}
-
-// recurs reports whether an incident has a part that occurs in crashThreshold incidents.
-func (in *incidents) recurs(index int) bool {
-	return slices.ContainsFunc(in.records[index], func(r record) bool {
-		return slices.ContainsFunc(r.parts, func(p string) bool { return len(in.byPart[p]) >= crashThreshold })
-	})
-}
-
-// judge returns the verdict on a part. Each incident between its own that has another cause raises the threshold by one: while engines
-// crash for other reasons, a part may occur in several incidents by chance.
-func (in *incidents) judge(service, part string) (verdict, bool) {
-	own := in.byPart[part]
-	others, served := 0, false
-	for i := own[0]; i <= own[len(own)-1]; i++ {
-		if !slices.Contains(own, i) && !in.recurs(i) {
-			others++
-		}
-	}
-	var common []record
-	for _, i := range own {
-		for _, r := range in.records[i] {
-			if slices.Contains(r.parts, part) {
-				common = append(common, r)
-				served = served || r.othersServed
-			}
-		}
-	}
-	if len(own) < crashThreshold+others || !served { // if no other request is answered, all of them may crash engines
-		return verdict{}, false
-	}
-	// The verdict ends when fewer than crashThreshold incidents are left.
-	last := in.records[own[len(own)-crashThreshold]][0].at
-	return verdict{service: service, parts: commonParts(common), until: last + retention}, true
-}
-
-// verdicts derives the verdicts from the records.
-func verdicts(crashes map[crashID]record) (out []verdict) {
-	byService := map[string][]record{}
-	for _, r := range crashes {
-		byService[r.service] = append(byService[r.service], r)
-	}
-	for service, records := range byService {
-		in := newIncidents(records)
-		for part := range in.byPart {
-			if v, guilty := in.judge(service, part); guilty {
-				out = append(out, v)
-			}
-		}
-	}
-	return out
-}
-
-// commonParts returns the parts that all of the crashes have.
-func commonParts(records []record) []string {
-	common := records[0].parts
-	for _, r := range records[1:] {
-		common = slices.DeleteFunc(slices.Clone(common), func(p string) bool { return !slices.Contains(r.parts, p) })
-	}
-	return slices.Sorted(slices.Values(common))
-}
-
 // Quarantined lists the parts of each verdict that is in force.
 func (t *Tracker) Quarantined(now time.Duration) (out [][]string) {
 	for _, v := range t.state.Load().verdicts {
--- /dev/null
+++ b/router/internal/domain/quarantine/verdict.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// verdict blocks the requests of a service whose prompts hold all of the parts.
+type verdict struct {
+	service string
+	parts   []string
+	until   time.Duration
+}
+
+// verdicts derives the verdicts from the records.
+func verdicts(crashes map[crashID]record) (out []verdict) {
+	byService := map[string][]record{}
+	for _, r := range crashes {
+		byService[r.service] = append(byService[r.service], r)
+	}
+	for service, records := range byService {
+		h := newHistory(records)
+		suspects := h.suspects()
+		for _, part := range suspects {
+			if h.isCulprit(part, suspects) {
+				last := h.incidents[part][len(h.incidents[part])-1]
+				out = append(out, verdict{service: service, parts: h.commonParts(part), until: h.starts[last] + quarantineTime})
+			}
+		}
+	}
+	return out
+}
+
+// history holds the crashes of a service. Crashes within crashSpacing are one incident.
+type history struct {
+	records []record
+	// starts holds the time of each incident, in ascending order.
+	starts []time.Duration
+	// occurrences holds the indexes of the records with each part, incidents those of the incidents, in ascending order.
+	occurrences, incidents map[string][]int
+}
+
+func newHistory(records []record) *history {
+	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.at, b.at) })
+	h := &history{records: records, occurrences: map[string][]int{}, incidents: map[string][]int{}}
+	for n, r := range records {
+		if len(h.starts) == 0 || r.at-h.starts[len(h.starts)-1] >= crashSpacing {
+			h.starts = append(h.starts, r.at)
+		}
+		incident := len(h.starts) - 1
+		for _, p := range r.parts {
+			h.occurrences[p] = append(h.occurrences[p], n)
+			if known := h.incidents[p]; len(known) == 0 || known[len(known)-1] != incident {
+				h.incidents[p] = append(known, incident)
+			}
+		}
+	}
+	return h
+}
+
+// suspects returns the parts with crashThreshold incidents, those with most incidents first. Parts are left out if a part that occurs
+// in fewer requests explains their incidents: engines that crash take other requests along, which share parts with the one that
+// crashed them.
+func (h *history) suspects() []string {
+	var frequent, suspects []string
+	for part, incidents := range h.incidents {
+		if len(incidents) >= crashThreshold {
+			frequent = append(frequent, part)
+		}
+	}
+	for _, part := range frequent {
+		if !slices.ContainsFunc(frequent, func(other string) bool { return h.explains(other, part) }) {
+			suspects = append(suspects, part)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(h.incidents[b]), len(h.incidents[a])), cmp.Compare(a, b))
+	})
+	return suspects
+}
+
+// explains reports whether a part occurs only in some of the records of another one, and is absent from fewer than crashThreshold of
+// its incidents.
+func (h *history) explains(part, other string) bool {
+	return len(h.occurrences[part]) < len(h.occurrences[other]) && countMissing(h.occurrences[other], h.occurrences[part]) == 0 &&
+		countMissing(h.incidents[part], h.incidents[other]) < crashThreshold
+}
+
+// countMissing returns the number of wanted values that are not in all.
+func countMissing(all, wanted []int) (missing int) {
+	for _, v := range wanted {
+		if !slices.Contains(all, v) {
+			missing++
+		}
+	}
+	return missing
+}
+
+// isCulprit reports whether a suspect crashes engines. Each incident between its own that no other suspect explains raises the threshold
+// by one: while engines crash for other reasons, a part may occur in several incidents by chance.
+func (h *history) isCulprit(part string, suspects []string) bool {
+	own := h.incidents[part]
+	unexplained := 0
+	for incident := own[0]; incident <= own[len(own)-1]; incident++ {
+		explained := slices.ContainsFunc(suspects[:min(len(suspects), maxCulprits)], func(s string) bool { return slices.Contains(h.incidents[s], incident) })
+		if !slices.Contains(own, incident) && !explained {
+			unexplained++
+		}
+	}
+	othersBegan := slices.ContainsFunc(h.occurrences[part], func(n int) bool { return slices.Contains(h.records[n].others, part) })
+	return othersBegan && len(own) >= crashThreshold+unexplained
+}
+
+// commonParts returns the parts that all crashes with a part have in common.
+func (h *history) commonParts(part string) []string {
+	common := h.records[h.occurrences[part][0]].parts
+	for _, n := range h.occurrences[part][1:] {
+		common = intersection(common, h.records[n].parts)
+	}
+	return slices.Sorted(slices.Values(common))
+}
