--- a/router/internal/domain/retrydetect/retrydetect_test.go
+++ b/router/internal/domain/retrydetect/retrydetect_test.go
@@ -53,3 +53,46 @@
 		t.Error("a caller without samples to compare with counts as retrying")
 	}
 }
+
+// Guards against one caller with an extreme timeout, by whose measure all others of its route would have waited for hours.
+func TestOneExtremeTimeoutSaysNothingOfOthers(t *testing.T) {
+	const usual, extreme = 14 * time.Second, 24 * time.Hour
+	d := retrydetect.New()
+	now := time.Duration(0)
+	for range 100 {
+		now += 100 * time.Millisecond
+		d.PriorWait("m", "r", usual, now)
+	}
+	d.RecordRefusal("m", now)
+	d.PriorWait("m", "r", extreme, now)
+	for range 100 {
+		now += 100 * time.Millisecond
+		if waited := d.PriorWait("m", "r", usual, now); waited > time.Second {
+			t.Fatalf("a first attempt counts as having waited for %v", waited)
+		}
+		if waited := d.PriorWait("m", "r", usual-5*time.Second, now); waited < 3*time.Second || waited > 6*time.Second {
+			t.Fatalf("a caller that has waited for 5 s counts as having waited for %v", waited)
+		}
+	}
+}
+
+// Guards against a route whose callers have come to declare shorter timeouts, and all count as retrying from then on.
+func TestFollowsShorterTimeouts(t *testing.T) {
+	d := retrydetect.New()
+	now := time.Duration(0)
+	for range 1000 {
+		now += 100 * time.Millisecond
+		d.PriorWait("m", "r", 60*time.Second, now)
+	}
+	var last time.Duration
+	for n := range 6000 { // ten minutes, with a refusal every 10 s
+		now += 100 * time.Millisecond
+		if n%100 == 0 {
+			d.RecordRefusal("m", now)
+		}
+		last = d.PriorWait("m", "r", 6*time.Second, now)
+	}
+	if last > time.Second {
+		t.Errorf("a first attempt counts as having waited for %v", last)
+	}
+}
