Split the relay of a stream into its steps

relayStream had grown to some 60 lines with the checks of this issue. A streamRelay now holds what one stream needs, and passing on events, their times, the check of a continuation and the end are functions of their own. An answer of a model endpoint that is no stream of events now also shows, once it has ended, that its prompt crashes no engine.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -163,11 +163,11 @@
 	eventCount int
 	priorWait  time.Duration
 	streamEnd  streamEnd
-	// answerBegan is the time since boot of the first event of the current attempt, or zero, and answerEvents the number of its
-	// events. answerProven is set once the answer shows that the prompt does not crash engines.
-	answerBegan  time.Duration
-	answerEvents int
-	answerProven bool
+	// answerRequested is the time since boot at which the current attempt was sent, answerBegan that of its first event, or zero, and
+	// answerEvents the number of its events. answerProven is set once the answer shows that the prompt does not crash engines.
+	answerRequested, answerBegan time.Duration
+	answerEvents                 int
+	answerProven                 bool
 }
 
 // streamEnd describes the end of the latest stream for the log line of its request.
--- a/router/internal/app/forward/quarantine.go
+++ b/router/internal/app/forward/quarantine.go
@@ -40,8 +40,11 @@
 	now := r.SinceBoot()
 	r.answerEvents += events
 	begins := r.answerBegan == 0 && r.answerEvents > 0
-	if begins {
+	switch {
+	case begins:
 		r.answerBegan = now
+	case r.answerBegan == 0 && ended: // an answer that is no stream of events
+		r.answerBegan = r.answerRequested
 	}
 	proven := r.answerBegan > 0 && (ended || r.answerEvents >= provenEvents || now-r.answerBegan >= provenAfter)
 	if !begins && (r.answerProven || !proven) {
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -30,61 +30,99 @@
 func (r *requestState) relayStream(answer *routing.Answer, recorder streamRecorder, start time.Duration, progress func()) error {
 	defer answer.Body.Close()
 	r.status = answer.Status
-	switch contentType := answer.Header.Get("Content-Type"); {
-	case r.responseStarted && answer.Status != http.StatusOK:
-		return fmt.Errorf("%w: status %d", errEndpointFailure, answer.Status)
-	case r.responseStarted && contentType != "" && !sse.IsEventStream(contentType):
-		return fmt.Errorf("%w: content type %q in place of the rest of a stream", errEndpointFailure, contentType)
-	case answer.Status != http.StatusOK:
+	if r.responseStarted {
+		if err := checkContinuation(answer); err != nil {
+			return err
+		}
+	} else if answer.Status != http.StatusOK {
 		return r.forwardResponse(answer)
 	}
 	r.streamEnd = streamEnd{closeDelimited: answer.CloseDelimited}
-	var pending []byte
-	hasData := false
+	s := &streamRelay{requestState: r, answer: answer, recorder: recorder, start: start, progress: progress}
 	buffer := make([]byte, streamReadBytes)
 	for {
-		n, err := answer.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		ended := errors.Is(err, io.EOF)
-		complete := sse.CompleteLen(pending)
-		r.streamEnd.unfinishedBytes = len(pending) - complete
-		if ended && !r.expectsEvents(answer) {
-			complete = len(pending)
-		}
-		if complete > 0 {
-			events := sse.CountEvents(pending[:complete])
-			r.eventCount += events
-			recorder.RecordEvents(events)
-			if sse.HasData(pending[:complete]) {
-				if !hasData && !sse.Follows(pending[:complete], r.call.ResumeAfter) {
-					return fmt.Errorf("%w: the stream does not go on after event %q", errEndpointFailure, r.call.ResumeAfter)
-				}
-				hasData, r.dataSent = true, true
-				progress()
-				r.recordAnswer(events, false)
-			}
-			if err := r.forwardEvents(answer, recorder, pending[:complete], start); err != nil {
-				return err
-			}
-			pending = append(pending[:0], pending[complete:]...)
+		n, readErr := answer.Body.Read(buffer)
+		s.pending = append(s.pending, buffer[:n]...)
+		ended := errors.Is(readErr, io.EOF)
+		if err := s.forwardPending(ended); err != nil {
+			return err
 		}
 		switch {
-		case ended && sse.IsUnfinished(pending):
-			return errUnfinishedEvent
-		case ended && answer.CloseDelimited && !hasData && r.expectsEvents(answer):
-			return errNoEvents
 		case ended:
-			recorder.RecordCompletion()
-			r.recordAnswer(0, true)
-			return r.finishStream(answer)
-		case err != nil:
-			return fmt.Errorf("reading the stream: %w", err)
-		case len(pending) > maxEventBytes:
+			return s.finish()
+		case readErr != nil:
+			return fmt.Errorf("reading the stream: %w", readErr)
+		case len(s.pending) > maxEventBytes:
 			return fmt.Errorf("%w: event is larger than %d bytes", routing.ErrMalformed, maxEventBytes)
 		}
 	}
 }
 
+// checkContinuation returns an error if an answer cannot be the rest of a stream whose beginning was passed on.
+func checkContinuation(answer *routing.Answer) error {
+	switch contentType := answer.Header.Get("Content-Type"); {
+	case answer.Status != http.StatusOK:
+		return fmt.Errorf("%w: status %d", errEndpointFailure, answer.Status)
+	case contentType != "" && !sse.IsEventStream(contentType):
+		return fmt.Errorf("%w: content type %q in place of the rest of a stream", errEndpointFailure, contentType)
+	}
+	return nil
+}
+
+// streamRelay passes on one stream.
+type streamRelay struct {
+	*requestState
+	answer   *routing.Answer
+	recorder streamRecorder
+	start    time.Duration
+	progress func()
+	// pending holds the bytes that were read and not yet passed on. hasData is set once an event with data was passed on.
+	pending []byte
+	hasData bool
+}
+
+// forwardPending passes the complete events on, and at the end of a body that is no stream of events all of it.
+func (s *streamRelay) forwardPending(ended bool) error {
+	complete := sse.CompleteLen(s.pending)
+	s.streamEnd.unfinishedBytes = len(s.pending) - complete
+	if ended && !s.expectsEvents(s.answer) {
+		complete = len(s.pending)
+	}
+	if complete == 0 {
+		return nil
+	}
+	events := s.pending[:complete]
+	count := sse.CountEvents(events)
+	s.eventCount += count
+	s.recorder.RecordEvents(count)
+	if sse.HasData(events) {
+		if !s.hasData && !sse.Follows(events, s.call.ResumeAfter) {
+			return fmt.Errorf("%w: the stream does not go on after event %q", errEndpointFailure, s.call.ResumeAfter)
+		}
+		s.hasData, s.dataSent = true, true
+		s.progress()
+		s.recordAnswer(count, false)
+	}
+	if err := s.forwardEvents(events); err != nil {
+		return err
+	}
+	s.pending = append(s.pending[:0], s.pending[complete:]...)
+	return nil
+}
+
+// finish ends a complete stream. It starts the response if the stream had no events.
+func (s *streamRelay) finish() error {
+	switch {
+	case sse.IsUnfinished(s.pending):
+		return errUnfinishedEvent
+	case s.answer.CloseDelimited && !s.hasData && s.expectsEvents(s.answer):
+		return errNoEvents
+	}
+	s.recorder.RecordCompletion()
+	s.recordAnswer(0, true)
+	return s.startResponse(s.answer)
+}
+
 var (
 	// errUnfinishedEvent indicates a stream that broke off inside an event.
 	errUnfinishedEvent = fmt.Errorf("reading the stream: the stream ends inside an event: %w", io.ErrUnexpectedEOF)
@@ -98,30 +136,35 @@
 }
 
 // forwardEvents passes complete events on to the caller.
-func (r *requestState) forwardEvents(answer *routing.Answer, recorder streamRecorder, events []byte, start time.Duration) error {
-	if err := r.startResponse(answer); err != nil {
+func (s *streamRelay) forwardEvents(events []byte) error {
+	if err := s.startResponse(s.answer); err != nil {
 		return err
 	}
-	if r.route.Resumable {
-		r.call.ResumeAfter = sse.LastEventID(events, r.call.ResumeAfter)
+	if s.route.Resumable {
+		s.call.ResumeAfter = sse.LastEventID(events, s.call.ResumeAfter)
 	}
-	now := r.SinceBoot()
-	if lastAt := r.durations.lastEventAt; lastAt > 0 {
-		r.durations.longestEventGap = max(r.durations.longestEventGap, now-lastAt)
-		if lastAt > start {
-			recorder.RecordEventGap(now - lastAt)
+	s.recordEventTimes(s.SinceBoot())
+	return s.writer.WriteChunk(events)
+}
+
+// recordEventTimes records the time to the first event, and the time since the latest one.
+func (s *streamRelay) recordEventTimes(now time.Duration) {
+	if lastAt := s.durations.lastEventAt; lastAt > 0 {
+		s.durations.longestEventGap = max(s.durations.longestEventGap, now-lastAt)
+		if lastAt > s.start {
+			s.recorder.RecordEventGap(now - lastAt)
 		}
 	}
-	r.durations.lastEventAt = now
-	if r.durations.firstEvent == 0 {
-		r.durations.firstEvent, r.durations.arrivalToFirstEvent = now-start, now-r.req.Arrived
-		if r.durations.prefill > 0 {
-			r.Timings.RecordDecodeStart(r.service.Name, r.durations.firstEvent)
-			recorder.RecordFirstEvent(r.durations.firstEvent)
-		}
-		r.metrics.firstEvent.Update(r.durations.arrivalToFirstEvent.Milliseconds())
+	s.durations.lastEventAt = now
+	if s.durations.firstEvent != 0 {
+		return
 	}
-	return r.writer.WriteChunk(events)
+	s.durations.firstEvent, s.durations.arrivalToFirstEvent = now-s.start, now-s.req.Arrived
+	if s.durations.prefill > 0 {
+		s.Timings.RecordDecodeStart(s.service.Name, s.durations.firstEvent)
+		s.recorder.RecordFirstEvent(s.durations.firstEvent)
+	}
+	s.metrics.firstEvent.Update(s.durations.arrivalToFirstEvent.Milliseconds())
 }
 
 func (r *requestState) startResponse(answer *routing.Answer) error {
@@ -131,6 +174,3 @@
 	r.responseStarted = true
 	return r.writer.WriteHeader(answer.Status, answer.Header)
 }
-
-// finishStream ends a complete stream. It starts the response if the stream had no events.
-func (r *requestState) finishStream(answer *routing.Answer) error { return r.startResponse(answer) }
