Lock the fake store in the tests of crashstore

Virtual time kept the order, the detector cannot know that. The product's code is not in any of the reports.

--- a/router/internal/app/crashstore/crashstore_test.go
+++ b/router/internal/app/crashstore/crashstore_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 
 // fakeStore holds one value.
 type fakeStore struct {
+	mu       sync.Mutex
 	value    json.RawMessage
 	revision uint64
 	err      error
@@ -26,12 +28,29 @@
 	era      uint64
 }
 
+// change runs a function while no call is made.
+func (f *fakeStore) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+func (f *fakeStore) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 func (f *fakeStore) ReadState(context.Context, string) (json.RawMessage, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls++
 	return f.value, f.revision, f.err
 }
 
 func (f *fakeStore) WriteState(_ context.Context, _ string, revision uint64, value any) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls++
 	if f.err != nil {
 		return f.err
@@ -45,7 +64,11 @@
 	return err
 }
 
-func (f *fakeStore) Era() uint64 { return f.era }
+func (f *fakeStore) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
 
 // start runs a keeper until the test ends and returns its crash records.
 func start(t *testing.T, store *fakeStore, leads bool) (*quarantine.Tracker, func() time.Duration) {
@@ -103,13 +126,13 @@
 		start(t, store, false)
 		q.RecordCrash("m", "e", "r", []string{"sys", "doc"}, boot())
 		time.Sleep(time.Minute)
-		if store.calls != 1 {
-			t.Errorf("%d calls without a quarantine, want one at the start of the leader", store.calls)
+		if calls := store.callCount(); calls != 1 {
+			t.Errorf("%d calls without a quarantine, want one at the start of the leader", calls)
 		}
 		crashThree(q, boot, "dead")
 		time.Sleep(time.Minute)
-		if store.calls != 3 {
-			t.Errorf("%d calls after a quarantine, want three", store.calls)
+		if calls := store.callCount(); calls != 3 {
+			t.Errorf("%d calls after a quarantine, want three", calls)
 		}
 	})
 }
@@ -122,22 +145,22 @@
 		q, boot := start(t, store, true)
 		other, bootOther := start(t, store, true)
 		time.Sleep(time.Second)
-		store.err = errors.New("away")
+		store.change(func() { store.err = errors.New("away") })
 		crashThree(q, boot, "dead")
 		crashThree(other, bootOther, "mort")
 		time.Sleep(10 * time.Second)
-		store.err = nil
+		store.change(func() { store.err = nil })
 		time.Sleep(10 * time.Second)
 		check := func(when string) {
 			t.Helper()
 			again, bootAgain := start(t, store, true)
 			time.Sleep(time.Second)
 			if !isBlocked(again, bootAgain, "dead") || !isBlocked(again, bootAgain, "mort") {
-				t.Errorf("%s: stored %s", when, store.value)
+				store.change(func() { t.Errorf("%s: stored %s", when, store.value) })
 			}
 		}
 		check("after an outage")
-		store.value, store.revision, store.era = nil, 0, 1
+		store.change(func() { store.value, store.revision, store.era = nil, 0, 1 })
 		time.Sleep(10 * time.Second)
 		check("after a restore")
 	})
