Name the quarantine's rules, causes and sustained answers in usual terms

The words verdict, culprit, suspect and proven of the quarantine, and deadly of the stand-ins and the soak, were figures of speech. They are now block rules, causes, candidates, sustained answers and poison parts, the usual term for a message that makes its consumers fail. Comments of the package say the same in fewer words. Names and comments only; the fault and the check of the soak are called poison-part and poison prompts.

--- a/lab/soak/bounds.go
+++ b/lab/soak/bounds.go
@@ -21,9 +21,9 @@
 	LimitSettle, LimitNotice, LimitWindow time.Duration
 	LimitTolerance, LimitSlack            float64
 	// LearningCrashes is the number of crashes after which, and LearningTime the time after them in which, the instances must know
-	// the part of prompts that causes them. After that, at most DeadlyRequests requests with it reach servers, and from
+	// the part of prompts that causes them. After that, at most PoisonRequests requests with it reach servers, and from
 	// SoundTime after the crashes on, streams without it begin at least SoundShare times as often as before.
-	LearningCrashes, DeadlyRequests int
+	LearningCrashes, PoisonRequests int
 	LearningTime, SoundTime         time.Duration
 	SoundShare                      float64
 	// CancelDelay is how long servers may keep working on a request after its caller has disconnected.
@@ -44,7 +44,7 @@
 	return Bounds{
 		Stable: 3 * time.Second, ApplyDelay: 2 * time.Second, Rollback: 250 * time.Millisecond, Drain: 2 * time.Second,
 		LimitSettle: 3 * time.Second, LimitNotice: 500 * time.Millisecond, LimitWindow: 4 * time.Second, LimitTolerance: 1.5, LimitSlack: 5,
-		LearningCrashes: 5, DeadlyRequests: 3, LearningTime: 3 * time.Second, SoundTime: 6 * time.Second, SoundShare: 0.5,
+		LearningCrashes: 5, PoisonRequests: 3, LearningTime: 3 * time.Second, SoundTime: 6 * time.Second, SoundShare: 0.5,
 		CancelDelay: 500 * time.Millisecond, Grace: 8 * time.Second, Recovery: 12 * time.Second,
 		QuotaWindow: 8 * time.Second, QuotaExcess: 0.1, QuotaSlack: 120_000,
 	}
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -21,8 +21,8 @@
 	servers map[string]*serverBoot
 	// limited holds the servers that announced request limits.
 	limited map[string]serverLimits
-	// deadly holds what was observed of the part that crashes engines.
-	deadly deadlyObservations
+	// poison holds what was observed of the part that crashes engines.
+	poison poisonObservations
 	exits  []processExit
 	// lateStops, unrecovered and stillBusy name instances and servers that exceeded a bound.
 	lateStops, unrecovered, stillBusy []string
@@ -46,7 +46,7 @@
 	e.checkUnrequested()
 	e.checkOrders()
 	e.checkLimits()
-	e.checkDeadlyRequests()
+	e.checkPoisonRequests()
 	e.checkSoundStreams()
 	e.checkRollback()
 	e.checkQuota()
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -66,15 +66,15 @@
 	e.limited["c1"] = l
 }
 
-// deadlyRequests has five engines crash by 10 s, and requests with the deadly part arrive from 14 s on.
-func (e *execution) deadlyRequests(count int) {
+// poisonRequests has five engines crash by 10 s, and requests with the poison part arrive from 14 s on.
+func (e *execution) poisonRequests(count int) {
 	for n := range 5 {
-		e.deadly.crashes = append(e.deadly.crashes, at(6+float64(n)))
+		e.poison.crashes = append(e.poison.crashes, at(6+float64(n)))
 	}
 	for n := range count {
-		s := e.refused(unsafeStream, fmt.Sprint("deadly-", n), http.StatusBadGateway, 14+float64(n))
-		s.deadly = true
-		e.deadly.arrivals = append(e.deadly.arrivals, standin.Arrival{At: s.began, ID: s.id})
+		s := e.refused(unsafeStream, fmt.Sprint("poison-", n), http.StatusBadGateway, 14+float64(n))
+		s.poison = true
+		e.poison.arrivals = append(e.poison.arrivals, standin.Arrival{At: s.began, ID: s.id})
 	}
 }
 
@@ -164,9 +164,9 @@
 			}
 		}),
 		Entry("a server above its limit", "request limits", func(e *execution, _ *sentRequest) { e.limitExceeded() }),
-		Entry("requests that go on crashing engines", "deadly prompts", func(e *execution, _ *sentRequest) { e.deadlyRequests(4) }),
+		Entry("requests that go on crashing engines", "poison prompts", func(e *execution, _ *sentRequest) { e.poisonRequests(4) }),
 		Entry("sound streams that are refused with those that crash engines", "sound prompts", func(e *execution, _ *sentRequest) {
-			e.deadlyRequests(0)
+			e.poisonRequests(0)
 			e.soundStreams(20, 9)
 		}),
 		Entry("work on canceled requests", "callers gone", func(e *execution, _ *sentRequest) {
@@ -227,9 +227,9 @@
 			e.limitExceeded()
 			e.limited["c1"].limits[1].PerSecond = 3
 		}),
-		Entry("a few requests that crash engines after they are known", func(e *execution, _ *sentRequest) { e.deadlyRequests(3) }),
+		Entry("a few requests that crash engines after they are known", func(e *execution, _ *sentRequest) { e.poisonRequests(3) }),
 		Entry("requests that crash engines, of an instance that has just started", func(e *execution, _ *sentRequest) {
-			e.deadlyRequests(4)
+			e.poisonRequests(4)
 			e.disturbed("router-1", false, 13, 14)
 		}),
 		Entry("an answer that a killed instance cut", func(e *execution, s *sentRequest) {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -27,8 +27,8 @@
 		}
 	case ServerLimit:
 		t.limitServers(a)
-	case DeadlyPart:
-		t.deadly.play(a)
+	case PoisonPart:
+		t.poison.play(a)
 	default:
 		return t.disturbServers(a, m)
 	}
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -75,8 +75,8 @@
 	canceledAt time.Time
 	// version is the version whose own route was requested; zero for other kinds.
 	version int
-	// deadly is set if the prompt has the part that crashes engines.
-	deadly   bool
+	// poison is set if the prompt has the part that crashes engines.
+	poison   bool
 	response standin.Response
 }
 
@@ -85,7 +85,7 @@
 	seed     uint64
 	operator *operator
 	balancer *balancer
-	deadly   *deadlyPart
+	poison   *poisonPart
 
 	mu   sync.Mutex
 	next int
@@ -171,7 +171,7 @@
 		q.PromptTokens, q.OutputTokens = limitedTokens, 1
 	case unsafeStream, resumableStream:
 		q.PromptTokens, q.OutputTokens, q.Timeout = promptTokens, outputTokens, streamCallerTimeout
-		q.PromptParts, s.deadly = l.deadly.promptParts(id)
+		q.PromptParts, s.poison = l.poison.promptParts(id)
 	}
 	q.Path = s.path
 	return s, q
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -35,7 +35,7 @@
 	ServerPathReset     Fault = "server-path-reset"
 	ServerPathSlow      Fault = "server-path-slow"
 	ServerLimit         Fault = "server-limit"
-	DeadlyPart          Fault = "deadly-part"
+	PoisonPart          Fault = "poison-part"
 	ConfigurationChange Fault = "configuration"
 	ConfigurationStorm  Fault = "configuration-storm"
 )
@@ -126,7 +126,7 @@
 		})
 	}
 	p.Actions = append(p.Actions, limitActions(seed, length)...)
-	p.Actions = append(p.Actions, deadlyActions(seed, length)...)
+	p.Actions = append(p.Actions, poisonActions(seed, length)...)
 	slices.SortFunc(p.Actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
--- /dev/null
+++ b/lab/soak/poison.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"tanagerwood.dev/platform/standin"
+)
+
+const (
+	// poisonPartID is the part of prompts that crashes engines.
+	poisonPartID = "dead"
+	// poisonPlanShare is the share of the plans with such a part, and minPoisonRequests and maxPoisonRequests bound the share of the
+	// streams that have it.
+	poisonPlanShare                      = 0.4
+	minPoisonRequests, maxPoisonRequests = 0.03, 0.2
+	// poisonPause is how long a crashed engine is away.
+	poisonPause = time.Second
+	// minSoundStreams is the number of streams from which their share of success is judged.
+	minSoundStreams = 20
+)
+
+// poisonActions draws whether and when a part of prompts becomes poison. It is drawn apart from the other faults, which are the same
+// with and without it.
+func poisonActions(seed uint64, length time.Duration) []Action {
+	random := rand.New(rand.NewPCG(seed, 3))
+	if random.Float64() >= poisonPlanShare {
+		return nil
+	}
+	at := warmUp + time.Duration(random.Float64()*float64(length-warmUp)/2)
+	return []Action{{At: at, Fault: PoisonPart, Duration: length - at, Variant: random.IntN(1 << 16)}}
+}
+
+// poisonPart is a part of prompts that crashes each decode engine that begins to answer one, while it is in play.
+type poisonPart struct {
+	faults *timeline
+
+	mu sync.Mutex
+	// share is the share of the streams that have the part; zero while it is not in play.
+	share   float64
+	crashes []time.Time
+	stopped bool
+	// restarts counts the engines that are about to start again.
+	restarts sync.WaitGroup
+}
+
+// play has callers send prompts with the part for the time of the action.
+func (p *poisonPart) play(a Action) {
+	p.setShare(minPoisonRequests + float64(a.Variant)/(1<<16)*(maxPoisonRequests-minPoisonRequests))
+	time.Sleep(a.Duration)
+	p.setShare(0)
+}
+
+func (p *poisonPart) setShare(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = share
+}
+
+// promptParts returns the parts of the prompt of a stream, and whether the poison part is among them. Prompts share their first part and
+// one of a few others, whether they have the poison part or not.
+func (p *poisonPart) promptParts(id string) (parts []string, poison bool) {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // a hash takes all
+	n := h.Sum64()
+	p.mu.Lock()
+	poison = float64(n%1000)/1000 < p.share
+	p.mu.Unlock()
+	parts = []string{"sys:200", fmt.Sprintf("doc%d:50", n/1000%5)}
+	if poison {
+		parts = append(parts, poisonPartID+":70")
+	}
+	return append(parts, id+":50"), poison
+}
+
+// crash ends the server, which another one replaces after poisonPause. A server that is leaving is not replaced and does not crash.
+func (p *poisonPart) crash(m *machine, b *serverBoot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped || !m.claimIf(b) {
+		return
+	}
+	p.crashes = append(p.crashes, time.Now())
+	end := p.faults.begin(poisonScope, false)
+	_ = m.end(b) // a server that is ended while it writes cannot report more than that
+	p.restarts.Go(func() {
+		time.Sleep(poisonPause)
+		m.store.RemoveServer(b.server.ID)
+		_ = m.start() // without it the run has one engine less
+		end()
+	})
+}
+
+// stop waits until all crashed engines have started again.
+func (p *poisonPart) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.restarts.Wait()
+}
+
+// poisonObservations holds the crashes by the poison part, and the requests with it that reached servers.
+type poisonObservations struct {
+	crashes  []time.Time
+	arrivals []standin.Arrival
+}
+
+func (p *poisonPart) observations() poisonObservations {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return poisonObservations{crashes: p.crashes}
+}
+
+// checkPoisonRequests checks that instances without a fault send no more requests with the poison part than the bound once it is known.
+func (e *execution) checkPoisonRequests() {
+	if len(e.poison.crashes) < e.bounds.LearningCrashes {
+		return
+	}
+	known := e.poison.crashes[e.bounds.LearningCrashes-1].Add(e.bounds.LearningTime)
+	sentBy := map[string]string{}
+	for _, s := range e.sent {
+		sentBy[s.id] = s.instance
+	}
+	var late []standin.Arrival
+	for _, a := range e.poison.arrivals {
+		if a.At.After(known) && e.faults.undisturbed(sentBy[a.ID], e.bounds.Stable, a.At, a.At) {
+			late = append(late, a)
+		}
+	}
+	if len(late) > e.bounds.PoisonRequests {
+		slices.SortFunc(late, func(a, b standin.Arrival) int { return a.At.Compare(b.At) })
+		e.add("poison prompts", late[e.bounds.PoisonRequests].ID, "%d requests with the part that has crashed %d engines reached servers later than %v after the fifth crash",
+			len(late), len(e.poison.crashes), e.bounds.LearningTime)
+	}
+}
+
+// checkSoundStreams checks that streams without the poison part begin about as often as before the first crash.
+func (e *execution) checkSoundStreams() {
+	crashes := e.poison.crashes
+	if len(crashes) == 0 {
+		return
+	}
+	known := crashes[min(len(crashes), e.bounds.LearningCrashes)-1].Add(e.bounds.SoundTime)
+	var before, after struct{ sent, begun float64 }
+	for _, s := range e.sent {
+		otherFault := func(v interval) bool { return !v.planned && v.scope != poisonScope }
+		if !s.kind.stream() || s.poison || !s.canceledAt.IsZero() || e.faults.overlaps(s.began.Add(-e.bounds.Stable), s.done, otherFault) {
+			continue
+		}
+		c := &before
+		if s.began.After(known) {
+			c = &after
+		} else if s.began.After(crashes[0]) {
+			continue
+		}
+		c.sent++
+		if s.response.Status == http.StatusOK {
+			c.begun++
+		}
+	}
+	if before.sent >= minSoundStreams && after.sent >= minSoundStreams && after.begun/after.sent < e.bounds.SoundShare*before.begun/before.sent {
+		e.add("sound prompts", "", "%.0f of %.0f streams without the poison part began after it was known, %.0f of %.0f before", after.begun, after.sent, before.begun, before.sent)
+	}
+}
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -35,7 +35,7 @@
 	// run distinguishes the servers of a run from those of others on the same computer, which reuse the ports of crashed servers.
 	run    string
 	store  *standin.Store
-	deadly *deadlyPart
+	poison *poisonPart
 
 	mu      sync.Mutex
 	current *serverBoot
@@ -82,7 +82,7 @@
 	}
 	b := &serverBoot{server: server, service: m.service, stage: m.stage, http: &http.Server{Handler: server}, path: path}
 	m.current, m.boots = b, append(m.boots, b)
-	server.CrashOn(deadlyPartID, func() { m.deadly.crash(m, b) })
+	server.CrashOn(poisonPartID, func() { m.poison.crash(m, b) })
 	server.SwitchTime = switchTime
 	server.OnStageChange = func(stage string) { m.stageChanged(b, stage) }
 	m.store.PutServer(m.entry(b, false))
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -62,7 +62,7 @@
 	instances []*instance
 	balancer  *balancer
 	load      *load
-	deadly    *deadlyPart
+	poison    *poisonPart
 	faults    timeline
 	stopStore func()
 
@@ -98,7 +98,7 @@
 		t.load.run(loadCtx, o.Callers)
 	}()
 	t.runPlan(ctx)
-	t.deadly.stop()
+	t.poison.stop()
 	unrecovered := t.awaitRecovery(ctx)
 	stopLoad()
 	<-loadDone
@@ -117,7 +117,7 @@
 		return nil, err
 	}
 	t := &testbed{options: o, store: standin.NewStore()}
-	t.deadly = &deadlyPart{faults: &t.faults}
+	t.poison = &poisonPart{faults: &t.faults}
 	server := httptest.NewServer(t.store)
 	t.stopStore = func() {
 		server.CloseClientConnections()
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	t.balancer = newBalancer(t.instances)
-	t.load = &load{seed: o.Plan.Seed, operator: t.operator, balancer: t.balancer, deadly: t.deadly}
+	t.load = &load{seed: o.Plan.Seed, operator: t.operator, balancer: t.balancer, poison: t.poison}
 	return t, nil
 }
 
@@ -148,7 +148,7 @@
 		}
 		for n := range group.count {
 			t.machines = append(t.machines, &machine{
-				name: fmt.Sprint(name, n+1), run: run, service: group.service, stage: group.stage, domain: domains[n%len(domains)], store: t.store, deadly: t.deadly,
+				name: fmt.Sprint(name, n+1), run: run, service: group.service, stage: group.stage, domain: domains[n%len(domains)], store: t.store, poison: t.poison,
 			})
 		}
 	}
@@ -312,7 +312,7 @@
 	e := &execution{
 		bounds: t.options.Bounds, sent: t.load.sent, faults: &t.faults, versions: t.operator.all(), lateStops: t.lateStops,
 		runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{}, limited: map[string]serverLimits{},
-		deadly: t.deadly.observations(),
+		poison: t.poison.observations(),
 	}
 	for _, m := range t.machines {
 		for _, b := range m.boots {
@@ -320,7 +320,7 @@
 			if limits := b.server.Limits(); len(limits) > 0 {
 				e.limited[b.server.ID] = serverLimits{limits: limits, arrivals: b.server.Arrivals()}
 			}
-			e.deadly.arrivals = append(e.deadly.arrivals, b.server.DeadlyArrivals()...)
+			e.poison.arrivals = append(e.poison.arrivals, b.server.PoisonArrivals()...)
 			for _, r := range b.server.Runs() {
 				e.runs[r.ID] = append(e.runs[r.ID], r)
 			}
--- a/lab/soak/timeline.go
+++ b/lab/soak/timeline.go
@@ -10,8 +10,8 @@
 const (
 	storeScope   = "store"
 	serversScope = "servers"
-	// deadlyScope marks the crashes of engines by the deadly part of prompts.
-	deadlyScope = "deadly"
+	// poisonScope marks the crashes of engines by the poison part of prompts.
+	poisonScope = "poison"
 	// machineScope marks periods in which the machine did not run this process, and so possibly none of the others.
 	machineScope = "machine"
 )
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -164,10 +164,10 @@
 	priorWait  time.Duration
 	streamEnd  streamEnd
 	// answerRequested is the time since boot at which the current attempt was sent, answerBegan that of its first event, or zero, and
-	// answerEvents the number of its events. answerProven is set once the answer shows that the prompt does not crash engines.
+	// answerEvents the number of its events. answerSustained is set once the answer shows that the prompt does not crash engines.
 	answerRequested, answerBegan time.Duration
 	answerEvents                 int
-	answerProven                 bool
+	answerSustained              bool
 }
 
 // streamEnd describes the end of the latest stream for the log line of its request.
--- a/router/internal/app/forward/quarantine.go
+++ b/router/internal/app/forward/quarantine.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// provenAfter is how long an answer goes on, and provenEvents the number of its events, until its prompt counts as harmless. A
+	// sustainedAfter is how long an answer goes on, and sustainedEvents the number of its events, until its prompt counts as harmless. A
 	// prompt that crashes engines does so at the beginning of the answer.
-	provenAfter  = 500 * time.Millisecond
-	provenEvents = 3
+	sustainedAfter  = 500 * time.Millisecond
+	sustainedEvents = 3
 	// crashProbes is the number of attempts to connect to an engine that may have crashed, crashProbeInterval the time between them:
 	// connections of a process that ends may be closed before its listener is.
 	crashProbes        = 2
@@ -34,8 +34,8 @@
 		WithRetryAfter(remaining)
 }
 
-// recordAnswer notes that events of the answer have arrived, or that it has ended. An answer that has gone on for provenAfter, has had
-// provenEvents or has ended is proven.
+// recordAnswer notes that events of the answer have arrived, or that it has ended. An answer that has gone on for sustainedAfter, has had
+// sustainedEvents or has ended is sustained.
 func (r *requestState) recordAnswer(events int, ended bool) {
 	now := r.SinceBoot()
 	r.answerEvents += events
@@ -46,12 +46,12 @@
 	case r.answerBegan == 0 && ended: // an answer that is no stream of events
 		r.answerBegan = r.answerRequested
 	}
-	proven := r.answerBegan > 0 && (ended || r.answerEvents >= provenEvents || now-r.answerBegan >= provenAfter)
-	if !begins && (r.answerProven || !proven) {
+	sustained := r.answerBegan > 0 && (ended || r.answerEvents >= sustainedEvents || now-r.answerBegan >= sustainedAfter)
+	if !begins && (r.answerSustained || !sustained) {
 		return
 	}
-	r.answerProven = proven
-	if r.Quarantine.RecordAnswer(r.service.Name, r.req.Caller.SharedParts, proven, r.answerBegan, now) {
+	r.answerSustained = sustained
+	if r.Quarantine.RecordAnswer(r.service.Name, r.req.Caller.SharedParts, sustained, r.answerBegan, now) {
 		r.OnCrash()
 	}
 }
@@ -60,7 +60,7 @@
 // Whether it ended is determined in the background.
 func (r *requestState) reportCrash(ep routing.Endpoint, err error) {
 	now := r.SinceBoot()
-	atBeginning := r.answerBegan == 0 || !r.answerProven && now-r.answerBegan < provenAfter
+	atBeginning := r.answerBegan == 0 || !r.answerSustained && now-r.answerBegan < sustainedAfter
 	if len(r.req.Caller.SharedParts) == 0 || !atBeginning || r.ctx.Err() != nil || !isBrokenConnection(err) {
 		return
 	}
--- a/router/internal/app/gossip/quarantine_test.go
+++ b/router/internal/app/gossip/quarantine_test.go
@@ -16,7 +16,7 @@
 // crashingFleet sends requests of all instances, some with a part that crashes engines.
 type crashingFleet struct{ *limitedFleet }
 
-// request places a request at an instance, and has it crash an engine if it has the deadly part and is not blocked. It reports whether
+// request places a request at an instance, and has it crash an engine if it has the poison part and is not blocked. It reports whether
 // an engine was asked.
 func (f crashingFleet) request(nd *node, id string, parts ...string) bool {
 	nd.RefreshView(nil)
@@ -51,7 +51,7 @@
 				for n := range 100 { // sound requests share all other parts
 					go f.request(pick(), fmt.Sprint("sound ", n), "sys", fmt.Sprint("doc", n%4))
 					if n%10 == 0 {
-						f.request(pick(), fmt.Sprint("deadly ", n), "sys", fmt.Sprint("doc", n%4), "dead")
+						f.request(pick(), fmt.Sprint("poison ", n), "sys", fmt.Sprint("doc", n%4), "dead")
 					}
 					if n == 25 && size > 10 {
 						collectors, _ := f.collectors()
--- a/router/internal/domain/quarantine/quarantine.go
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -1,9 +1,9 @@
 // Package quarantine finds the parts of prompts that crash engines and tells which requests must not be sent to them.
 //
 // Each crash of an engine that coincides with the beginning of an answer is recorded with the parts of that request's prompt. An answer
-// that goes on shows that its parts are harmless, and clears them from the crashes before it. A part that remains in several crashes,
-// while answers to requests without it begin, is quarantined for a while: requests that hold everything these crashes have in common are
-// blocked. Crashes that happen by themselves hit requests at random, whose parts are cleared by the next answer that shares them.
+// that is sustained shows that its parts are harmless, and clears them from the crashes before it. A part that remains in several
+// crashes, while answers to requests without it begin, is quarantined for a while: requests that hold everything these crashes have in
+// common are blocked. A crash with another cause hits requests at random, and the next answers that share their parts clear them.
 //
 // Instances exchange the records. Records only lose parts, so that they can be merged in any order and more than once.
 package quarantine
@@ -27,8 +27,8 @@
 	quarantineTime = 4 * time.Minute
 	// retention is how long a crash is remembered.
 	retention = 10 * time.Minute
-	// maxCulprits is the number of parts that are assumed to crash engines at the same time.
-	maxCulprits = 3
+	// maxCauses is the number of parts that are assumed to crash engines at the same time.
+	maxCauses = 3
 	// maxCrashes bounds the records, maxParts the parts of each, and maxIDBytes the length of each id in it.
 	maxCrashes = 64
 	maxParts   = 16
@@ -44,8 +44,8 @@
 	Service  string `json:"service"`
 	// Parts holds the parts of the prompt that no later answer has cleared.
 	Parts []string `json:"parts,omitempty"`
-	// Others holds those of the parts without which an answer of the service has begun after the crash. The others may be in all
-	// requests, which may all crash engines.
+	// Others holds those of the parts without which an answer of the service has begun after the crash. Nothing shows yet that there
+	// are requests without the rest of the parts.
 	Others []string `json:"others,omitempty"`
 	// AgeMS is the time in milliseconds since the crash.
 	AgeMS int64 `json:"age_ms"`
@@ -66,8 +66,8 @@
 
 // state is immutable because the request path reads it without a lock.
 type state struct {
-	crashes  map[crashID]record
-	verdicts []verdict
+	crashes map[crashID]record
+	rules   []blockRule
 }
 
 // Tracker holds the crashes of all instances. It is safe for concurrent use. Times are since boot.
@@ -98,11 +98,11 @@
 	t.ownChanges.Add(1)
 }
 
-// RecordAnswer records an answer that began at the given time. It concerns the crashes that were known at that time. If the answer is
-// proven, because it has gone on, it clears the parts of its prompt from them. RecordAnswer reports whether anything has changed.
-func (t *Tracker) RecordAnswer(service string, parts []string, proven bool, began, now time.Duration) bool {
+// RecordAnswer records an answer that began at the given time, which says something about the crashes that were known at that time. A
+// sustained answer clears the parts of its prompt from them. RecordAnswer reports whether anything has changed.
+func (t *Tracker) RecordAnswer(service string, parts []string, sustained bool, began, now time.Duration) bool {
 	affects := func(r record) bool {
-		return r.service == service && r.learnedAt <= began && (proven && containsAny(r.parts, parts) || !containsAll(r.others, without(r.parts, parts)))
+		return r.service == service && r.learnedAt <= began && (sustained && containsAny(r.parts, parts) || !containsAll(r.others, without(r.parts, parts)))
 	}
 	if !containsValue(t.state.Load().crashes, affects) {
 		return false
@@ -112,7 +112,7 @@
 	crashes := maps.Clone(t.state.Load().crashes)
 	for id, r := range crashes {
 		if affects(r) {
-			crashes[id] = r.afterAnswer(parts, proven)
+			crashes[id] = r.afterAnswer(parts, sustained)
 		}
 	}
 	t.store(crashes, now)
@@ -121,9 +121,9 @@
 }
 
 // afterAnswer returns the record after an answer to a request with the given parts.
-func (r record) afterAnswer(parts []string, proven bool) record {
+func (r record) afterAnswer(parts []string, sustained bool) record {
 	r.others = union(r.others, without(r.parts, parts))
-	if proven {
+	if sustained {
 		r.parts, r.others = without(r.parts, parts), without(r.others, parts)
 	}
 	return r
@@ -151,7 +151,7 @@
 
 // Blocked reports whether a request must not be sent, and for how long.
 func (t *Tracker) Blocked(service string, parts []string, now time.Duration) (remaining time.Duration, blocked bool) {
-	for _, v := range t.state.Load().verdicts {
+	for _, v := range t.state.Load().rules {
 		if v.service == service && now < v.until && containsAll(parts, v.parts) {
 			t.blocked.Add(1)
 			return v.until - now, true
@@ -185,15 +185,15 @@
 	return t.list(now, func(r record) bool { return mostOccurrences(r, occurrences) > 1 })
 }
 
-// Supporting lists the records that support a verdict.
+// Supporting lists the records that support a rule.
 func (t *Tracker) Supporting(now time.Duration) []Crash {
-	inForce := t.state.Load().verdicts
+	inForce := t.state.Load().rules
 	return t.list(now, func(r record) bool { return r.supports(inForce) })
 }
 
-// supports reports whether the record is one of those from which a verdict was derived.
-func (r record) supports(inForce []verdict) bool {
-	return slices.ContainsFunc(inForce, func(v verdict) bool { return v.service == r.service && containsAll(r.parts, v.parts) })
+// supports reports whether the record is one of those from which a rule was derived.
+func (r record) supports(inForce []blockRule) bool {
+	return slices.ContainsFunc(inForce, func(v blockRule) bool { return v.service == r.service && containsAll(r.parts, v.parts) })
 }
 
 func (t *Tracker) list(now time.Duration, include func(record) bool) (out []Crash) {
@@ -296,14 +296,14 @@
 func (t *Tracker) store(crashes map[crashID]record, now time.Duration) {
 	maps.DeleteFunc(crashes, func(_ crashID, r record) bool { return now-r.at >= retention })
 	for len(crashes) > maxCrashes {
-		delete(crashes, leastUseful(crashes, t.state.Load().verdicts))
+		delete(crashes, leastUseful(crashes, t.state.Load().rules))
 	}
-	t.state.Store(&state{crashes: crashes, verdicts: verdicts(crashes)})
+	t.state.Store(&state{crashes: crashes, rules: deriveRules(crashes)})
 }
 
 // leastUseful returns the record to give up first: the oldest that shares no part with others, otherwise the oldest that supports no
-// verdict, otherwise the oldest.
-func leastUseful(crashes map[crashID]record, inForce []verdict) crashID {
+// rule, otherwise the oldest.
+func leastUseful(crashes map[crashID]record, inForce []blockRule) crashID {
 	occurrences := countParts(crashes)
 	rank := func(r record) int {
 		switch {
@@ -320,9 +320,9 @@
 	})
 }
 
-// Quarantined lists the parts of each verdict that is in force.
+// Quarantined lists the parts of each rule that is in force.
 func (t *Tracker) Quarantined(now time.Duration) (out [][]string) {
-	for _, v := range t.state.Load().verdicts {
+	for _, v := range t.state.Load().rules {
 		if now < v.until && !slices.ContainsFunc(out, func(parts []string) bool { return slices.Equal(parts, v.parts) }) {
 			out = append(out, v.parts)
 		}
--- a/router/internal/domain/quarantine/verdict.go
+++ b/router/internal/domain/quarantine/rules.go
@@ -6,26 +6,26 @@
 	"time"
 )
 
-// verdict blocks the requests of a service whose prompts hold all of the parts.
-type verdict struct {
+// blockRule blocks the requests of a service whose prompts hold all of the parts.
+type blockRule struct {
 	service string
 	parts   []string
 	until   time.Duration
 }
 
-// verdicts derives the verdicts from the records.
-func verdicts(crashes map[crashID]record) (out []verdict) {
+// deriveRules derives the rules from the records.
+func deriveRules(crashes map[crashID]record) (out []blockRule) {
 	byService := map[string][]record{}
 	for _, r := range crashes {
 		byService[r.service] = append(byService[r.service], r)
 	}
 	for service, records := range byService {
 		h := newHistory(records)
-		suspects := h.suspects()
-		for _, part := range suspects {
-			if h.isCulprit(part, suspects) {
+		candidates := h.candidates()
+		for _, part := range candidates {
+			if h.isCause(part, candidates) {
 				last := h.incidents[part][len(h.incidents[part])-1]
-				out = append(out, verdict{service: service, parts: h.commonParts(part), until: h.starts[last] + quarantineTime})
+				out = append(out, blockRule{service: service, parts: h.commonParts(part), until: h.starts[last] + quarantineTime})
 			}
 		}
 	}
@@ -59,11 +59,11 @@
 	return h
 }
 
-// suspects returns the parts with crashThreshold incidents, those with most incidents first. Parts are left out if a part that occurs
+// candidates returns the parts with crashThreshold incidents, those with most incidents first. Parts are left out if a part that occurs
 // in fewer requests explains their incidents: engines that crash take other requests along, which share parts with the one that
 // crashed them.
-func (h *history) suspects() []string {
-	var frequent, suspects []string
+func (h *history) candidates() []string {
+	var frequent, candidates []string
 	for part, incidents := range h.incidents {
 		if len(incidents) >= crashThreshold {
 			frequent = append(frequent, part)
@@ -71,13 +71,13 @@
 	}
 	for _, part := range frequent {
 		if !slices.ContainsFunc(frequent, func(other string) bool { return h.explains(other, part) }) {
-			suspects = append(suspects, part)
+			candidates = append(candidates, part)
 		}
 	}
-	slices.SortFunc(suspects, func(a, b string) int {
+	slices.SortFunc(candidates, func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(h.incidents[b]), len(h.incidents[a])), cmp.Compare(a, b))
 	})
-	return suspects
+	return candidates
 }
 
 // explains reports whether a part occurs only in some of the records of another one, and is absent from fewer than crashThreshold of
@@ -97,13 +97,13 @@
 	return missing
 }
 
-// isCulprit reports whether a suspect crashes engines. Each incident between its own that no other suspect explains raises the threshold
+// isCause reports whether a candidate crashes engines. Each incident between its own that no other candidate explains raises the threshold
 // by one: while engines crash for other reasons, a part may occur in several incidents by chance.
-func (h *history) isCulprit(part string, suspects []string) bool {
+func (h *history) isCause(part string, candidates []string) bool {
 	own := h.incidents[part]
 	unexplained := 0
 	for incident := own[0]; incident <= own[len(own)-1]; incident++ {
-		explained := slices.ContainsFunc(suspects[:min(len(suspects), maxCulprits)], func(s string) bool { return slices.Contains(h.incidents[s], incident) })
+		explained := slices.ContainsFunc(candidates[:min(len(candidates), maxCauses)], func(s string) bool { return slices.Contains(h.incidents[s], incident) })
 		if !slices.Contains(own, incident) && !explained {
 			unexplained++
 		}
--- a/router/internal/node/quarantine_test.go
+++ b/router/internal/node/quarantine_test.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	deadlyPart = "dead"
+	poisonPart = "dead"
 	// learningCrashes and learningTime bound how long the instances may learn what crashes engines, learntRequests the requests with the
-	// deadly part that may reach servers after that.
+	// poison part that may reach servers after that.
 	learningCrashes = 5
 	learningTime    = 3 * time.Second
 	learntRequests  = 3
@@ -25,7 +25,7 @@
 	crashPause = 500 * time.Millisecond
 )
 
-// fragileEngines are decode engines that crash when they begin to answer a prompt with the deadly part, and are then replaced.
+// fragileEngines are decode engines that crash when they begin to answer a prompt with the poison part, and are then replaced.
 type fragileEngines struct {
 	cluster *testCluster
 	started atomic.Int64
@@ -59,7 +59,7 @@
 		f.recordArrival(req)
 		return false
 	})
-	s.CrashOn(deadlyPart, func() {
+	s.CrashOn(poisonPart, func() {
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
 		f.mu.Unlock()
@@ -74,7 +74,7 @@
 }
 
 func (f *fragileEngines) recordArrival(req *http.Request) {
-	if !standin.HasPart(req.Header, deadlyPart) {
+	if !standin.HasPart(req.Header, poisonPart) {
 		return
 	}
 	f.mu.Lock()
@@ -82,7 +82,7 @@
 	f.arrivals = append(f.arrivals, time.Now())
 }
 
-// late returns the number of requests with the deadly part that reached servers after learningTime from the fifth crash.
+// late returns the number of requests with the poison part that reached servers after learningTime from the fifth crash.
 func (f *fragileEngines) late() (count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,14 +122,14 @@
 				}
 			})
 		}
-		for n := range 25 { // one request with the deadly part after the other, at any instance
+		for n := range 25 { // one request with the poison part after the other, at any instance
 			group.Go(func() {
 				defer GinkgoRecover()
-				routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,%s:70,d%d:50", n%3, deadlyPart, n))
+				routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,%s:70,d%d:50", n%3, poisonPart, n))
 			})
 			time.Sleep(400 * time.Millisecond)
 		}
-		refused := routers[1].stream("/brief/x", "X-Prompt-Prefix", "aa:200,b1:50,"+deadlyPart+":70,e:50")
+		refused := routers[1].stream("/brief/x", "X-Prompt-Prefix", "aa:200,b1:50,"+poisonPart+":70,e:50")
 		var served int
 		for n := range 15 {
 			if a := routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,f%d:50", n%3, n)); a.err == nil && a.status == http.StatusOK {
@@ -152,7 +152,7 @@
 		cluster.startFragile(4)
 		r := cluster.start("a")
 		refuses := func(r *router) bool {
-			return r.stream("/brief/x", "X-Prompt-Prefix", "aa:200,"+deadlyPart+":70,e:50").status == http.StatusServiceUnavailable
+			return r.stream("/brief/x", "X-Prompt-Prefix", "aa:200,"+poisonPart+":70,e:50").status == http.StatusServiceUnavailable
 		}
 		Eventually(func() bool {
 			Expect(r.stream("/digest/x", "X-Prompt-Prefix", "aa:200,f:50").err).NotTo(HaveOccurred())
