Have the next leader store what it has heard of and the last one had not

A leader that ended between the beginning of a quarantine and its write left it to its successor, which took what it had heard from others for stored and wrote nothing. After a restart of all instances the part would have been learnt again.

Cause: after its first read the keeper compared what is quarantined with what it holds itself, not with what the store holds. It now notes what the stored records quarantine by themselves.

crashstore TestNextLeaderWrites failed before and passes; the package passes under -race.

--- a/router/internal/app/crashstore/crashstore.go
+++ b/router/internal/app/crashstore/crashstore.go
@@ -55,7 +55,7 @@
 type Keeper struct {
 	Deps
 	loaded bool
-	// saved identifies what was last written or read.
+	// saved identifies what the stored records quarantine, as they were last read or written.
 	saved string
 	// retryAt is when a call is made again after a failure; since boot.
 	retryAt time.Duration
@@ -92,16 +92,16 @@
 		if _, err := k.load(ctx); err != nil {
 			return err
 		}
-		k.loaded, k.saved = true, k.state()
+		k.loaded = true
 	}
-	if k.state() == k.saved || len(k.Quarantine.Quarantined(k.Boot())) == 0 {
+	if k.state(k.Quarantine) == k.saved || len(k.Quarantine.Quarantined(k.Boot())) == 0 {
 		return nil
 	}
 	revision, err := k.load(ctx)
 	if err != nil {
 		return err
 	}
-	state := k.state()
+	state := k.state(k.Quarantine)
 	err = k.Store.WriteState(ctx, stateName, revision, k.encode())
 	if errors.Is(err, routing.ErrConflict) {
 		return nil // another instance has written; the next check reads what it wrote
@@ -114,12 +114,12 @@
 	return nil
 }
 
-// state identifies what is quarantined, and the era in which it was stored.
-func (k *Keeper) state() string {
-	return fmt.Sprint(k.Store.Era(), k.Quarantine.Quarantined(k.Boot()))
+// state identifies what is quarantined, and the store's era.
+func (k *Keeper) state(records *quarantine.Tracker) string {
+	return fmt.Sprint(k.Store.Era(), records.Quarantined(k.Boot()))
 }
 
-// load reads the stored records and merges them. It returns the revision of the value.
+// load reads the stored records, notes what they quarantine, and merges them. It returns the revision of the value.
 func (k *Keeper) load(ctx context.Context) (revision uint64, err error) {
 	value, revision, err := k.Store.ReadState(ctx, stateName)
 	if err != nil || revision == 0 {
@@ -136,6 +136,9 @@
 		s.AgeMS = max(0, k.Now().UnixMilli()-s.AtMS)
 		crashes = append(crashes, s.Crash)
 	}
+	alone := quarantine.New()
+	alone.MergePeer(crashes, k.Boot())
+	k.saved = k.state(alone)
 	if k.Quarantine.Restore(crashes, k.Boot()) {
 		k.OnLoad()
 	}
--- a/router/internal/app/crashstore/crashstore_test.go
+++ b/router/internal/app/crashstore/crashstore_test.go
@@ -137,6 +137,24 @@
 	})
 }
 
+// Guards against a leader that ends before it has written, and whose successor takes what it has heard for stored.
+func TestNextLeaderWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{err: errors.New("away")}
+		first, boot := start(t, store, false)
+		crashThree(first, boot, "dead")
+		store.change(func() { store.err = nil })
+		next, bootNext := start(t, store, true)
+		next.MergePeer(first.All(boot()), bootNext())
+		time.Sleep(time.Second)
+		again, bootAgain := start(t, store, true)
+		time.Sleep(time.Second)
+		if !isBlocked(again, bootAgain, "dead") {
+			t.Error("not stored")
+		}
+	})
+}
+
 // Guards against records that are lost because another instance has written, the store was away, was restored from a backup, or holds
 // something else.
 func TestRecordsAreKeptThroughFaults(t *testing.T) {
