Replace the watches when any call shows that the store was restored

Only lists and watches of the configuration and the endpoints recorded the store's era. If another call showed it first (the registration, crashstore's read) while both feeds paused after a change, the instance registered again and the store reached the revisions of both watches; these then waited for their end, and restarting them did not help, since a restarted watch waits as well.

platform.Store now reports the first response of each era, whichever call it belongs to, and routingcache lists again, after a random pause of 50 to 150 ms. A watch that failed, or that was ended because other instances have newer state, is first made again with a wait of 1 ms: its response shows the era.

--- a/router/internal/app/routingcache/restore_test.go
+++ b/router/internal/app/routingcache/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -213,3 +214,64 @@
 		}
 	})
 }
+
+// stuckWatches is a platform whose watches show nothing until their wait is over, not even that the store was restored.
+type stuckWatches struct{ *fakePlatform }
+
+func (p stuckWatches) wait(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+	select {
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-time.After(wait):
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down != nil {
+		return 0, p.down
+	}
+	if routing.Era(since) != routing.Era(p.revision) {
+		return 0, routing.ErrHistoryGone
+	}
+	return since, nil
+}
+
+func (p stuckWatches) WatchConfig(ctx context.Context, since uint64, wait time.Duration) (*routing.Config, uint64, error) {
+	revision, err := p.wait(ctx, since, wait)
+	return nil, revision, err
+}
+
+func (p stuckWatches) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) ([]routing.EndpointChange, uint64, error) {
+	revision, err := p.wait(ctx, since, wait)
+	return nil, revision, err
+}
+
+// Guards against a configuration that is learnt seconds late because the restored store has reached the revisions of both watches
+// again, although another call has shown the new era, the other instances have newer state, or the store was unreachable meanwhile.
+func TestRestoredStoreThatKeepsBothWatches(t *testing.T) {
+	for name, hint := range map[string]func(*fakePlatform, *routingcache.Cache){
+		"another call":    func(_ *fakePlatform, m *routingcache.Cache) { m.RecordEra(1) },
+		"other instances": func(_ *fakePlatform, m *routingcache.Cache) { m.RestartWatches() },
+		"unreachable": func(f *fakePlatform, m *routingcache.Cache) {
+			f.setDown(io.EOF)
+			m.RestartWatches() // the open calls fail, and are made again
+			time.Sleep(50 * time.Millisecond)
+			f.setDown(nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakePlatform()
+				f.setConfig(1)
+				m, _ := runCache(t.Context(), stuckWatches{f})
+				time.Sleep(time.Second)
+				f.restore(f.backup())
+				f.setConfig(2)
+				hint(f, m)
+				time.Sleep(limits.Config)
+				if version := m.Table().Config.Version; version != 2 {
+					t.Error("version", version, "is in force")
+				}
+			})
+		})
+	}
+}
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -24,6 +24,9 @@
 	// watchTimeout is how long a watch call waits for a change. It keeps an idle instance below 0.1 calls a second. Connections
 	// that hang are detected by keep-alive probes and by newer versions at peers.
 	watchTimeout = 25 * time.Second
+	// checkTimeout is the wait of the first watch call after one that failed or was interrupted. Its response shows whether the store
+	// was restored meanwhile.
+	checkTimeout = time.Millisecond
 	// changePauseDivisor gives the pause after a change before the next call, as a fraction of the propagation limit, so that
 	// changes in quick succession share a platform call.
 	changePauseDivisor = 5
@@ -187,7 +190,7 @@
 	pauseAfterChange time.Duration
 	restart          <-chan struct{}
 	list             func(context.Context) (uint64, error)
-	watch            func(context.Context, uint64) (uint64, error)
+	watch            func(ctx context.Context, since uint64, wait time.Duration) (uint64, error)
 }
 
 func (m *Cache) superviseFeed(ctx context.Context, f feed) {
@@ -197,30 +200,32 @@
 // followFeed lists, then watches. After a failure it retries with a growing, random backoff; if the platform has dropped the
 // history, it lists again.
 func (m *Cache) followFeed(ctx context.Context, f feed) {
-	revision, pause := uint64(0), minRetryPause
+	revision, pause, wait := uint64(0), minRetryPause, watchTimeout
 	reached := m.sinceBoot()
 	away := false
 	for ctx.Err() == nil {
 		next, interrupted, err := uint64(0), false, error(nil)
 		if routing.Era(revision) < m.era.Load() {
 			revision = 0 // the store was restored, and may have assigned the revision again to another change
+			background.SleepContext(ctx, randomPause(pause))
 		}
 		if revision == 0 {
 			next, err = f.list(ctx)
 			discardRestart(f.restart)
 		} else {
-			next, interrupted, err = callInterruptible(ctx, f.restart, func(ctx context.Context) (uint64, error) { return f.watch(ctx, revision) })
+			next, interrupted, err = callInterruptible(ctx, f.restart, func(ctx context.Context) (uint64, error) { return f.watch(ctx, revision, wait) })
 		}
+		wait = checkTimeout
 		switch {
 		case err == nil:
-			if m.recordEra(next) {
+			if m.RecordEra(routing.Era(next)) {
 				discardRestart(f.restart)
 			}
 			if away {
 				m.logger.Info().Str("event", "platform.regained").Str("feed", f.name).Dur("away", m.sinceBoot()-reached).Msg("")
 			}
 			changed := revision != 0 && revision != next
-			revision, pause, reached, away = next, minRetryPause, m.sinceBoot(), false
+			revision, pause, wait, reached, away = next, minRetryPause, watchTimeout, m.sinceBoot(), false
 			if changed {
 				background.SleepContext(ctx, f.pauseAfterChange)
 			}
@@ -236,20 +241,23 @@
 			away = true
 			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.name).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Err(err).Msg("")
 		}
-		background.SleepContext(ctx, pause/2+rand.N(pause))
+		background.SleepContext(ctx, randomPause(pause))
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
-// recordEra records the era of a revision of the store. If it is a new one, watches that began in an earlier era are restarted: the
+// randomPause returns a random time around d, so that the calls of many instances spread.
+func randomPause(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// RecordEra records the era in a response of the store. If it is a new one, watches that began in an earlier era are restarted: the
 // store may not end them, since it has other changes under the same revisions.
-func (m *Cache) recordEra(revision uint64) (isNew bool) {
+func (m *Cache) RecordEra(era uint64) (isNew bool) {
 	for {
 		known := m.era.Load()
-		if routing.Era(revision) <= known {
+		if era <= known {
 			return false
 		}
-		if m.era.CompareAndSwap(known, routing.Era(revision)) {
+		if m.era.CompareAndSwap(known, era) {
 			m.RestartWatches()
 			return true
 		}
@@ -291,8 +299,8 @@
 	return revision, err
 }
 
-func (m *Cache) watchConfig(ctx context.Context, since uint64) (uint64, error) {
-	c, revision, err := m.platform.WatchConfig(ctx, since, watchTimeout)
+func (m *Cache) watchConfig(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+	c, revision, err := m.platform.WatchConfig(ctx, since, wait)
 	if c != nil {
 		m.applyConfig(c, "platform")
 	}
@@ -330,8 +338,8 @@
 	return revision, nil
 }
 
-func (m *Cache) watchEndpoints(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := m.platform.WatchEndpoints(ctx, since, watchTimeout)
+func (m *Cache) watchEndpoints(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+	changes, revision, err := m.platform.WatchEndpoints(ctx, since, wait)
 	if err != nil {
 		m.recordFailure(ctx, err)
 		return 0, err
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -227,7 +227,9 @@
 	do.ProvideValue(i, endpoints)
 	do.Provide(i, func(i do.Injector) (*routingcache.Cache, error) {
 		limits := routingcache.PropagationLimits{Config: s.ConfigPropagationLimit, Endpoints: s.DrainPropagationLimit}
-		return routingcache.New(do.MustInvoke[*platform.Store](i), limits, logger, boot), nil
+		cache := routingcache.New(store, limits, logger, boot)
+		store.OnNewEra(func(era uint64) { cache.RecordEra(era) })
+		return cache, nil
 	})
 	do.Provide(i, func(i do.Injector) (routingState, error) {
 		return routingState{Cache: do.MustInvoke[*routingcache.Cache](i), transitions: do.MustInvoke[*stages.Transitions](i), availability: availabilityTracker,
