Judge the use of a slow endpoint limit over twenty requests

At 0.5 a second, 9 s hold 4 or 5 requests if the whole limit is used, and fewer if two instances took one at the same moment before: a run that failed had requests at 0.03, 2.76, 5.98, 6.89 and 10.07 s of the phase, of which the check counts the last three.

A limit now lasts until it has allowed twenty requests after the time in which it settles, 43 s at 0.5 a second. The share that must be used is still 0.7, and the busiest 4 s are judged over the longer time as well: a fleet that uses less than 0.7 fails more surely than before, one that uses it all no longer by chance.

--- a/router/internal/app/gossip/limits_test.go
+++ b/router/internal/app/gossip/limits_test.go
@@ -20,8 +20,16 @@
 	limitSlack      = 5
 )
 
-// phase is how long the endpoint states one limit.
-const phase = 12 * time.Second
+// The endpoint states each limit for minPhase at least, and until it has allowed judgedRequests after the limitSettleTime: over fewer
+// requests, a fleet that uses its whole limit may send a third less.
+const (
+	minPhase       = 12 * time.Second
+	judgedRequests = 20
+)
+
+func phase(limit float64) time.Duration {
+	return max(minPhase, limitSettleTime+time.Duration(judgedRequests/limit*float64(time.Second)))
+}
 
 var limitedEndpoint = routing.Endpoint{ID: "e", StartedMS: 1}
 
@@ -123,12 +131,12 @@
 							f.setCut(nd.address, true)
 						}
 					}
-					f.load(random, 100, phase)
+					f.load(random, 100, phase(limit))
 					most, total := f.inWindow(began.Add(limitSettleTime))
 					if allowed := limitTolerance*limit*limitWindow.Seconds() + limitSlack; float64(most) > allowed {
 						t.Errorf("%d requests in %v at a limit of %v, want at most %.0f", most, limitWindow, limit, allowed)
 					}
-					if want := 0.7 * limit * (phase - limitSettleTime).Seconds(); float64(total) < want {
+					if want := 0.7 * limit * (phase(limit) - limitSettleTime).Seconds(); float64(total) < want {
 						t.Errorf("%d requests at a limit of %v, want at least %.0f", total, limit, want)
 					}
 				}
