Block what nearly all requests have in common, and test it

The quarantine waited for an answer without the part, which shows that blocking it does not block everything; while all engines are down or crash, there is none.

A part is now blocked without that proof, and tested: the leading instance lets one blocked request through 2 s after the last crash, then 10, 50 and 240 s after it; an answer clears the part at once. Without a test within 20 s after it is due, the block ends. Crashes of five engines that follow each other too closely for three incidents count as a series and are treated in the same way; they are never proof.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -71,6 +71,8 @@
 	RetryBudget *retrybudget.Budget
 	// Quarantine holds the parts of prompts that crash engines.
 	Quarantine *quarantine.Tracker
+	// IsLeader reports whether this instance acts for the whole fleet.
+	IsLeader func() bool
 	// Limits admits requests to endpoints that have announced a request limit.
 	Limits       *endpointlimit.Limiter
 	EndpointLoad *inflight.Tracker
@@ -168,6 +170,8 @@
 	answerRequested, answerBegan time.Duration
 	answerEvents                 int
 	answerSustained              bool
+	// testsQuarantine is set if the request is sent to test whether its prompt still crashes engines.
+	testsQuarantine bool
 }
 
 // streamEnd describes the end of the latest stream for the log line of its request.
--- a/router/internal/app/forward/quarantine.go
+++ b/router/internal/app/forward/quarantine.go
@@ -24,10 +24,15 @@
 	crashProbeTimeout  = 400 * time.Millisecond
 )
 
-// checkQuarantine returns an error if the request's prompt has a part that crashes engines.
+// checkQuarantine returns an error if the request's prompt has a part that crashes engines, unless the request tests that.
 func (r *requestState) checkQuarantine() error {
 	remaining, blocked := r.Quarantine.Blocked(r.service.Name, r.req.Caller.SharedParts, r.SinceBoot())
-	if !blocked {
+	if !blocked || r.testsQuarantine && !r.mayHaveRun {
+		return nil
+	}
+	if r.IsLeader() && r.Quarantine.ClaimTest(r.service.Name, r.req.Caller.SharedParts, r.SinceBoot()) {
+		r.testsQuarantine = true
+		r.Logger.Info().Str("event", "quarantine.test").Str("request", r.req.Caller.RequestID).Strs("parts", r.req.Caller.SharedParts).Msg("")
 		return nil
 	}
 	return fault.New(fault.PromptQuarantined, "a part of the prompt crashes the model's engines; do not send it again before Retry-After").
--- a/router/internal/domain/quarantine/quarantine.go
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -3,7 +3,9 @@
 // Each crash of an engine that coincides with the beginning of an answer is recorded with the parts of that request's prompt. An answer
 // that is sustained shows that its parts are harmless, and clears them from the crashes before it. A part that remains in several
 // crashes, while answers to requests without it begin, is quarantined for a while: requests that hold everything these crashes have in
-// common are blocked. A crash with another cause hits requests at random, and the next answers that share their parts clear them.
+// common are blocked. A crash with another cause hits requests at random, and the next answers that share their parts clear them. While
+// no answer shows that there are other requests, which happens if nearly all crash engines, one blocked request after the other is let
+// through, at growing intervals, to test whether it still does.
 //
 // Instances exchange the records. Records only lose parts, so that they can be merged in any order and more than once.
 package quarantine
@@ -22,11 +24,24 @@
 	crashThreshold = 3
 	// crashSpacing is the time within which crashes count as one incident. Engines that lose power together crash within it.
 	crashSpacing = 100 * time.Millisecond
+	// seriesThreshold is the number of endpoints that crash in quick succession, in incidents that are seriesSpacing apart, until a part
+	// is blocked and tested.
+	seriesThreshold = 5
+	seriesSpacing   = 25 * time.Millisecond
 	// quarantineTime is how long after its last crash a part is blocked. If it crashes an engine after that, it is blocked again at
 	// once, as long as the crashes before are remembered.
 	quarantineTime = 4 * time.Minute
 	// retention is how long a crash is remembered.
 	retention = 10 * time.Minute
+	// minTestDelay is the time from the last crash to the first test of an unproven rule. It multiplies by testDelayFactor with each test
+	// that fails. Within testRetryInterval there is one test at most; it takes a while until it has an engine and an answer. A rule whose
+	// test is overdue by testPeriod ends: the instance that may test it gets no such requests.
+	minTestDelay      = 2 * time.Second
+	testDelayFactor   = 5
+	testRetryInterval = 5 * time.Second
+	testPeriod        = 20 * time.Second
+	// minRetryAfter is the least time after which callers are asked to come back.
+	minRetryAfter = time.Second
 	// maxCauses is the number of parts that are assumed to crash engines at the same time.
 	maxCauses = 3
 	// maxCrashes bounds the records, maxParts the parts of each, and maxIDBytes the length of each id in it.
@@ -56,8 +71,8 @@
 
 // record is a crash as this instance has it. It is immutable.
 type record struct {
-	service       string
-	parts, others []string
+	service, endpoint string
+	parts, others     []string
 	// own is set if this instance has observed the crash.
 	own bool
 	// at is when the crash happened, learnedAt when this instance learned of it; since boot.
@@ -76,6 +91,8 @@
 	state atomic.Pointer[state]
 	// ownChanges counts what this instance has added to or cleared from the records, blocked the requests that were blocked.
 	ownChanges, blocked atomic.Int64
+	// nextTestAt is the earliest time of the next test; since boot.
+	nextTestAt time.Duration
 }
 
 // New returns an empty Tracker.
@@ -149,15 +166,39 @@
 	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return slices.Contains(removed, p) })
 }
 
-// Blocked reports whether a request must not be sent, and for how long.
+// Blocked reports whether a request must not be sent, and after which time its caller should come back.
 func (t *Tracker) Blocked(service string, parts []string, now time.Duration) (remaining time.Duration, blocked bool) {
 	for _, v := range t.state.Load().rules {
-		if v.service == service && now < v.until && containsAll(parts, v.parts) {
-			t.blocked.Add(1)
-			return v.until - now, true
+		if v.blocks(service, parts, now) {
+			blocked, remaining = true, max(remaining, v.retryAt()-now)
 		}
 	}
-	return 0, false
+	if blocked {
+		t.blocked.Add(1)
+		remaining = max(remaining, minRetryAfter)
+	}
+	return remaining, blocked
+}
+
+func (v *blockRule) blocks(service string, parts []string, now time.Duration) bool {
+	return v.service == service && now < v.until && containsAll(parts, v.parts)
+}
+
+// ClaimTest reports whether a blocked request may be sent to test whether it still crashes engines. Only one instance may call it, or there
+// are several tests at a time.
+func (t *Tracker) ClaimTest(service string, parts []string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.state.Load().rules {
+		if v.blocks(service, parts, now) && (!v.unproven || now < v.testAt) {
+			return false
+		}
+	}
+	if now < t.nextTestAt {
+		return false
+	}
+	t.nextTestAt = now + testRetryInterval
+	return true
 }
 
 func containsAll(parts, wanted []string) bool {
@@ -262,7 +303,7 @@
 	r, ok := known[c.id()]
 	if !ok {
 		valid := slices.DeleteFunc(slices.Clone(c.Parts), func(p string) bool { return p == "" || len(p) > maxIDBytes })
-		return record{service: truncate(c.Service), parts: valid[:min(len(valid), maxParts)], others: intersection(c.Others, valid), at: now - c.age(), learnedAt: now}
+		return record{service: truncate(c.Service), endpoint: truncate(c.Endpoint), parts: valid[:min(len(valid), maxParts)], others: intersection(c.Others, valid), at: now - c.age(), learnedAt: now}
 	}
 	r.parts = intersection(r.parts, c.Parts)
 	r.others = intersection(union(r.others, c.Others), r.parts)
--- a/router/internal/domain/quarantine/rules.go
+++ b/router/internal/domain/quarantine/rules.go
@@ -11,6 +11,18 @@
 	service string
 	parts   []string
 	until   time.Duration
+	// testAt is when a request may test an unproven rule. A rule is unproven while no answer has shown that there are requests without
+	// the parts: engines may crash whatever a request holds.
+	testAt   time.Duration
+	unproven bool
+}
+
+// retryAt is when callers of blocked requests should come back.
+func (v *blockRule) retryAt() time.Duration {
+	if v.unproven {
+		return v.testAt
+	}
+	return v.until
 }
 
 // deriveRules derives the rules from the records.
@@ -20,19 +32,31 @@
 		byService[r.service] = append(byService[r.service], r)
 	}
 	for service, records := range byService {
-		h := newHistory(records)
-		candidates := h.candidates()
-		for _, part := range candidates {
-			if h.isCause(part, candidates) {
-				last := h.incidents[part][len(h.incidents[part])-1]
-				out = append(out, blockRule{service: service, parts: h.commonParts(part), until: h.starts[last] + quarantineTime})
-			}
+		h := newHistory(records, crashSpacing)
+		causes := h.causes()
+		for _, part := range causes {
+			out = append(out, h.blockRule(service, part, h.isProven(part)))
+		}
+		if len(causes) == 0 {
+			out = append(out, seriesRules(service, records)...)
+		}
+	}
+	return out
+}
+
+// seriesRules derives rules from crashes in quick succession, which newHistory takes for few incidents: requests that all crash engines
+// may end most of them within that time, and again as soon as they are back. Such rules are never proven.
+func seriesRules(service string, records []record) (out []blockRule) {
+	h := newHistory(records, seriesSpacing)
+	for _, part := range h.causes() {
+		if h.crashedEndpoints(part) >= seriesThreshold {
+			out = append(out, h.blockRule(service, part, false))
 		}
 	}
 	return out
 }
 
-// history holds the crashes of a service. Crashes within crashSpacing are one incident.
+// history holds the crashes of a service. Crashes within some spacing are one incident.
 type history struct {
 	records []record
 	// starts holds the time of each incident, in ascending order.
@@ -41,11 +65,11 @@
 	occurrences, incidents map[string][]int
 }
 
-func newHistory(records []record) *history {
+func newHistory(records []record, spacing time.Duration) *history {
 	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.at, b.at) })
 	h := &history{records: records, occurrences: map[string][]int{}, incidents: map[string][]int{}}
 	for n, r := range records {
-		if len(h.starts) == 0 || r.at-h.starts[len(h.starts)-1] >= crashSpacing {
+		if len(h.starts) == 0 || r.at-h.starts[len(h.starts)-1] >= spacing {
 			h.starts = append(h.starts, r.at)
 		}
 		incident := len(h.starts) - 1
@@ -59,6 +83,26 @@
 	return h
 }
 
+// causes returns the parts that crash engines.
+func (h *history) causes() (causes []string) {
+	candidates := h.candidates()
+	for _, part := range candidates {
+		if h.isCause(part, candidates) {
+			causes = append(causes, part)
+		}
+	}
+	return causes
+}
+
+// crashedEndpoints returns the number of endpoints that have crashed with a part.
+func (h *history) crashedEndpoints(part string) int {
+	endpoints := map[string]bool{}
+	for _, n := range h.occurrences[part] {
+		endpoints[h.records[n].endpoint] = true
+	}
+	return len(endpoints)
+}
+
 // candidates returns the parts with crashThreshold incidents, those with most incidents first. Parts are left out if a part that occurs
 // in fewer requests explains their incidents: engines that crash take other requests along, which share parts with the one that
 // crashed them.
@@ -108,8 +152,37 @@
 			unexplained++
 		}
 	}
-	othersBegan := slices.ContainsFunc(h.occurrences[part], func(n int) bool { return slices.Contains(h.records[n].others, part) })
-	return othersBegan && len(own) >= crashThreshold+unexplained
+	return len(own) >= crashThreshold+unexplained
+}
+
+// blockRule returns the rule that blocks a part.
+func (h *history) blockRule(service, part string, proven bool) blockRule {
+	own := h.incidents[part]
+	last := h.starts[own[len(own)-1]]
+	v := blockRule{service: service, parts: h.commonParts(part), until: last + quarantineTime, unproven: !proven}
+	if v.unproven {
+		v.testAt = last + h.testDelay(part)
+		v.until = min(v.until, v.testAt+testPeriod)
+	}
+	return v
+}
+
+// isProven reports whether an answer without the part has begun since one of its crashes.
+func (h *history) isProven(part string) bool {
+	return slices.ContainsFunc(h.occurrences[part], func(n int) bool { return slices.Contains(h.records[n].others, part) })
+}
+
+// testDelay is the time from the last crash with an unproven part to the next test. It grows with each test that has failed: with each
+// crash after the threshold that was no part of the same series of crashes.
+func (h *history) testDelay(part string) time.Duration {
+	delay := minTestDelay
+	own := h.incidents[part]
+	for n := crashThreshold; n < len(own) && delay < quarantineTime; n++ {
+		if h.starts[own[n]]-h.starts[own[n-1]] >= minTestDelay/2 {
+			delay *= testDelayFactor
+		}
+	}
+	return min(delay, quarantineTime)
 }
 
 // commonParts returns the parts that all crashes with a part have in common.
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -269,6 +269,7 @@
 			PeersSynced:   func() bool { return n.components.Load().peers.Joined() },
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
 			Quarantine:    crashes, OnCrash: n.triggerReport,
+			IsLeader:      func() bool { return n.components.Load().peers.IsLeader() },
 			Random: rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
