Play a part of nearly all prompts in the soak

One in four plans with a part that crashes engines has it in 0.8 of the streams or more, in place of 0.03 to 0.2.

--- a/lab/soak/poison.go
+++ b/lab/soak/poison.go
@@ -16,9 +16,11 @@
 	// poisonPartID is the part of prompts that crashes engines.
 	poisonPartID = "dead"
 	// poisonPlanShare is the share of the plans with such a part, and minPoisonRequests and maxPoisonRequests bound the share of the
-	// streams that have it.
+	// streams that have it. One in densePoisonPlans of these plans has it in minDensePoisonRequests of the streams or more.
 	poisonPlanShare                      = 0.4
 	minPoisonRequests, maxPoisonRequests = 0.03, 0.2
+	densePoisonPlans                     = 4
+	minDensePoisonRequests               = 0.8
 	// poisonPause is how long a crashed engine is away.
 	poisonPause = time.Second
 	// minSoundStreams is the number of streams from which their share of success is judged.
@@ -51,11 +53,20 @@
 
 // play has callers send prompts with the part for the time of the action.
 func (p *poisonPart) play(a Action) {
-	p.setShare(minPoisonRequests + float64(a.Variant)/(1<<16)*(maxPoisonRequests-minPoisonRequests))
+	p.setShare(poisonShare(a.Variant))
 	time.Sleep(a.Duration)
 	p.setShare(0)
 }
 
+// poisonShare returns the share of the streams with the part.
+func poisonShare(variant int) float64 {
+	least, most := minPoisonRequests, maxPoisonRequests
+	if variant%densePoisonPlans == 1 {
+		least, most = minDensePoisonRequests, 1
+	}
+	return least + float64(variant)/(1<<16)*(most-least)
+}
+
 func (p *poisonPart) setShare(share float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
