Learn what crashes servers of plain services, too

Only model requests were looked at. A route may send requests that name the parts of their prompts to a service without engines; there a part crashed one server after the other. Plain attempts now report crashes and answers like those at engines, and are checked before each attempt; an answer that was withheld is passed on if the next attempt is quarantined.

--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -257,7 +257,7 @@
 	call := r.call
 	call.TimeLeft = r.timeLeft()
 	start := r.SinceBoot()
-	r.answerRequested, r.answerBegan, r.answerEvents, r.answerSustained = start, 0, 0, false
+	r.expectAnswer(start)
 	slot.MarkUsed()
 	answer, err := r.Client.Decode(ctx, slot.Endpoint, r.maxConns(), &call, handle, slot.Reservation)
 	if err == nil || !errors.Is(err, routing.ErrNotRun) {
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -33,6 +33,9 @@
 // forwardPlain sends the request to one endpoint after another until it is answered or may not be retried.
 func (r *requestState) forwardPlain() error {
 	for {
+		if err := r.checkQuarantine(); err != nil {
+			return r.forwardWithheldFailure(err)
+		}
 		ep, ok := r.pickPlain()
 		if !ok && r.withheldResponse != nil {
 			return r.forwardWithheldFailure(errEndpointFailure)
@@ -134,6 +137,7 @@
 	call := r.call
 	call.TimeLeft = r.timeLeft()
 	start := r.SinceBoot()
+	r.expectAnswer(start)
 	answer, err := r.Client.Send(ctx, ep, r.maxConns(), &call)
 	if err == nil {
 		r.attempts++
@@ -144,6 +148,11 @@
 		r.mayHaveRun = true
 	}
 	r.recordOutcome(ep, err, start)
+	if err == nil {
+		r.recordAnswer(0, true)
+	} else {
+		r.reportCrash(ep, err)
+	}
 	return err
 }
 
--- a/router/internal/app/forward/quarantine.go
+++ b/router/internal/app/forward/quarantine.go
@@ -35,10 +35,15 @@
 		r.Logger.Info().Str("event", "quarantine.test").Str("request", r.req.Caller.RequestID).Strs("parts", r.req.Caller.SharedParts).Msg("")
 		return nil
 	}
-	return fault.New(fault.PromptQuarantined, "a part of the prompt crashes the model's engines; do not send it again before Retry-After").
+	return fault.New(fault.PromptQuarantined, "a part of the prompt crashes the service's endpoints; do not send it again before Retry-After").
 		WithRetryAfter(remaining)
 }
 
+// expectAnswer notes that an attempt was sent at the given time since boot.
+func (r *requestState) expectAnswer(sent time.Duration) {
+	r.answerRequested, r.answerBegan, r.answerEvents, r.answerSustained = sent, 0, 0, false
+}
+
 // recordAnswer notes that events of the answer have arrived, or that it has ended. An answer that has gone on for sustainedAfter, has had
 // sustainedEvents or has ended is sustained.
 func (r *requestState) recordAnswer(events int, ended bool) {
@@ -61,7 +66,7 @@
 	}
 }
 
-// reportCrash records a crash of the engine if the attempt failed because the engine's process ended at the beginning of the answer.
+// reportCrash records a crash of the endpoint if the attempt failed because its process ended at the beginning of the answer.
 // Whether it ended is determined in the background.
 func (r *requestState) reportCrash(ep routing.Endpoint, err error) {
 	now := r.SinceBoot()
@@ -76,7 +81,7 @@
 		}
 		f.Quarantine.RecordCrash(service, ep.ID, id, parts, now)
 		f.Logger.Warn().Str("event", "engine.crashed").Str("endpoint", ep.ID).Str("request", id).Strs("parts", parts).
-			Int("quarantined", len(f.Quarantine.Quarantined(now))).Msg("the engine crashed at the beginning of the request's answer")
+			Int("quarantined", len(f.Quarantine.Quarantined(now))).Msg("the endpoint crashed at the beginning of the request's answer")
 		f.OnCrash()
 	})
 }
--- a/router/internal/node/quarantine_test.go
+++ b/router/internal/node/quarantine_test.go
@@ -25,10 +25,11 @@
 	crashPause = 500 * time.Millisecond
 )
 
-// fragileEngines are decode engines that crash when they begin to answer a prompt with the poison part, and are then replaced.
-type fragileEngines struct {
-	cluster *testCluster
-	started atomic.Int64
+// fragileServers are servers of a service that crash when they begin to answer a prompt with the poison part, and are then replaced.
+type fragileServers struct {
+	cluster        *testCluster
+	service, stage string
+	started        atomic.Int64
 
 	mu       sync.Mutex
 	servers  []*standin.Server
@@ -38,12 +39,17 @@
 }
 
 // startFragile replaces the decode engines of the cluster by fragile ones.
-func (c *testCluster) startFragile(engines int) *fragileEngines {
-	f := &fragileEngines{cluster: c}
-	for _, s := range c.decode {
+func (c *testCluster) startFragile(count int) *fragileServers {
+	return c.replaceByFragile(c.decode, "m", "decode", count)
+}
+
+// replaceByFragile replaces servers by fragile ones.
+func (c *testCluster) replaceByFragile(replaced []*standin.Server, service, stage string, count int) *fragileServers {
+	f := &fragileServers{cluster: c, service: service, stage: stage}
+	for _, s := range replaced {
 		c.store.RemoveServer(s.ID)
 	}
-	for range engines {
+	for range count {
 		f.start()
 	}
 	c.prefill.Intercept(func(_ http.ResponseWriter, req *http.Request) bool {
@@ -53,8 +59,8 @@
 	return f
 }
 
-func (f *fragileEngines) start() {
-	s := standin.NewServer(fmt.Sprint("fragile-", f.started.Add(1)), "decode")
+func (f *fragileServers) start() {
+	s := standin.NewServer(fmt.Sprint("fragile-", f.started.Add(1)), f.stage)
 	s.EventInterval = 100 * time.Millisecond
 	h := httptest.NewServer(s)
 	s.Intercept(func(_ http.ResponseWriter, req *http.Request) bool {
@@ -63,7 +69,7 @@
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer f.cluster.store.Put("servers", s.ID, serverEntry(s, "m", h.URL, "ready"))
+	defer f.cluster.store.Put("servers", s.ID, serverEntry(s, f.service, h.URL, "ready"))
 	if f.mended {
 		return
 	}
@@ -82,7 +88,7 @@
 }
 
 // mend ends the crashes.
-func (f *fragileEngines) mend() {
+func (f *fragileServers) mend() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.mended = true
@@ -91,7 +97,7 @@
 	}
 }
 
-func (f *fragileEngines) recordArrival(req *http.Request) {
+func (f *fragileServers) recordArrival(req *http.Request) {
 	if !standin.HasPart(req.Header, poisonPart) {
 		return
 	}
@@ -101,7 +107,7 @@
 }
 
 // late returns the number of requests with the poison part that reached servers after learningTime from the fifth crash.
-func (f *fragileEngines) late() (count int) {
+func (f *fragileServers) late() (count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.crashes) < learningCrashes {
@@ -118,9 +124,13 @@
 
 var _ = Describe("a part of prompts that crashes engines", func() {
 	// Guards against requests of one kind that crash engines one after the other.
-	It("is learnt by all instances together, and sound requests that share the other parts are served", func() {
+	DescribeTable("is learnt by all instances together, and sound requests that share the other parts are served", func(service, poisoned, sound string) {
 		cluster := newTestCluster()
-		engines := cluster.startFragile(4)
+		replaced, stage := cluster.decode, "decode"
+		if service == "s" {
+			replaced, stage = cluster.plain, ""
+		}
+		servers := cluster.replaceByFragile(replaced, service, stage, 4)
 		var routers []*router
 		for _, name := range []string{"a", "b", "c"} {
 			routers = append(routers, cluster.start(name))
@@ -135,7 +145,7 @@
 					case <-stop:
 						return
 					case <-time.After(100 * time.Millisecond):
-						r.stream("/digest/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,c%d%d:50", n%3, i, n))
+						r.stream(sound, "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,c%d%d:50", n%3, i, n))
 					}
 				}
 			})
@@ -143,24 +153,27 @@
 		for n := range 25 { // one request with the poison part after the other, at any instance
 			group.Go(func() {
 				defer GinkgoRecover()
-				routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,%s:70,d%d:50", n%3, poisonPart, n))
+				routers[n%3].stream(poisoned, "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,%s:70,d%d:50", n%3, poisonPart, n))
 			})
 			time.Sleep(400 * time.Millisecond)
 		}
-		refused := routers[1].stream("/brief/x", "X-Prompt-Prefix", "aa:200,b1:50,"+poisonPart+":70,e:50")
+		refused := routers[1].stream(poisoned, "X-Prompt-Prefix", "aa:200,b1:50,"+poisonPart+":70,e:50")
 		var served int
 		for n := range 15 {
-			if a := routers[n%3].stream("/brief/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,f%d:50", n%3, n)); a.err == nil && a.status == http.StatusOK {
+			if a := routers[n%3].stream(poisoned, "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,f%d:50", n%3, n)); a.err == nil && a.status == http.StatusOK {
 				served++
 			}
 		}
 		close(stop)
 		group.Wait()
-		Expect(engines.late()).To(BeNumerically("<=", learntRequests))
+		Expect(servers.late()).To(BeNumerically("<=", learntRequests))
 		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(refused.header).To(HaveKey("Retry-After"))
 		Expect(served).To(Equal(15))
-	})
+	},
+		Entry("at engines", "m", "/brief/x", "/digest/x"),
+		Entry("at servers of a plain service", "s", "/look/x", "/look/y"),
+	)
 
 	// Guards against requests that crash engines on and on because no answer shows which part is to blame.
 	It("is learnt if all requests have it, and tested until they are answered again", func() {
