Count prefills in the retry budget

Engines come back under other ids, which no list shows, so that many requests are misdirected. Each retry has a prefill of its own, and a prefill that is rejected is an arrival before the first send to a decode engine; neither was taken from the budget.

A prefill after the first one is now taken from the budget; without a retry left the decode engine processes the prompt. The send to the decode engine is taken from it if a prefill before it has failed and may have arrived; without a retry left the request is refused at once.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -152,8 +152,9 @@
 	// responseStarted is set once a part of the response was passed on to the caller, dataSent once an event with data was.
 	responseStarted, dataSent bool
 	// peersSynced is set once the state of the other instances as of this request is known.
-	peersSynced      bool
-	sends            int
+	peersSynced bool
+	// sends is the number of sends but for prefills.
+	sends, prefills  int
 	attempts         int
 	triedEndpoints   map[string]bool
 	lastEndpoint     string
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -104,9 +104,10 @@
 func (r *requestState) prefill(slot *dispatch.Slot) (*routing.KVHandle, error) {
 	demand := r.demand()
 	ep, ok := r.pickPrefill(slot.Endpoint.Domain, demand.PromptTokens)
-	if !ok || r.usesLocalPrefill(slot, ep) || !r.Limits.Admit(ep) {
+	if !ok || r.usesLocalPrefill(slot, ep) || !r.mayPrefill() || !r.Limits.Admit(ep) {
 		return nil, nil
 	}
+	r.prefills++
 	alreadyRunning := r.EndpointLoad.TotalAt(ep.ID).Requests
 	load := inflight.Load{Requests: 1, Tokens: demand.PromptTokens}
 	r.EndpointLoad.Add(ep.ID, load)
@@ -136,10 +137,19 @@
 	if r.ctx.Err() != nil {
 		return nil, fault.Wrap(err, fault.CallerDisconnected, openai.NotRun, "the caller is gone")
 	}
-	// Fall back to the decode engine for the prompt, which needs no further prefill call.
+	// Falls back to the decode engine for the prompt, which needs no further prefill. The send to it is a retry if the prefill arrived.
+	unsent := errors.Is(err, routing.ErrNotRun) && health.IsUnreachable(err)
+	if !unsent && !r.RetryBudget.TryRetry(r.service.Name, r.SinceBoot()) {
+		return nil, fmt.Errorf("%w: the prefill failed, and the retry budget is used up: %w", routing.ErrNotRun, err)
+	}
 	return nil, nil
 }
 
+// mayPrefill reports whether the request may be sent to a prefill engine. Sends after the first one count as retries.
+func (r *requestState) mayPrefill() bool {
+	return r.prefills == 0 || r.RetryBudget.TryRetry(r.service.Name, r.SinceBoot())
+}
+
 // usesLocalPrefill reports whether the decode engine processes the prompt because the prefill engine would take too long.
 func (r *requestState) usesLocalPrefill(slot *dispatch.Slot, prefill routing.Endpoint) bool {
 	name, prompt := r.service.Name, r.demand().PromptTokens
