Do not send a request again to an endpoint that another one has replaced

A decode engine that refuses a request with a handle gets it again, with the prompt to be processed there, since the KV cache may have expired. That was done after an answer 421 as well: another endpoint answers at the address, or the endpoint has another stage, so the second send is lost and uses a retry.

node "do not go to an endpoint that another one has replaced": 3 sends to two engines before, 2 now.

--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -199,7 +199,7 @@
 	ctx, progress, stop := r.withStallTimeout(handle == nil)
 	defer stop()
 	answer, start, err := r.openStream(ctx, slot, handle)
-	if errors.Is(err, routing.ErrNotRun) && handle != nil && r.mayRetry(err) && r.Limits.Admit(ep) {
+	if errors.Is(err, routing.ErrNotRun) && !errors.Is(err, routing.ErrMisdirected) && handle != nil && r.mayRetry(err) && r.Limits.Admit(ep) {
 		// The KV cache may have expired; retry with the prompt processed by the decode engine.
 		r.recordFailure(ep, err)
 		r.releaseHandle(*handle)
--- a/router/internal/node/retries_test.go
+++ b/router/internal/node/retries_test.go
@@ -79,4 +79,16 @@
 		Entry("after prefills that were rejected", true, standin.Refuse),
 		Entry("after prefills at endpoints that others have replaced", true, misdirect),
 	)
+
+	// Guards against a second send to an address at which another server answers.
+	It("do not go to an endpoint that another one has replaced", func() {
+		cluster := newTestCluster()
+		r := start(cluster)
+		c := countArrivals(append([]*standin.Server{cluster.prefill}, cluster.decode...), false, misdirect)
+		r.stream("/brief/x")
+		Expect(c.other).To(HaveLen(1))
+		for _, n := range c.other {
+			Expect(n).To(Equal(len(cluster.decode)))
+		}
+	})
 })
