Use no endpoints that others have replaced while some are left

If more than half of a service's endpoints are ejected, all are used, so that a fault of the whole fleet does not leave it without any.

health "returns no endpoint that another one has replaced, also if these are more than half" needs the new method.

--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -220,7 +220,10 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return r.Health.RecordTimeout(ep.ID, start, now)
 	}
-	unreachable := errors.Is(err, routing.ErrMisdirected) || errors.Is(err, routing.ErrNotRun) && health.IsUnreachable(err)
+	if errors.Is(err, routing.ErrMisdirected) {
+		return r.Health.RecordReplaced(ep.ID, now)
+	}
+	unreachable := errors.Is(err, routing.ErrNotRun) && health.IsUnreachable(err)
 	return r.Health.RecordFailure(ep.ID, unreachable, now)
 }
 
--- a/router/internal/domain/health/health.go
+++ b/router/internal/domain/health/health.go
@@ -29,8 +29,8 @@
 	failureRate         float64
 	ejectedUntil        time.Duration
 	ejections           int
-	// unreachable is set if the endpoint was ejected because it could not be reached.
-	unreachable bool
+	// unreachable is set if the endpoint was ejected because it could not be reached, replaced if another one answered at its address.
+	unreachable, replaced bool
 }
 
 func (r *endpointRecord) ejectedAsUnreachable(now time.Duration) bool {
@@ -102,7 +102,7 @@
 	}
 	ejected = now >= r.ejectedUntil
 	if ejected {
-		r.unreachable = unreachable
+		r.unreachable, r.replaced = unreachable, false
 		t.reportPending.CompareAndSwap(false, unreachable)
 		r.ejectedUntil = now + min(minEjection<<r.ejections, maxEjection)
 		r.ejections = min(r.ejections+1, 8)
@@ -110,6 +110,18 @@
 	return ejected
 }
 
+// RecordReplaced records that another endpoint answers at the endpoint's address, or that it does not do what it is listed for, and
+// reports whether it is ejected for it.
+func (t *Tracker) RecordReplaced(endpoint string, now time.Duration) (ejected bool) {
+	ejected = t.RecordFailure(endpoint, true, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[endpoint]; r != nil {
+		r.replaced = true
+	}
+	return ejected
+}
+
 // RecordTimeout records a request that has had no answer since startedAt and reports whether the endpoint is ejected
 // for it. If the endpoint has answered nothing else in that time, it counts as unreachable; otherwise only this request
 // was slow.
@@ -157,18 +169,27 @@
 
 // UsableEndpoints returns the endpoints that are not ejected here and that no other instance has reported as
 // unreachable since they last answered here. If this excludes more than half of the endpoints, all of them are
-// returned.
+// returned but those that others have replaced, if any is left.
 func UsableEndpoints[E any](t *Tracker, all []E, id func(E) string, now time.Duration) []E {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	usable := make([]E, 0, len(all))
+	usable, present := make([]E, 0, len(all)), make([]E, 0, len(all))
 	for _, e := range all {
-		if r := t.records[id(e)]; (r == nil || now >= r.ejectedUntil) && !t.reportedUnreachable(id(e)) {
+		r := t.records[id(e)]
+		ejected := r != nil && now < r.ejectedUntil
+		if !ejected && !t.reportedUnreachable(id(e)) {
 			usable = append(usable, e)
 		}
+		if !ejected || !r.replaced {
+			present = append(present, e)
+		}
 	}
-	if float64(len(all)-len(usable)) > maxEjectedFraction*float64(len(all)) {
+	switch {
+	case float64(len(all)-len(usable)) <= maxEjectedFraction*float64(len(all)):
+		return usable
+	case len(present) > 0:
+		return present
+	default:
 		return all
 	}
-	return usable
 }
--- a/router/internal/domain/health/health_test.go
+++ b/router/internal/domain/health/health_test.go
@@ -63,6 +63,21 @@
 		Expect(t.RecordTimeout("b", time.Second, 4*time.Second)).To(BeTrue(), "it has never answered")
 	})
 
+	// Guards against requests that go to endpoints at whose addresses others answer because more than half of the list is outdated.
+	It("returns no endpoint that another one has replaced, also if these are more than half", func() {
+		t := newTracker(1)
+		Expect(t.RecordReplaced("a", 0)).To(BeTrue())
+		t.RecordReplaced("b", 0)
+		Expect(health.UsableEndpoints(t, all, id, 0)).To(Equal([]string{"c"}))
+		t.RecordFailure("c", true, 0)
+		Expect(health.UsableEndpoints(t, all, id, 0)).To(Equal([]string{"c"}), "the only one that may be there")
+		Expect(health.UsableEndpoints(t, all, id, time.Second)).To(Equal(all))
+		t.RecordReplaced("a", 2*time.Second)
+		t.RecordReplaced("b", 2*time.Second)
+		t.RecordReplaced("c", 2*time.Second)
+		Expect(health.UsableEndpoints(t, all, id, 2*time.Second)).To(Equal(all))
+	})
+
 	It("drops the records of endpoints that are no longer listed", func() {
 		t := newTracker(1)
 		t.RecordFailure("a", true, 0)
