--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -269,8 +269,8 @@
 			PeersSynced:   func() bool { return n.components.Load().peers.Joined() },
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
 			Quarantine:    crashes, OnCrash: n.triggerReport,
-			IsLeader:      func() bool { return n.components.Load().peers.IsLeader() },
-			Random: rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
+			IsLeader: func() bool { return n.components.Load().peers.IsLeader() },
+			Random:   rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*crashstore.Keeper, error) {
