--- a/router/internal/node/quarantine_test.go
+++ b/router/internal/node/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,7 +33,7 @@
 	started        atomic.Int64
 
 	mu       sync.Mutex
-	servers  []*standin.Server
+	running  []fragileServer
 	mended   bool
 	crashes  []time.Time
 	arrivals []time.Time
@@ -73,26 +74,46 @@
 	if f.mended {
 		return
 	}
-	f.servers = append(f.servers, s)
+	server := fragileServer{s, h}
+	f.running = append(f.running, server)
 	s.CrashOn(poisonPart, func() {
 		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.crashes = append(f.crashes, time.Now())
-		f.mu.Unlock()
-		_ = h.Listener.Close()
-		h.CloseClientConnections()
-		time.AfterFunc(crashPause, func() {
-			f.cluster.store.RemoveServer(s.ID)
-			f.start()
-		})
+		f.end(server)
 	})
 }
 
+// fragileServer is a running server.
+type fragileServer struct {
+	*standin.Server
+	http *httptest.Server
+}
+
+// end ends a server, which is replaced after crashPause; f.mu is held.
+func (f *fragileServers) end(s fragileServer) {
+	f.running = slices.DeleteFunc(f.running, func(other fragileServer) bool { return other == s })
+	_ = s.http.Listener.Close()
+	s.http.CloseClientConnections()
+	time.AfterFunc(crashPause, func() {
+		f.cluster.store.RemoveServer(s.ID)
+		f.start()
+	})
+}
+
+// crashOldest ends the server that has run for longest.
+func (f *fragileServers) crashOldest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.end(f.running[0])
+}
+
 // mend ends the crashes.
 func (f *fragileServers) mend() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.mended = true
-	for _, s := range f.servers {
+	for _, s := range f.running {
 		s.CrashOn("", nil)
 	}
 }
@@ -199,6 +220,33 @@
 	})
 })
 
+var _ = Describe("crashes that have nothing to do with prompts", func() {
+	// Guards against refusals of sound requests because engines crashed while they began to answer such requests.
+	It("mark no part", func() {
+		cluster := newTestCluster()
+		engines := cluster.startFragile(4)
+		routers := []*router{cluster.start("a"), cluster.start("b")}
+		send := func(n int) response {
+			return routers[n%2].stream("/digest/x", "X-Prompt-Prefix", fmt.Sprintf("aa:200,b%d:50,c%d:50", n%2, n))
+		}
+		var group sync.WaitGroup
+		for n := range 120 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				Expect(send(n).body).NotTo(ContainSubstring("crashes"), "request %d was refused", n)
+			})
+			time.Sleep(50 * time.Millisecond)
+			if n%10 == 5 {
+				engines.crashOldest()
+			}
+		}
+		group.Wait()
+		for n := range 10 {
+			Expect(send(n).status).To(Equal(http.StatusOK))
+		}
+	})
+})
+
 var _ = Describe("what the instances have learnt about parts of prompts", func() {
 	// Guards against engines that crash again and again whenever all instances start at the same time.
 	It("outlives a restart of all instances", func() {
