Open the connections of a silent platform's test before they fall silent

By reading, there are two ways: net/http opens a connection for a call that another one then serves, and the relay accepts it late; or no connection is back in the pool yet, to which net/http returns it a little after the call.

The relay now forwards nothing before each of the four calls has a connection, and the spec goes on when a call needs no new one.

--- a/router/internal/adapter/platformhttp/client_test.go
+++ b/router/internal/adapter/platformhttp/client_test.go
@@ -141,12 +141,22 @@
 	It("uses a new connection after an open one has gone silent", func() {
 		start(standin.Options{})
 		relay := newTCPRelay(web.Listener.Addr().String())
+		const calls = 4
 		client = platformhttp.New(platformhttp.Options{BaseURL: relay.url, Token: "secret", Timeout: 3 * time.Second})
 		var open sync.WaitGroup
-		for range 4 {
+		for range calls {
 			open.Go(func() { _, _ = client.Instances(ctx) })
 		}
+		// No call is answered before each has a connection, so that none is opened later.
+		Eventually(relay.connections.Load).Should(BeEquivalentTo(calls))
+		close(relay.start)
 		open.Wait()
+		// A connection returns to the pool a little after its call.
+		Eventually(func() int64 {
+			before := relay.connections.Load()
+			Expect(client.Instances(ctx)).Error().NotTo(HaveOccurred())
+			return relay.connections.Load() - before
+		}).Should(BeZero())
 		relay.silence()
 		_, err := client.Instances(ctx)
 		expectFault(err, fault.PlatformUnavailable, openai.NotRun)
@@ -163,9 +173,12 @@
 	})
 })
 
-// tcpRelay forwards TCP connections to an address. Silenced connections stay open but forward no more data.
+// tcpRelay forwards TCP connections to an address once start is closed. Silenced connections stay open but forward no more data.
 type tcpRelay struct {
-	url string
+	url   string
+	start chan struct{}
+	// connections is the number of connections that were accepted.
+	connections atomic.Int64
 
 	mu       sync.Mutex
 	silenced *atomic.Bool
@@ -175,7 +188,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
-	r := &tcpRelay{url: "http://" + listener.Addr().String(), silenced: &atomic.Bool{}}
+	r := &tcpRelay{url: "http://" + listener.Addr().String(), start: make(chan struct{}), silenced: &atomic.Bool{}}
 	go func() {
 		for {
 			from, err := listener.Accept()
@@ -197,7 +210,9 @@
 	r.mu.Lock()
 	silenced := r.silenced
 	r.mu.Unlock()
+	r.connections.Add(1)
 	copyUntilSilenced := func(dst, src net.Conn) {
+		<-r.start
 		buffer := make([]byte, 4096)
 		for {
 			n, err := src.Read(buffer)
