--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -171,8 +171,8 @@
 	answerRequested, answerBegan time.Duration
 	answerEvents                 int
 	answerSustained              bool
-	// testsQuarantine is set if the request is sent to test whether its prompt still crashes engines.
-	testsQuarantine bool
+	// isQuarantineTrial is set if the request is sent although its prompt is quarantined, to find out whether it still crashes engines.
+	isQuarantineTrial bool
 }
 
 // streamEnd describes the end of the latest stream for the log line of its request.
--- a/router/internal/app/forward/quarantine.go
+++ b/router/internal/app/forward/quarantine.go
@@ -24,15 +24,15 @@
 	crashProbeTimeout  = 400 * time.Millisecond
 )
 
-// checkQuarantine returns an error if the request's prompt has a part that crashes engines, unless the request tests that.
+// checkQuarantine returns an error if the request's prompt has a part that crashes engines, unless the request is a trial.
 func (r *requestState) checkQuarantine() error {
 	remaining, blocked := r.Quarantine.Blocked(r.service.Name, r.req.Caller.SharedParts, r.SinceBoot())
-	if !blocked || r.testsQuarantine && !r.mayHaveRun {
+	if !blocked || r.isQuarantineTrial && !r.mayHaveRun {
 		return nil
 	}
-	if r.IsLeader() && r.Quarantine.ClaimTest(r.service.Name, r.req.Caller.SharedParts, r.SinceBoot()) {
-		r.testsQuarantine = true
-		r.Logger.Info().Str("event", "quarantine.test").Str("request", r.req.Caller.RequestID).Strs("parts", r.req.Caller.SharedParts).Msg("")
+	if r.IsLeader() && r.Quarantine.ClaimTrial(r.service.Name, r.req.Caller.SharedParts, r.SinceBoot()) {
+		r.isQuarantineTrial = true
+		r.Logger.Info().Str("event", "quarantine.trial").Str("request", r.req.Caller.RequestID).Strs("parts", r.req.Caller.SharedParts).Msg("")
 		return nil
 	}
 	return fault.New(fault.PromptQuarantined, "a part of the prompt crashes the service's endpoints; do not send it again before Retry-After").
--- a/router/internal/domain/quarantine/quarantine.go
+++ b/router/internal/domain/quarantine/quarantine.go
@@ -4,8 +4,8 @@
 // that is sustained shows that its parts are harmless, and clears them from the crashes before it. A part that remains in several
 // crashes, while answers to requests without it begin, is quarantined for a while: requests that hold everything these crashes have in
 // common are blocked. A crash with another cause hits requests at random, and the next answers that share their parts clear them. While
-// no answer shows that there are other requests, which happens if nearly all crash engines, one blocked request after the other is let
-// through, at growing intervals, to test whether it still does.
+// no answer shows that there are other requests, which happens if nearly all crash engines, the block is unproven, and single requests are
+// let through as trials, at growing intervals.
 //
 // Instances exchange the records. Records only lose parts, so that they can be merged in any order and more than once.
 package quarantine
@@ -25,7 +25,7 @@
 	// crashSpacing is the time within which crashes count as one incident. Engines that lose power together crash within it.
 	crashSpacing = 100 * time.Millisecond
 	// seriesThreshold is the number of endpoints that crash in quick succession, in incidents that are seriesSpacing apart, until a part
-	// is blocked and tested.
+	// is blocked without proof.
 	seriesThreshold = 5
 	seriesSpacing   = 25 * time.Millisecond
 	// quarantineTime is how long after its last crash a part is blocked. If it crashes an engine after that, it is blocked again at
@@ -33,13 +33,13 @@
 	quarantineTime = 4 * time.Minute
 	// retention is how long a crash is remembered.
 	retention = 10 * time.Minute
-	// minTestDelay is the time from the last crash to the first test of an unproven rule. It multiplies by testDelayFactor with each test
-	// that fails. Within testRetryInterval there is one test at most; it takes a while until it has an engine and an answer. A rule whose
-	// test is overdue by testPeriod ends: the instance that may test it gets no such requests.
-	minTestDelay      = 2 * time.Second
-	testDelayFactor   = 5
-	testRetryInterval = 5 * time.Second
-	testPeriod        = 20 * time.Second
+	// minTrialDelay is the time from the last crash to the first trial of an unproven rule. It multiplies by trialDelayFactor with each
+	// trial that fails. Within trialRetryInterval there is one trial at most; it takes a while until it has an engine and an answer. A rule
+	// whose trial is overdue by trialPeriod ends: the instance that may try gets no such requests.
+	minTrialDelay      = 2 * time.Second
+	trialDelayFactor   = 5
+	trialRetryInterval = 5 * time.Second
+	trialPeriod        = 20 * time.Second
 	// minRetryAfter is the least time after which callers are asked to come back.
 	minRetryAfter = time.Second
 	// maxCauses is the number of parts that are assumed to crash engines at the same time.
@@ -91,8 +91,8 @@
 	state atomic.Pointer[state]
 	// ownChanges counts what this instance has added to or cleared from the records, blocked the requests that were blocked.
 	ownChanges, blocked atomic.Int64
-	// nextTestAt is the earliest time of the next test; since boot.
-	nextTestAt time.Duration
+	// nextTrialAt is the earliest time of the next trial; since boot.
+	nextTrialAt time.Duration
 }
 
 // New returns an empty Tracker.
@@ -184,20 +184,20 @@
 	return v.service == service && now < v.until && containsAll(parts, v.parts)
 }
 
-// ClaimTest reports whether a blocked request may be sent to test whether it still crashes engines. Only one instance may call it, or there
-// are several tests at a time.
-func (t *Tracker) ClaimTest(service string, parts []string, now time.Duration) bool {
+// ClaimTrial reports whether a blocked request may be sent as a trial, which shows whether it still crashes engines. Only one instance of
+// the fleet may call it, or there are several trials at a time.
+func (t *Tracker) ClaimTrial(service string, parts []string, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.state.Load().rules {
-		if v.blocks(service, parts, now) && (!v.unproven || now < v.testAt) {
+		if v.blocks(service, parts, now) && (!v.unproven || now < v.trialAt) {
 			return false
 		}
 	}
-	if now < t.nextTestAt {
+	if now < t.nextTrialAt {
 		return false
 	}
-	t.nextTestAt = now + testRetryInterval
+	t.nextTrialAt = now + trialRetryInterval
 	return true
 }
 
--- a/router/internal/domain/quarantine/quarantine_test.go
+++ b/router/internal/domain/quarantine/quarantine_test.go
@@ -89,7 +89,7 @@
 	q *quarantine.Tracker
 	// mendedAt is when requests crash engines no more.
 	mendedAt time.Duration
-	// leader is set if the requests are sent by the instance that may test what is blocked.
+	// leader is set if the requests are sent by the instance that may try what is blocked.
 	leader bool
 	// crashes counts the crashes, upAgainAt is when the engines are up again, and servedAt when the first request was answered.
 	crashes             int
@@ -100,7 +100,7 @@
 
 // send sends one request, unless it is blocked or no engine is up.
 func (o *outage) send(now time.Duration, parts ...string) {
-	if blocked(o.q, now, parts...) && !(o.leader && o.q.ClaimTest(service, parts, now)) || now < o.upAgainAt {
+	if blocked(o.q, now, parts...) && !(o.leader && o.q.ClaimTrial(service, parts, now)) || now < o.upAgainAt {
 		return
 	}
 	if now < o.mendedAt {
@@ -117,7 +117,7 @@
 
 // Guards against requests that crash one engine after the other because all requests do, so that no answer shows which part is to blame,
 // and against an outage that goes on for as long as the crashes are remembered.
-func TestTestsWhatAllRequestsHaveInCommon(t *testing.T) {
+func TestTriesWhatAllRequestsHaveInCommon(t *testing.T) {
 	for _, mendedAt := range []time.Duration{10 * time.Second, 30 * time.Second, time.Minute, 2 * time.Minute} {
 		o := outage{q: quarantine.New(), mendedAt: mendedAt, leader: true}
 		for now := time.Duration(0); now < 6*mendedAt && o.servedAt == 0; now += 100 * time.Millisecond {
@@ -132,8 +132,8 @@
 	}
 }
 
-// Guards against a part that is blocked for minutes, without proof, because the instance that may test it gets no such requests.
-func TestUnprovenBlocksEndWithoutATest(t *testing.T) {
+// Guards against a part that is blocked for minutes, without proof, because the instance that may try it gets no such requests.
+func TestUnprovenBlocksEndWithoutATrial(t *testing.T) {
 	o := outage{q: quarantine.New(), mendedAt: 10 * time.Second}
 	for now := time.Duration(0); now < 40*time.Second && o.servedAt == 0; now += 100 * time.Millisecond {
 		o.send(now, "sys", "x")
@@ -169,15 +169,15 @@
 	}
 }
 
-// Guards against tests of what is proven to crash engines, and against more than one test at a time.
-func TestTestsOnlyWhatIsNotProven(t *testing.T) {
+// Guards against trials of what is proven to crash engines, and against more than one trial at a time.
+func TestTriesOnlyWhatIsNotProven(t *testing.T) {
 	q := quarantine.New()
 	for n := range 3 {
 		crash(q, time.Duration(n)*time.Second, "sys", "dead")
 	}
 	claims := 0
 	for now := 2 * time.Second; now < 8*time.Second; now += 100 * time.Millisecond {
-		if q.ClaimTest(service, []string{"sys", "dead", "x"}, now) {
+		if q.ClaimTrial(service, []string{"sys", "dead", "x"}, now) {
 			claims++
 		}
 	}
@@ -185,8 +185,8 @@
 		t.Error(claims, "requests may be sent within 6 s, want 1")
 	}
 	answer(q, 9*time.Second, "sys")
-	if !blocked(q, time.Minute, "sys", "dead") || q.ClaimTest(service, []string{"sys", "dead"}, time.Minute) {
-		t.Error("not blocked, or tested")
+	if !blocked(q, time.Minute, "sys", "dead") || q.ClaimTrial(service, []string{"sys", "dead"}, time.Minute) {
+		t.Error("not blocked, or tried")
 	}
 }
 
--- a/router/internal/domain/quarantine/rules.go
+++ b/router/internal/domain/quarantine/rules.go
@@ -11,16 +11,16 @@
 	service string
 	parts   []string
 	until   time.Duration
-	// testAt is when a request may test an unproven rule. A rule is unproven while no answer has shown that there are requests without
+	// trialAt is when a trial of an unproven rule is due. A rule is unproven while no answer has shown that there are requests without
 	// the parts: engines may crash whatever a request holds.
-	testAt   time.Duration
+	trialAt  time.Duration
 	unproven bool
 }
 
 // retryAt is when callers of blocked requests should come back.
 func (v *blockRule) retryAt() time.Duration {
 	if v.unproven {
-		return v.testAt
+		return v.trialAt
 	}
 	return v.until
 }
@@ -161,8 +161,8 @@
 	last := h.starts[own[len(own)-1]]
 	v := blockRule{service: service, parts: h.commonParts(part), until: last + quarantineTime, unproven: !proven}
 	if v.unproven {
-		v.testAt = last + h.testDelay(part)
-		v.until = min(v.until, v.testAt+testPeriod)
+		v.trialAt = last + h.trialDelay(part)
+		v.until = min(v.until, v.trialAt+trialPeriod)
 	}
 	return v
 }
@@ -172,14 +172,14 @@
 	return slices.ContainsFunc(h.occurrences[part], func(n int) bool { return slices.Contains(h.records[n].others, part) })
 }
 
-// testDelay is the time from the last crash with an unproven part to the next test. It grows with each test that has failed: with each
+// trialDelay is the time from the last crash with an unproven part to the next trial. It grows with each trial that has failed: with each
 // crash after the threshold that was no part of the same series of crashes.
-func (h *history) testDelay(part string) time.Duration {
-	delay := minTestDelay
+func (h *history) trialDelay(part string) time.Duration {
+	delay := minTrialDelay
 	own := h.incidents[part]
 	for n := crashThreshold; n < len(own) && delay < quarantineTime; n++ {
-		if h.starts[own[n]]-h.starts[own[n-1]] >= minTestDelay/2 {
-			delay *= testDelayFactor
+		if h.starts[own[n]]-h.starts[own[n-1]] >= minTrialDelay/2 {
+			delay *= trialDelayFactor
 		}
 	}
 	return min(delay, quarantineTime)
--- a/router/internal/node/quarantine_test.go
+++ b/router/internal/node/quarantine_test.go
@@ -197,7 +197,7 @@
 	)
 
 	// Guards against requests that crash engines on and on because no answer shows which part is to blame.
-	It("is learnt if all requests have it, and tested until they are answered again", func() {
+	It("is learnt if all requests have it, and tried until they are answered again", func() {
 		cluster := newTestCluster()
 		engines := cluster.startFragile(4)
 		var routers []*router
