Refuse truncated lists of instances

Since serve took a list of instances that was cut off after an inner bracket for a whole one, without the instances after it. The body must now be a whole object. platformhttp "is not read from a response that is cut off", which now tries each length, failed before.

--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -21,6 +21,7 @@
 	"github.com/tidwall/gjson"
 
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/jsonbody"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
 	"tanagerwood.dev/router/internal/fault"
@@ -183,7 +184,7 @@
 // that an odd entry of another writer does not hide the others.
 func decodeInstances(body []byte) ([]platform.Instance, error) {
 	list := gjson.GetBytes(body, "instances")
-	if !list.IsArray() || !strings.HasSuffix(list.Raw, "]") {
+	if !list.IsArray() || !jsonbody.IsWholeObject(body) {
 		return nil, errors.New("the response has no list of instances")
 	}
 	var instances []platform.Instance
--- a/router/internal/adapter/platformhttp/instances_test.go
+++ b/router/internal/adapter/platformhttp/instances_test.go
@@ -39,8 +39,13 @@
 		Entry("an entry of another type", `"e-2"`),
 	)
 
+	// Guards against endpoints that are missing from a list because its end was lost.
 	It("is not read from a response that is cut off", func() {
-		_, err := read(`{"instances":[` + good + `,`)
-		Expect(err).To(HaveOccurred())
+		whole := `{"instances":[` + good + `,{"name":"e-2","labels":["a"]}]}`
+		for end := range len(whole) {
+			_, err := read(whole[:end])
+			Expect(err).To(HaveOccurred(), whole[:end])
+		}
+		Expect(read(whole)).To(Equal([]string{"e-1", "e-2"}))
 	})
 })
