Blame no part of the requests that crash along with a deadly one

The parts "sys", which all streams have, and "doc2" were quarantined beside the deadly one, and as no sound stream began any more, nothing cleared them.

Cause: a part was left out only if the records of the one that explains its incidents were some of its own. A sustained answer had cleared "sys" from one of the records of the deadly part, and "doc2" had as many records as that. Now it is enough to occur in fewer records; and of the parts that are left, sorted by the endpoints that crashed and then by the fewest requests, one is a cause only if three of its incidents are not explained by those before it.

quarantine TestMarksNoPartOfRequestsThatCrashAlong failed before.

--- a/router/internal/domain/quarantine/quarantine_test.go
+++ b/router/internal/domain/quarantine/quarantine_test.go
@@ -226,6 +226,30 @@
 	}
 }
 
+// Guards against marking parts that sound requests share because engines that crash take many of them along, and answers have cleared
+// such a part from some of the records only.
+func TestMarksNoPartOfRequestsThatCrashAlong(t *testing.T) {
+	q := quarantine.New()
+	recorded := 0
+	record := func(endpoint string, now time.Duration, requests ...[]string) {
+		for _, parts := range requests {
+			recorded++
+			q.RecordCrash(service, endpoint, fmt.Sprint("r", recorded), parts, now)
+		}
+	}
+	now := time.Second
+	record("d2", now, []string{"sys", "doc4", "dead"})
+	q.RecordAnswer(service, []string{"sys"}, true, now, now+time.Millisecond) // an instance that has not heard of the other records
+	record("d2", now, []string{"sys", "doc2"}, []string{"sys", "doc2"}, []string{"sys", "doc3"})
+	record("d1", now+6*time.Millisecond, []string{"sys", "doc0"}, []string{"sys", "doc3", "dead"}, []string{"sys", "doc4"}, []string{"sys", "doc1"})
+	record("d3", now+600*time.Millisecond, []string{"sys", "doc4", "dead"}, []string{"sys", "doc4"}, []string{"sys", "doc2"})
+	record("d2-2", now+time.Second, []string{"sys", "doc2", "dead"}, []string{"sys", "doc0"})
+	q.RecordAnswer(service, []string{"x"}, false, now+1001*time.Millisecond, now+1001*time.Millisecond)
+	if got := q.Quarantined(3 * time.Second); !reflect.DeepEqual(got, [][]string{{"dead"}}) {
+		t.Error("quarantined:", got)
+	}
+}
+
 // Guards against plain crashes that hide a part, and against two parts that hide each other.
 func TestFindsPartsAmongOtherCrashes(t *testing.T) {
 	for seed := range uint64(20) {
--- a/router/internal/domain/quarantine/rules.go
+++ b/router/internal/domain/quarantine/rules.go
@@ -83,12 +83,14 @@
 	return h
 }
 
-// causes returns the parts that crash engines.
+// causes returns the parts that crash engines. A candidate is none if those before it explain its incidents.
 func (h *history) causes() (causes []string) {
 	candidates := h.candidates()
+	var explained []int
 	for _, part := range candidates {
-		if h.isCause(part, candidates) {
+		if countMissing(explained, h.incidents[part]) >= crashThreshold && h.isCause(part, candidates) {
 			causes = append(causes, part)
+			explained = append(explained, h.incidents[part]...)
 		}
 	}
 	return causes
@@ -103,9 +105,9 @@
 	return len(endpoints)
 }
 
-// candidates returns the parts with crashThreshold incidents, those with most incidents first. Parts are left out if a part that occurs
-// in fewer requests explains their incidents: engines that crash take other requests along, which share parts with the one that
-// crashed them.
+// candidates returns the parts with crashThreshold incidents, those of most endpoints and then of fewest requests first. Parts are left out
+// if a part that occurs in fewer requests explains their incidents: engines that crash take other requests along, which share parts with
+// the one that crashed them.
 func (h *history) candidates() []string {
 	var frequent, candidates []string
 	for part, incidents := range h.incidents {
@@ -119,16 +121,15 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b string) int {
-		return cmp.Or(cmp.Compare(len(h.incidents[b]), len(h.incidents[a])), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(h.crashedEndpoints(b), h.crashedEndpoints(a)), cmp.Compare(len(h.occurrences[a]), len(h.occurrences[b])), cmp.Compare(a, b))
 	})
 	return candidates
 }
 
-// explains reports whether a part occurs only in some of the records of another one, and is absent from fewer than crashThreshold of
-// its incidents.
+// explains reports whether a part occurs in fewer records than another one, and is absent from fewer than crashThreshold of its incidents.
+// Its records need not be some of the other's: answers may have cleared the other part from some of them.
 func (h *history) explains(part, other string) bool {
-	return len(h.occurrences[part]) < len(h.occurrences[other]) && countMissing(h.occurrences[other], h.occurrences[part]) == 0 &&
-		countMissing(h.incidents[part], h.incidents[other]) < crashThreshold
+	return len(h.occurrences[part]) < len(h.occurrences[other]) && countMissing(h.incidents[part], h.incidents[other]) < crashThreshold
 }
 
 // countMissing returns the number of wanted values that are not in all.
