Show sends to leaving endpoints, starts of notices and kept endpoints

Logs could not tell a notice of an earlier start from one of the current start, nor a removal that is ignored after an outage; no metric showed requests that are sent although their endpoint is known to leave.

No decision changes.

--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -212,6 +212,13 @@
 	return revision, err
 }
 
+// KeptEndpoints returns the number of endpoints that are kept although they are missing in the platform's list since an outage.
+func (m *Cache) KeptEndpoints() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.expired)
+}
+
 // MalformedConfigs returns the number of responses so far with a version of the configuration that could not be decoded.
 func (m *Cache) MalformedConfigs() int64 { return m.malformedConfigs.Load() }
 
@@ -284,7 +291,7 @@
 	for id, e := range byID {
 		if was, known := old.ByID[id]; !known || was != e {
 			m.logger.Info().Str("event", "endpoint.listed").Str("endpoint", id).Str("service", e.Service).
-				Str("stage", string(e.Stage)).Bool("leaving", e.Leaving).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
+				Str("stage", string(e.Stage)).Int64("born", e.StartedMS).Bool("leaving", e.Leaving).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
 		}
 	}
 	for id := range old.ByID {
@@ -339,6 +346,7 @@
 		time.AfterFunc(m.recoveredAt+expiredEndpointGrace-now, m.removeExpired)
 	}
 	m.expired[id] = m.recoveredAt + expiredEndpointGrace
+	m.logger.Info().Str("event", "endpoint.kept").Str("endpoint", id).Dur("since_outage", now-m.recoveredAt).Msg("missing after an outage")
 	return true
 }
 
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -33,6 +33,7 @@
 // use.
 type components struct {
 	routingCache *routingcache.Cache
+	state        routingState
 	peers        *gossip.Service
 	dispatcher   *dispatch.Dispatcher
 	rebalancer   *rebalance.Rebalancer
@@ -50,6 +51,7 @@
 func (n *Node) resolveComponents() *components {
 	return &components{
 		routingCache: do.MustInvoke[*routingcache.Cache](n.injector),
+		state:        do.MustInvoke[routingState](n.injector),
 		peers:        do.MustInvoke[*gossip.Service](n.injector),
 		dispatcher:   do.MustInvoke[*dispatch.Dispatcher](n.injector),
 		rebalancer:   do.MustInvoke[*rebalance.Rebalancer](n.injector),
@@ -125,9 +127,11 @@
 // Left implements forward.RoutingState. An endpoint was not leaving when it was chosen, and may get requests for leavingGrace after
 // its announcement.
 func (s routingState) Left(ep routing.Endpoint, chosenAt time.Duration) bool {
-	if s.boot()-chosenAt < s.leavingGrace {
-		return false
-	}
+	return s.boot()-chosenAt >= s.leavingGrace && s.Leaving(ep)
+}
+
+// Leaving reports whether an endpoint is known to leave or to be gone: by the platform's list, or by its own notice.
+func (s routingState) Leaving(ep routing.Endpoint) bool {
 	listed, known := s.Endpoints().ByID[ep.ID]
 	return !known || listed.StartedMS != ep.StartedMS || listed.Leaving || s.availability.Leaving(ep)
 }
@@ -165,6 +169,8 @@
 	p.availability.CountSend(ep)
 	if control {
 		p.limits.Charge(ep)
+	} else if p.state.Leaving(ep) {
+		metrics.GetOrRegisterCounter("sends.to_leaving", p.metrics).Inc(1)
 	}
 }
 
@@ -180,7 +186,7 @@
 	if !p.availability.RecordNotice(ep, notice, clock.System{}.Boot()) {
 		return
 	}
-	n.options.Logger.Info().Str("event", "endpoint.notice").Str("endpoint", ep.ID).Bool("leaving", notice.Leaving).
+	n.options.Logger.Info().Str("event", "endpoint.notice").Str("endpoint", ep.ID).Int64("born", ep.StartedMS).Bool("leaving", notice.Leaving).
 		Int64("pause_ms", notice.Pause.Milliseconds()).Msg("")
 	if notice.Leaving {
 		p.peers.TriggerStatusReport()
