Send no request again to an engine that refused it and leaves

Seen: a request waits at a decode engine, which announces meanwhile that it leaves and then refuses the request; the decode goes to it a second time, up to seconds after the announcement (DRAIN).

Cause: a refusal may mean that the KV cache has expired, so the request is sent again to the same engine without it. That send used the choice made before the wait; only the first one was checked. Class: a decision made before a wait is carried out after it.

Every further send to the engine now needs that it is neither known to leave (list or notice) nor paused, nor the request quarantined. Otherwise the request gets a slot at another engine, within the retry budget.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -57,6 +57,8 @@
 	PauseRemaining(service string, stage routing.Stage) time.Duration
 	// Paused reports whether an endpoint has asked for a pause that is not over.
 	Paused(ep routing.Endpoint) bool
+	// Leaving reports whether an endpoint is known to leave or to be gone.
+	Leaving(ep routing.Endpoint) bool
 	// Left reports whether an endpoint that was chosen at the given time since boot may have been leaving for so long since then
 	// that it must get no requests.
 	Left(ep routing.Endpoint, chosenAt time.Duration) bool
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -199,7 +199,7 @@
 	ctx, progress, stop := r.withStallTimeout(handle == nil)
 	defer stop()
 	answer, start, err := r.openStream(ctx, slot, handle)
-	if errors.Is(err, routing.ErrNotRun) && !errors.Is(err, routing.ErrMisdirected) && handle != nil && r.mayRetry(err) && r.Limits.Admit(ep) {
+	if handle != nil && r.mayResend(ep, err) {
 		// The KV cache may have expired; retry with the prompt processed by the decode engine.
 		r.recordFailure(ep, err)
 		r.releaseHandle(*handle)
@@ -222,6 +222,15 @@
 	return err
 }
 
+// mayResend reports whether a request may be sent once more to an engine that refused it. The request may have waited there for seconds,
+// and the engine may have announced since then that it leaves or wants no requests.
+func (r *requestState) mayResend(ep routing.Endpoint, err error) bool {
+	if !errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrMisdirected) || r.State.Leaving(ep) || r.State.Paused(ep) {
+		return false
+	}
+	return r.checkQuarantine() == nil && r.mayRetry(err) && r.Limits.Admit(ep)
+}
+
 // checkSlot checks whether the request may still be sent to the engine of a slot. The slot was acquired before the prefill, which may have
 // taken seconds.
 func (r *requestState) checkSlot(slot *dispatch.Slot) error {
--- /dev/null
+++ b/router/internal/node/leaving_test.go
@@ -0,0 +1,77 @@
+package node_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/platform/standin"
+	"tanagerwood.dev/router/internal/settings"
+)
+
+// withDrainLimit sets the time within which leaving endpoints stop getting requests.
+func withDrainLimit(limit time.Duration) func(*settings.Node) {
+	return func(s *settings.Node) { s.DrainPropagationLimit = limit }
+}
+
+// refuseFirst has the first request at a decode engine wait there until the function has been called, and refused then. It returns the
+// requests that reach each engine from then on.
+func refuseFirst(engines []*standin.Server, whileWaiting func(*standin.Server, http.Header)) (arrivalsAfter func() map[string]int) {
+	var mu sync.Mutex
+	refusing := ""
+	after := map[string]int{}
+	for _, s := range engines {
+		s.Intercept(func(w http.ResponseWriter, req *http.Request) bool {
+			if strings.HasPrefix(req.URL.Path, "/-/") {
+				return false
+			}
+			mu.Lock()
+			isFirst := refusing == ""
+			if isFirst {
+				refusing = s.ID
+			} else {
+				after[s.ID]++
+			}
+			mu.Unlock()
+			if isFirst {
+				whileWaiting(s, w.Header())
+				standin.Refuse(w)
+			}
+			return isFirst
+		})
+	}
+	return func() map[string]int {
+		mu.Lock()
+		defer mu.Unlock()
+		return map[string]int{"refusing": after[refusing], "all": after[engines[0].ID] + after[engines[1].ID]}
+	}
+}
+
+var _ = Describe("an engine that leaves while a request waits there", func() {
+	const drainLimit = 500 * time.Millisecond
+
+	// Guards against a second send to an engine that has refused the first one and leaves.
+	DescribeTable("gets the request only once if it refuses it and", func(path string, announce func(*testCluster, *standin.Server, http.Header)) {
+		cluster := newTestCluster()
+		r := cluster.startWith("r-1", withDrainLimit(drainLimit))
+		arrivals := refuseFirst(cluster.decode, func(s *standin.Server, header http.Header) {
+			announce(cluster, s, header)
+			time.Sleep(drainLimit)
+		})
+		a := r.stream(path)
+		Expect(a.body).To(Equal(completeStreamBody(a.id)))
+		Expect(arrivals()).To(Equal(map[string]int{"refusing": 0, "all": 1}))
+	},
+		Entry("the list says so", "/brief/x", func(c *testCluster, s *standin.Server, _ http.Header) { c.announceLeaving(s, "m") }),
+		Entry("the refusal says so", "/brief/x", func(_ *testCluster, s *standin.Server, h http.Header) { h.Set("Server-Leaving", "1") }),
+		Entry("both say so, on a resumable route", "/digest/x", func(c *testCluster, s *standin.Server, h http.Header) {
+			c.announceLeaving(s, "m")
+			h.Set("Server-Leaving", "1")
+		}),
+		Entry("it is no longer listed", "/brief/x", func(c *testCluster, s *standin.Server, _ http.Header) { c.store.Remove("servers", s.ID) }),
+	)
+})
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -130,7 +130,7 @@
 	return s.boot()-chosenAt >= s.leavingGrace && s.Leaving(ep)
 }
 
-// Leaving reports whether an endpoint is known to leave or to be gone: by the platform's list, or by its own notice.
+// Leaving implements forward.RoutingState: it reports whether an endpoint is known to leave or to be gone: by the platform's list, or by its own notice.
 func (s routingState) Leaving(ep routing.Endpoint) bool {
 	listed, known := s.Endpoints().ByID[ep.ID]
 	return !known || listed.StartedMS != ep.StartedMS || listed.Leaving || s.availability.Leaving(ep)
