Apply notices to a new start that was not listed when they came

Seen: a server that starts again under its id answers with Server-Leaving before the store lists the new start. Once it is listed, requests go to it as if it had said nothing (DRAIN); a pause and a request limit are lost in the same way (BUDGET, LIMIT).

Cause: a notice was recorded for the start that the list named when it came. Answers do not name their start. Class: what was learnt is attached to the wrong start of its sender.

A notice now also holds when the request was sent to whose answer it belongs, and binds every start that is not later than that. The time of the answer would be wrong where the instance stands still between the two; a start after the send cannot have received the request. Instances pass the time on in their reports. A notice that is bound in this way is kept for a minute, so that an error of a clock does not cost an endpoint for good.

--- a/api/routing/revision.go
+++ b/api/routing/revision.go
@@ -24,6 +24,8 @@
 	Pause time.Duration
 	// Limit is what the response says about the rate of requests that the endpoint accepts.
 	Limit LimitNotice
+	// SentMS is when the request was sent that the response answers, as a Unix time in milliseconds; zero if unknown.
+	SentMS int64
 }
 
 // LimitNotice is what a response says about an endpoint's request limit. The limit applies to all instances together and holds
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -445,7 +445,7 @@
 // limit has all engines announce a request limit to the instance.
 func (in *instance) limit(perSecond float64) {
 	for _, ep := range in.fleet.endpoints {
-		in.notices.RecordLimit(ep, routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}, in.SinceBoot())
+		in.notices.RecordLimit(ep, routing.Notice{Limit: routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}}, in.SinceBoot())
 	}
 }
 
--- a/router/internal/app/gossip/limits_test.go
+++ b/router/internal/app/gossip/limits_test.go
@@ -75,7 +75,7 @@
 	stated := f.stated
 	f.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
-	if nd.notices.RecordLimit(limitedEndpoint, stated, nd.Boot()) {
+	if nd.notices.RecordLimit(limitedEndpoint, routing.Notice{Limit: stated}, nd.Boot()) {
 		nd.TriggerStatusReport()
 	}
 }
--- a/router/internal/domain/availability/availability.go
+++ b/router/internal/domain/availability/availability.go
@@ -1,5 +1,5 @@
 // Package availability tracks the notices that endpoints send in their answers: that they are leaving, that this instance should
-// send them no requests for a while, or how many requests per second they accept. All apply to one incarnation of an endpoint.
+// send them no requests for a while, or how many requests per second they accept. All apply to one start of an endpoint.
 // Leaving notices and limits are shared with the other instances; a pause applies to this instance alone.
 package availability
 
@@ -20,32 +20,36 @@
 	maxResumeJitter = 500 * time.Millisecond
 )
 
-// incarnation identifies one start of an endpoint.
-type incarnation struct {
-	id      string
-	startMS int64
-}
-
-// LeavingEndpoint identifies a leaving incarnation of an endpoint. Instances exchange it.
+// LeavingEndpoint identifies a start of an endpoint that leaves. Instances exchange it.
 type LeavingEndpoint struct {
 	Endpoint string `json:"endpoint"`
-	// StartMS is the Unix time in milliseconds at which the endpoint started; zero if unknown.
+	// StartMS is the listed start of the endpoint, as a Unix time in milliseconds; zero if unknown.
 	StartMS int64 `json:"born,omitempty"`
+	// SentMS is when the request was sent that the endpoint answered with its announcement, as a Unix time in milliseconds; zero if
+	// unknown.
+	SentMS int64 `json:"sent,omitempty"`
 	// AgeMS is the time in milliseconds since the endpoint announced that it leaves.
 	AgeMS int64 `json:"age_ms"`
 }
 
 // leavingNotice is when an endpoint announced that it leaves, and whether it did so to this instance (direct) or to a peer.
 type leavingNotice struct {
+	source
 	since  time.Duration
 	direct bool
 }
 
-// state is immutable because the request path reads it without a lock.
+// pause is a pause that an endpoint has asked for.
+type pause struct {
+	source
+	until time.Duration
+}
+
+// state is immutable because the request path reads it without a lock. The maps hold the latest notice of each endpoint by its id.
 type state struct {
-	leaving map[incarnation]leavingNotice
-	pauses  map[incarnation]time.Duration
-	limits  map[incarnation]limit
+	leaving map[string]leavingNotice
+	pauses  map[string]pause
+	limits  map[string]limit
 }
 
 // Tracker holds the notices of all endpoints. It is safe for concurrent use. Times are since boot.
@@ -62,39 +66,52 @@
 // New returns an empty Tracker. The function random returns a number in [0, 1).
 func New(random func() float64) *Tracker {
 	t := &Tracker{random: random}
-	t.state.Store(&state{leaving: map[incarnation]leavingNotice{}, pauses: map[incarnation]time.Duration{}, limits: map[incarnation]limit{}})
+	t.state.Store(&state{leaving: map[string]leavingNotice{}, pauses: map[string]pause{}, limits: map[string]limit{}})
 	return t
 }
 
-func incarnationOf(ep routing.Endpoint) incarnation { return incarnation{ep.ID, ep.StartedMS} }
-
 // RecordNotice records a notice of an endpoint and reports whether it was new.
 func (t *Tracker) RecordNotice(ep routing.Endpoint, n routing.Notice, now time.Duration) (isNew bool) {
 	if n.Pause < 0 || n.Pause > maxPause {
 		t.invalid.Add(1)
 		n.Pause = max(0, min(n.Pause, maxPause))
 	}
-	s := t.state.Load()
-	if (s.leaving[incarnationOf(ep)].direct || !n.Leaving) && n.Pause == 0 {
+	if l, known := t.state.Load().leavingOf(ep); (known && l.direct || !n.Leaving) && n.Pause == 0 {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.clone()
-	if l, known := next.leaving[incarnationOf(ep)]; n.Leaving && !l.direct {
-		next.leaving[incarnationOf(ep)] = leavingNotice{since: now, direct: true}
+	from := source{ep.StartedMS, n.SentMS}
+	if l, known := next.leavingOf(ep); n.Leaving && !(known && l.direct) {
+		next.leaving[ep.ID] = leavingNotice{source: from, since: now, direct: true}
 		isNew = !known
 	}
 	if n.Pause > 0 {
 		spread := min(time.Duration(resumeJitter*float64(n.Pause)), maxResumeJitter)
 		until := now + n.Pause + time.Duration(t.random()*float64(spread))
-		isNew = isNew || next.pauses[incarnationOf(ep)] <= now
-		next.pauses[incarnationOf(ep)] = max(until, next.pauses[incarnationOf(ep)])
+		before := next.pausedUntil(ep)
+		isNew = isNew || before <= now
+		next.pauses[ep.ID] = pause{source: from, until: max(until, before)}
 	}
 	t.state.Store(next)
 	return isNew
 }
 
+// leavingOf returns the leaving notice that applies to the endpoint.
+func (s *state) leavingOf(ep routing.Endpoint) (l leavingNotice, known bool) {
+	l, known = s.leaving[ep.ID]
+	return l, known && l.appliesTo(ep.StartedMS)
+}
+
+// pausedUntil returns the end of the endpoint's pause, or zero if none is known.
+func (s *state) pausedUntil(ep routing.Endpoint) time.Duration {
+	if p := s.pauses[ep.ID]; p.appliesTo(ep.StartedMS) {
+		return p.until
+	}
+	return 0
+}
+
 // clone copies the state; t.mu must be held.
 func (t *Tracker) clone() *state {
 	s := t.state.Load()
@@ -111,9 +128,9 @@
 	}
 	var usable, leavingOnly []routing.Endpoint
 	for _, ep := range all {
-		l, leaving := s.leaving[incarnationOf(ep)]
+		l, leaving := s.leavingOf(ep)
 		switch {
-		case now < s.pauses[incarnationOf(ep)]:
+		case now < s.pausedUntil(ep):
 		case !leaving:
 			usable = append(usable, ep)
 		case !l.direct || now-l.since < grace:
@@ -128,13 +145,13 @@
 
 // Leaving reports whether an endpoint has announced that it leaves.
 func (t *Tracker) Leaving(ep routing.Endpoint) bool {
-	_, leaving := t.state.Load().leaving[incarnationOf(ep)]
+	_, leaving := t.state.Load().leavingOf(ep)
 	return leaving
 }
 
 // Paused reports whether an endpoint has asked for a pause that is not over.
 func (t *Tracker) Paused(ep routing.Endpoint, now time.Duration) bool {
-	return now < t.state.Load().pauses[incarnationOf(ep)]
+	return now < t.state.Load().pausedUntil(ep)
 }
 
 // PauseRemaining returns the time until the first of the endpoints ends its pause; zero if any of them is not paused.
@@ -142,7 +159,7 @@
 	s := t.state.Load()
 	first := time.Duration(0)
 	for _, ep := range all {
-		remaining := s.pauses[incarnationOf(ep)] - now
+		remaining := s.pausedUntil(ep) - now
 		if remaining <= 0 {
 			return 0
 		}
@@ -156,19 +173,17 @@
 // LeavingEndpoints lists the leaving endpoints for the other instances.
 func (t *Tracker) LeavingEndpoints(now time.Duration) []LeavingEndpoint {
 	var out []LeavingEndpoint
-	for inc, l := range t.state.Load().leaving {
-		out = append(out, LeavingEndpoint{Endpoint: inc.id, StartMS: inc.startMS, AgeMS: (now - l.since).Milliseconds()})
+	for id, l := range t.state.Load().leaving {
+		out = append(out, LeavingEndpoint{Endpoint: id, StartMS: l.startMS, SentMS: l.sentMS, AgeMS: (now - l.since).Milliseconds()})
 	}
 	return out
 }
 
 // MergePeer merges the leaving endpoints reported by another instance and reports whether any was new.
 func (t *Tracker) MergePeer(reported []LeavingEndpoint, now time.Duration) (isNew bool) {
-	known := t.state.Load().leaving
+	s := t.state.Load()
 	for _, l := range reported {
-		if _, ok := known[incarnation{l.Endpoint, l.StartMS}]; !ok {
-			isNew = true
-		}
+		isNew = isNew || s.isNews(l)
 	}
 	if !isNew {
 		return false
@@ -177,15 +192,20 @@
 	defer t.mu.Unlock()
 	next := t.clone()
 	for _, l := range reported {
-		inc := incarnation{l.Endpoint, l.StartMS}
-		if _, ok := next.leaving[inc]; !ok && l.AgeMS >= 0 {
-			next.leaving[inc] = leavingNotice{since: now - time.Duration(l.AgeMS)*time.Millisecond}
+		if next.isNews(l) {
+			next.leaving[l.Endpoint] = leavingNotice{source: source{l.StartMS, l.SentMS}, since: now - time.Duration(l.AgeMS)*time.Millisecond}
 		}
 	}
 	t.state.Store(next)
 	return true
 }
 
+// isNews reports whether no notice is known that applies to the reported start.
+func (s *state) isNews(l LeavingEndpoint) bool {
+	_, known := s.leavingOf(routing.Endpoint{ID: l.Endpoint, StartedMS: l.StartMS})
+	return !known && l.AgeMS >= 0
+}
+
 // Prune deletes leaving notices and limits that are older than retention and whose incarnation is not listed, limits that ended
 // before that, and pauses that are over.
 func (t *Tracker) Prune(listed func(endpoint string) (routing.Endpoint, bool), now time.Duration) {
@@ -196,18 +216,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.clone()
-	unlisted := func(inc incarnation) bool {
-		ep, ok := listed(inc.id)
-		return !ok || ep.StartedMS != inc.startMS
+	unlisted := func(id string, from source) bool {
+		ep, ok := listed(id)
+		return !ok || ep.StartedMS != from.startMS
 	}
-	maps.DeleteFunc(next.leaving, func(inc incarnation, l leavingNotice) bool { return unlisted(inc) && now-l.since > retention })
-	maps.DeleteFunc(next.pauses, func(inc incarnation, until time.Duration) bool { return now >= until })
-	maps.DeleteFunc(next.limits, func(inc incarnation, l limit) bool { return (unlisted(inc) || l.ended) && now-l.statedAt > retention })
+	maps.DeleteFunc(next.leaving, func(id string, l leavingNotice) bool { return unlisted(id, l.source) && now-l.since > retention })
+	maps.DeleteFunc(next.pauses, func(_ string, p pause) bool { return now >= p.until })
+	maps.DeleteFunc(next.limits, func(id string, l limit) bool {
+		return (unlisted(id, l.source) || l.ended) && now-l.statedAt > retention
+	})
 	t.state.Store(next)
 }
 
-// retention is how long the notice of an unlisted incarnation is kept, since it may be listed again after an outage of the
-// platform.
+// retention is how long the notice of an unlisted start is kept, since it may be listed again after an outage of the platform. A notice
+// that came before its start was listed is kept as long: by then the endpoint is gone, or says again that it leaves.
 const retention = time.Minute
 
 // InvalidNotices returns the number of notices with an invalid pause or limit.
@@ -216,8 +238,8 @@
 // Counts returns the numbers of leaving and of paused endpoints.
 func (t *Tracker) Counts(now time.Duration) (leaving, paused int) {
 	s := t.state.Load()
-	for _, until := range s.pauses {
-		if now < until {
+	for _, p := range s.pauses {
+		if now < p.until {
 			paused++
 		}
 	}
--- a/router/internal/domain/availability/availability_test.go
+++ b/router/internal/domain/availability/availability_test.go
@@ -50,6 +50,38 @@
 	}
 }
 
+// Guards against notices of a new start that are dropped because they came before the platform listed that start.
+func TestNoticesBeforeTheStartIsListed(t *testing.T) {
+	listedBefore, later := routing.Endpoint{ID: "a", StartedMS: a.StartedMS - 1}, routing.Endpoint{ID: "a", StartedMS: a.StartedMS + 1}
+	notice := routing.Notice{Leaving: true, Pause: time.Second, Limit: routing.LimitNotice{State: routing.LimitNamed, PerSecond: 5}, SentMS: a.StartedMS}
+	v, other := newTracker(), newTracker()
+	v.RecordNotice(listedBefore, notice, 10*time.Second)
+	v.RecordLimit(listedBefore, notice, 10*time.Second)
+	other.MergePeer(v.LeavingEndpoints(10*time.Second), 10*time.Second)
+	other.MergePeerLimits(v.OwnLimits(10*time.Second), 10*time.Second)
+	now := 10500 * time.Millisecond
+	for _, start := range []routing.Endpoint{listedBefore, a} {
+		if !v.Leaving(start) || !other.Leaving(start) || !v.Paused(start, now) || v.PauseRemaining([]routing.Endpoint{start}, now) == 0 {
+			t.Errorf("start at %d ms: a notice is dropped", start.StartedMS)
+		}
+		if got := ids(v.Usable([]routing.Endpoint{start, b}, grace, now)); got != "b" {
+			t.Errorf("start at %d ms: usable are %q", start.StartedMS, got)
+		}
+		for _, tracker := range []*availability.Tracker{v, other} {
+			if _, limited := tracker.LimitOf(start); !limited {
+				t.Errorf("start at %d ms: the limit is dropped", start.StartedMS)
+			}
+		}
+	}
+	if _, limited := v.LimitOf(later); limited || v.Leaving(later) || v.Paused(later, now) || other.Leaving(later) {
+		t.Error("a start after the notice is bound by it")
+	}
+	v.Prune(func(string) (routing.Endpoint, bool) { return a, true }, 30*time.Second)
+	if !v.Leaving(a) {
+		t.Error("the notice was pruned although the listed start may be leaving")
+	}
+}
+
 // Guards against a service that gets no requests at all because all its endpoints announce that they leave, and against endpoints
 // that still get requests after the grace period.
 func TestAllLeave(t *testing.T) {
@@ -108,10 +140,10 @@
 // Guards against limits that are kept after they have ended, or lost, because of statements to other instances that are older or
 // arrive late.
 func TestLimits(t *testing.T) {
-	named := func(perSecond float64) routing.LimitNotice {
-		return routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}
+	named := func(perSecond float64) routing.Notice {
+		return routing.Notice{Limit: routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}}
 	}
-	none := routing.LimitNotice{State: routing.LimitNone}
+	none := routing.Notice{Limit: routing.LimitNotice{State: routing.LimitNone}}
 	v, other := newTracker(), newTracker()
 	check := func(v *availability.Tracker, what string, want float64) {
 		t.Helper()
@@ -122,7 +154,7 @@
 	if v.RecordLimit(a, none, time.Second) || !v.RecordLimit(a, named(5), 2*time.Second) || v.RecordLimit(a, named(5), 3*time.Second) {
 		t.Error("only the first statement of a limit is a change")
 	}
-	v.RecordLimit(a, routing.LimitNotice{State: routing.LimitInvalid}, 3*time.Second)
+	v.RecordLimit(a, routing.Notice{Limit: routing.LimitNotice{State: routing.LimitInvalid}}, 3*time.Second)
 	check(v, "after an invalid statement", 5)
 	if changed := other.MergePeerLimits(v.OwnLimits(4*time.Second), 4*time.Second); len(changed) != 1 {
 		t.Error("changes at another instance:", changed)
--- a/router/internal/domain/availability/limits.go
+++ b/router/internal/domain/availability/limits.go
@@ -9,6 +9,7 @@
 
 // limit is the latest statement of an endpoint about the rate of requests that it accepts.
 type limit struct {
+	source
 	perSecond float64
 	// ended is set if the endpoint had a limit and has none any more.
 	ended bool
@@ -26,8 +27,10 @@
 // StatedLimit is a statement of an endpoint about its limit. Instances exchange it.
 type StatedLimit struct {
 	Endpoint string `json:"endpoint"`
-	// StartMS is the Unix time in milliseconds at which the endpoint started; zero if unknown.
-	StartMS   int64   `json:"born,omitempty"`
+	// StartMS is the listed start of the endpoint, as a Unix time in milliseconds; zero if unknown.
+	StartMS int64 `json:"born,omitempty"`
+	// SentMS is when the request was sent whose answer states the limit, as a Unix time in milliseconds; zero if unknown.
+	SentMS    int64   `json:"sent,omitempty"`
 	PerSecond float64 `json:"per_s,omitempty"`
 	Ended     bool    `json:"ended,omitempty"`
 	// AgeMS is the time in milliseconds since the endpoint made the statement.
@@ -35,7 +38,8 @@
 }
 
 // RecordLimit records what a response of an endpoint says about its limit and reports whether that changes the limit.
-func (t *Tracker) RecordLimit(ep routing.Endpoint, n routing.LimitNotice, now time.Duration) (changed bool) {
+func (t *Tracker) RecordLimit(ep routing.Endpoint, notice routing.Notice, now time.Duration) (changed bool) {
+	n := notice.Limit
 	if n.State == routing.LimitInvalid {
 		t.invalid.Add(1)
 	}
@@ -46,13 +50,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.clone()
-	old, known := next.limits[incarnationOf(ep)]
-	stated := limit{perSecond: n.PerSecond, ended: n.State == routing.LimitNone, statedAt: now, direct: true}
-	next.limits[incarnationOf(ep)] = stated.following(old, known)
+	old, known := next.limitOf(ep)
+	stated := limit{source: source{ep.StartedMS, notice.SentMS}, perSecond: n.PerSecond, ended: n.State == routing.LimitNone, statedAt: now, direct: true}
+	next.limits[ep.ID] = stated.following(old, known)
 	t.state.Store(next)
 	return stated.differs(old, known)
 }
 
+// limitOf returns the statement that applies to the endpoint.
+func (s *state) limitOf(ep routing.Endpoint) (l limit, known bool) {
+	l, known = s.limits[ep.ID]
+	if !known || !l.appliesTo(ep.StartedMS) {
+		return limit{}, false
+	}
+	return l, true
+}
+
 // following returns the limit with the count of its predecessor, unless it is a new one.
 func (l limit) following(old limit, known bool) limit {
 	l.sent = old.sent
@@ -70,7 +83,7 @@
 
 // LimitOf returns the limit of an endpoint in requests per second.
 func (t *Tracker) LimitOf(ep routing.Endpoint) (perSecond float64, limited bool) {
-	l, known := t.state.Load().limits[incarnationOf(ep)]
+	l, known := t.state.Load().limitOf(ep)
 	return l.perSecond, known && !l.ended
 }
 
@@ -85,9 +98,9 @@
 }
 
 func (t *Tracker) listLimits(now time.Duration, include func(limit) bool) (out []StatedLimit) {
-	for inc, l := range t.state.Load().limits {
+	for id, l := range t.state.Load().limits {
 		if include(l) {
-			out = append(out, StatedLimit{Endpoint: inc.id, StartMS: inc.startMS, PerSecond: l.perSecond, Ended: l.ended, AgeMS: (now - l.statedAt).Milliseconds()})
+			out = append(out, StatedLimit{Endpoint: id, StartMS: l.startMS, SentMS: l.sentMS, PerSecond: l.perSecond, Ended: l.ended, AgeMS: (now - l.statedAt).Milliseconds()})
 		}
 	}
 	return out
@@ -103,12 +116,15 @@
 	defer t.mu.Unlock()
 	next := t.clone()
 	for _, r := range reported {
-		stated := limit{perSecond: r.PerSecond, ended: r.Ended, statedAt: now - time.Duration(r.AgeMS)*time.Millisecond}
-		old, known := next.limits[incarnation{r.Endpoint, r.StartMS}]
-		if !r.valid() || known && !stated.newerThan(old) {
+		if !r.valid() {
+			continue
+		}
+		stated := limit{source: source{r.StartMS, r.SentMS}, perSecond: r.PerSecond, ended: r.Ended, statedAt: now - time.Duration(r.AgeMS)*time.Millisecond}
+		old, known := next.limitOf(routing.Endpoint{ID: r.Endpoint, StartedMS: r.StartMS})
+		if known && !stated.newerThan(old) {
 			continue
 		}
-		next.limits[incarnation{r.Endpoint, r.StartMS}] = stated.following(old, known)
+		next.limits[r.Endpoint] = stated.following(old, known)
 		if stated.differs(old, known) {
 			changed = append(changed, r)
 		}
@@ -135,7 +151,7 @@
 
 // CountSend counts a request that is sent to an endpoint, if the endpoint has a limit.
 func (t *Tracker) CountSend(ep routing.Endpoint) {
-	if l, known := t.state.Load().limits[incarnationOf(ep)]; known && !l.ended {
+	if l, known := t.state.Load().limitOf(ep); known && !l.ended {
 		l.sent.Add(1)
 		t.sentUnderLimit.Add(1)
 	}
@@ -144,7 +160,7 @@
 // SentUnderLimit returns the number of requests that this instance has sent to an endpoint since the endpoint announced its
 // current or last limit.
 func (t *Tracker) SentUnderLimit(ep routing.Endpoint) int64 {
-	if l, known := t.state.Load().limits[incarnationOf(ep)]; known {
+	if l, known := t.state.Load().limitOf(ep); known {
 		return l.sent.Load()
 	}
 	return 0
--- a/router/internal/domain/endpointlimit/endpointlimit_test.go
+++ b/router/internal/domain/endpointlimit/endpointlimit_test.go
@@ -35,7 +35,7 @@
 }
 
 func (f *fixture) state(perSecond float64) {
-	f.notices.RecordLimit(limited, routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}, f.now)
+	f.notices.RecordLimit(limited, routing.Notice{Limit: routing.LimitNotice{State: routing.LimitNamed, PerSecond: perSecond}}, f.now)
 }
 
 // admitFor counts the requests that are admitted when one is tried every 10 ms for the given time.
@@ -90,7 +90,7 @@
 	if f.Limited(free) || f.Limited(replaced) || !f.Limited(limited) || f.Delay(free) != 0 {
 		t.Error("the wrong endpoint is limited")
 	}
-	f.notices.RecordLimit(limited, routing.LimitNotice{State: routing.LimitNone}, f.now)
+	f.notices.RecordLimit(limited, routing.Notice{Limit: routing.LimitNotice{State: routing.LimitNone}}, f.now)
 	for range 100 {
 		if !f.Admit(limited) {
 			t.Fatal("a limit that has ended binds")
--- a/router/internal/node/leaving_test.go
+++ b/router/internal/node/leaving_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -75,3 +77,22 @@
 		Entry("it is no longer listed", "/brief/x", func(c *testCluster, s *standin.Server, _ http.Header) { c.store.Remove("servers", s.ID) }),
 	)
 })
+
+// Guards against requests to a server that announced its leave before the list named its new start.
+var _ = It("sends no requests to a server whose new start announced its leave before it was listed", func() {
+	cluster := newTestCluster()
+	r := cluster.start("r-1")
+	leaving := cluster.plain[0]
+	started := time.Now()
+	leaving.AnnounceShutdown()
+	for len(leaving.Runs()) == 0 {
+		Expect(r.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
+	}
+	entry := strings.TrimSuffix(serverEntry(leaving, "s", cluster.urls[leaving.ID], "ready"), "}")
+	cluster.store.Put("servers", leaving.ID, fmt.Sprintf(`%s,"born":%d}`, entry, started.UnixMilli()))
+	before := len(leaving.Runs())
+	for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		Expect(r.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
+	}
+	Expect(leaving.Runs()).To(HaveLen(before))
+})
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -178,7 +178,7 @@
 // endpoints and limits to the peers.
 func (n *Node) recordNotice(ep routing.Endpoint, notice routing.Notice) {
 	p := n.components.Load()
-	if p.availability.RecordLimit(ep, notice.Limit, clock.System{}.Boot()) {
+	if p.availability.RecordLimit(ep, notice, clock.System{}.Boot()) {
 		n.options.Logger.Info().Str("event", "endpoint.limit").Str("endpoint", ep.ID).Bool("ended", notice.Limit.State == routing.LimitNone).
 			Float64("per_second", notice.Limit.PerSecond).Int64("sent", p.availability.SentUnderLimit(ep)).Msg("")
 		p.peers.TriggerStatusReport()
