Bound requests to announced leavers by the announcement

Cause: a leaving engine is still used for half of the drain limit after its announcement if its service has no others, and a request that was assigned to an engine may be sent for as long after its assignment. Assigned at the end of the first span and sent at the end of the second, it arrives at the drain limit plus the time to connect. Found by reading all waits between a choice and its send.

The span of an engine that announced its leave to this instance now counts from the announcement in both cases.

Test: node "sends no request to leaving engines after the grace period, however late it was assigned" failed before, passes 3 of 3 under -race.

--- a/router/internal/domain/availability/availability.go
+++ b/router/internal/domain/availability/availability.go
@@ -149,6 +149,12 @@
 	return leaving
 }
 
+// AnnouncedBefore reports whether an endpoint announced to this instance, at the given time or earlier, that it leaves.
+func (t *Tracker) AnnouncedBefore(ep routing.Endpoint, at time.Duration) bool {
+	l, leaving := t.state.Load().leavingOf(ep)
+	return leaving && l.direct && l.since <= at
+}
+
 // Paused reports whether an endpoint has asked for a pause that is not over.
 func (t *Tracker) Paused(ep routing.Endpoint, now time.Duration) bool {
 	return now < t.state.Load().pausedUntil(ep)
--- a/router/internal/node/leaving_test.go
+++ b/router/internal/node/leaving_test.go
@@ -78,6 +78,30 @@
 	)
 })
 
+// Guards against a request that is assigned to a leaving engine within the grace period, since all engines leave, and sent after it.
+var _ = It("sends no request to leaving engines after the grace period, however late it was assigned", func() {
+	const grace, prefillTime = 800 * time.Millisecond, 600 * time.Millisecond
+	cluster := newTestCluster()
+	r := cluster.startWith("r-1", withDrainLimit(2*grace))
+	for _, s := range cluster.decode {
+		s.AnnounceShutdown()
+	}
+	Expect(r.stream("/brief/x").status).To(Equal(http.StatusOK))
+	Expect(r.stream("/brief/x").status).To(Equal(http.StatusOK))
+	announced := time.Now()
+	cluster.prefill.Intercept(func(_ http.ResponseWriter, req *http.Request) bool {
+		if !strings.HasPrefix(req.URL.Path, "/-/") {
+			time.Sleep(prefillTime)
+		}
+		return false
+	})
+	time.Sleep(grace / 2)
+	r.stream("/brief/x")
+	for _, run := range cluster.runs() {
+		Expect(run.Began).To(BeTemporally("<", announced.Add(grace)))
+	}
+})
+
 // Guards against requests to a server that announced its leave before the list named its new start.
 var _ = It("sends no requests to a server whose new start announced its leave before it was listed", func() {
 	cluster := newTestCluster()
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -124,10 +124,11 @@
 // Paused implements forward.RoutingState.
 func (s routingState) Paused(ep routing.Endpoint) bool { return s.availability.Paused(ep, s.boot()) }
 
-// Left implements forward.RoutingState. An endpoint was not leaving when it was chosen, and may get requests for leavingGrace after
-// its announcement.
+// Left implements forward.RoutingState. An endpoint that was not leaving when it was chosen may get requests for leavingGrace after
+// that, and one that announced its leave to this instance for leavingGrace after the announcement.
 func (s routingState) Left(ep routing.Endpoint, chosenAt time.Duration) bool {
-	return s.boot()-chosenAt >= s.leavingGrace && s.Leaving(ep)
+	graceStart := s.boot() - s.leavingGrace
+	return s.Leaving(ep) && (chosenAt <= graceStart || s.availability.AnnouncedBefore(ep, graceStart))
 }
 
 // Leaving implements forward.RoutingState: it reports whether an endpoint is known to leave or to be gone: by the platform's list, or by its own notice.
