Check in serve that a decode engine has not left during the prefill

The other request path has the same class of fault as the decode that was sent again: a pair of engines is chosen, the prefill runs, and the decode goes to the chosen engine, although it has begun to leave meanwhile; a full engine is asked again until the KV cache expires. Found by reading the waits and resends of serve; plain services choose anew for each attempt.

Before each decode the placement is asked whether its engine leaves or is no longer known. The decode then moves to another engine, as it does for one that cannot be reached, or the attempt fails without a send.

--- a/router/internal/app/modelpath/attempt.go
+++ b/router/internal/app/modelpath/attempt.go
@@ -146,12 +146,21 @@
 }
 
 // openDecode starts the decode. While the exported KV cache is valid, it retries an engine that is full, and switches to another
-// engine, if there is one, when the engine refuses or cannot be reached. In both cases no decode has started.
+// engine, if there is one, when the engine refuses, cannot be reached, or leaves. In all cases no decode has started.
 func (r *execution) openDecode(id string, ep port.Endpoint, placement Placement, kv *engine.KVTransfer) (port.Endpoint, port.TokenStream, error) {
 	life := time.Duration(kv.ExpiresInMS) * time.Millisecond * kvTransferStartPercent / 100
 	until := r.Clock.Now().Add(life)
 	avoid := map[string]bool{}
 	for {
+		if placement.DecodeLeaves() { // the prefill and waits for a full engine may take seconds
+			avoid[ep.Name] = true
+			other, ok := r.switchDecode(placement, avoid)
+			if !ok {
+				return ep, nil, fault.New(fault.EndpointRefused, "the decode engine leaves, and no other one has room")
+			}
+			ep = other
+			continue
+		}
 		r.recordEvent(event.TransferStarted, id, ep, "")
 		stream, err := r.Engine.Decode(r.ctx, ep, r.engineCall(id, kv))
 		if err == nil || !isDecodeRetryable(err) || r.ctx.Err() != nil || !r.Clock.Now().Before(until) {
--- a/router/internal/app/modelpath/fakes_test.go
+++ b/router/internal/app/modelpath/fakes_test.go
@@ -251,6 +251,8 @@
 	mu       sync.Mutex
 	requests []modelpath.PlacementRequest
 	released int
+	// leaving holds the decode endpoints that leave once a pair is reserved.
+	leaving map[string]bool
 	// queueGate blocks placements until it is closed.
 	queueGate chan struct{}
 }
@@ -286,11 +288,16 @@
 
 func (p *fakePlacement) PrefillEndpoint() port.Endpoint                        { return p.prefill }
 func (p *fakePlacement) DecodeEndpoint(context.Context) (port.Endpoint, error) { return p.decode, nil }
+func (p *fakePlacement) DecodeLeaves() bool                                    { return p.placer.leaving[p.decode.Name] }
 func (p *fakePlacement) FinishPrefill(int64)                                   {}
 func (p *fakePlacement) QueueTime() time.Duration                              { return 0 }
 func (p *fakePlacement) SwitchDecodeEndpoint(_ context.Context, avoid map[string]bool) (port.Endpoint, bool) {
 	other := firstAllowed(avoid, "d1", "d2")
-	return other, !avoid[other.Name]
+	if avoid[other.Name] || p.placer.leaving[other.Name] {
+		return port.Endpoint{}, false
+	}
+	p.decode = other
+	return other, true
 }
 func (p *fakePlacement) Release() {
 	p.once.Do(func() {
--- a/router/internal/app/modelpath/handler_test.go
+++ b/router/internal/app/modelpath/handler_test.go
@@ -166,6 +166,33 @@
 		})
 	})
 
+	// Guards against requests that are assigned to an engine before a wait and sent to it after it has begun to leave.
+	DescribeTable("sends nothing to a decode engine that leaves", func(decodes []callBehaviour, endpoints ...string) {
+		withFakeClock(func() {
+			env := newTestEnv()
+			env.placer.leaving = map[string]bool{"d1": true}
+			env.engine.decodes = decodes
+			_, err := env.serve(context.Background())
+			env.expectWholeAnswer(err, 1)
+			Expect(env.engine.endpoints).To(Equal(endpoints))
+		})
+	},
+		Entry("during the prefill", nil, "p1", "d2"),
+		Entry("while another one is full", []callBehaviour{{refuse: fault.New(fault.EndpointRefused, "full")}}, "p1", "d2", "d2"),
+	)
+
+	// Guards against a full engine that is asked again although it leaves.
+	It("sends nothing to decode engines if all of them leave", func() {
+		withFakeClock(func() {
+			env := newTestEnv()
+			env.placer.leaving = map[string]bool{"d1": true, "d2": true}
+			_, err := env.serve(context.Background())
+			Expect(fault.As(err).Kind).To(Equal(fault.EndpointFailed))
+			Expect(env.engine.endpoints).NotTo(ContainElement(HavePrefix("d")))
+			Expect(env.engine.heldCount()).To(BeZero())
+		})
+	})
+
 	It("gives up with outcome unknown before the first token, and partial after it", func() {
 		withFakeClock(func() {
 			env := newTestEnv()
--- a/router/internal/app/modelpath/request.go
+++ b/router/internal/app/modelpath/request.go
@@ -73,6 +73,8 @@
 	PrefillEndpoint() port.Endpoint
 	// DecodeEndpoint returns the decode endpoint. Policies that select it after the prefill do so in this call.
 	DecodeEndpoint(ctx context.Context) (port.Endpoint, error)
+	// DecodeLeaves reports whether the decode endpoint has begun to leave, or has left, since it was selected.
+	DecodeLeaves() bool
 	// SwitchDecodeEndpoint moves the reservation to a decode endpoint that is not in avoid, if one has a free slot.
 	SwitchDecodeEndpoint(ctx context.Context, avoid map[string]bool) (port.Endpoint, bool)
 	// FinishPrefill releases the reservation at the prefill endpoint.
--- a/router/internal/app/placement/random.go
+++ b/router/internal/app/placement/random.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tanagerwood.dev/api/platform"
@@ -20,7 +21,7 @@
 	if !prefillOK || !decodeOK {
 		return nil, noEndpointError()
 	}
-	return unreservedPair{prefill: prefill, decode: decode}, nil
+	return unreservedPair{config: r.Config, prefill: prefill, decode: decode}, nil
 }
 
 // pick selects a random endpoint. Excluded endpoints are used only if there are no others.
@@ -47,7 +48,10 @@
 }
 
 // unreservedPair is a placement without reservations.
-type unreservedPair struct{ prefill, decode port.Endpoint }
+type unreservedPair struct {
+	config          port.Config
+	prefill, decode port.Endpoint
+}
 
 func (p unreservedPair) PrefillEndpoint() port.Endpoint                        { return p.prefill }
 func (p unreservedPair) DecodeEndpoint(context.Context) (port.Endpoint, error) { return p.decode, nil }
@@ -55,5 +59,8 @@
 func (p unreservedPair) SwitchDecodeEndpoint(context.Context, map[string]bool) (port.Endpoint, bool) {
 	return port.Endpoint{}, false
 }
+func (p unreservedPair) DecodeLeaves() bool {
+	return !slices.ContainsFunc(p.config.Endpoints(), func(ep port.Endpoint) bool { return ep.Name == p.decode.Name && !ep.Leaving })
+}
 func (p unreservedPair) FinishPrefill(int64) {}
 func (p unreservedPair) Release()            {}
--- a/router/internal/app/placement/reserved_pair.go
+++ b/router/internal/app/placement/reserved_pair.go
@@ -113,6 +113,12 @@
 	return r.decode, nil
 }
 
+// DecodeLeaves implements modelpath.Placement.
+func (r *reservedPair) DecodeLeaves() bool {
+	state := r.placer.Loads.View().ByName[r.decode.Name]
+	return state == nil || state.Leaving
+}
+
 // SwitchDecodeEndpoint implements modelpath.Placement.
 func (r *reservedPair) SwitchDecodeEndpoint(ctx context.Context, avoid map[string]bool) (port.Endpoint, bool) {
 	group := r.placer.Loads.View().ByModel[r.job.Model.Name]
