Let servers leave amid other trouble in the soak

Such a rejection no longer excuses requests to leaving servers, since the other instances have the change. A new check holds each process to the announcements that it has passed on itself, also while the store is away.

The checks' own specs cover the new check both ways. No product code.

--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -45,6 +45,7 @@
 		e.checkConfiguration(s)
 		e.checkLeaving(s)
 	}
+	e.checkNotices()
 	e.checkUnrequested()
 	e.checkOrders()
 	e.checkLimits()
@@ -221,35 +222,21 @@
 	}
 	seen := map[string]proof{}
 	ordered := slices.SortedFunc(slices.Values(e.sent), func(a, b *sentRequest) int { return a.began.Compare(b.began) })
-	boot := func(s *sentRequest) string { return fmt.Sprint(s.instance, " start ", s.boot) }
 	for _, s := range ordered {
 		if runs := e.runs[s.id]; s.kind == newestRouteRequest && len(runs) > 0 {
-			if old, ok := seen[boot(s)]; !ok || s.version > old.number {
-				seen[boot(s)] = proof{number: s.version, at: runs[0].Began}
+			if old, ok := seen[s.process()]; !ok || s.version > old.number {
+				seen[s.process()] = proof{number: s.version, at: runs[0].Began}
 			}
 		}
 	}
 	for _, s := range ordered {
-		p, ok := seen[boot(s)]
+		p, ok := seen[s.process()]
 		if !ok || s.kind != newestRouteRequest || s.response.Err != nil || s.response.Status != http.StatusNotFound || s.version > p.number {
 			continue
 		}
 		newest := e.inForce(s)
 		if newest[len(newest)-1].hasRoute(s.version) && s.began.After(p.at.Add(e.bounds.Rollback)) {
-			e.add("no older configuration", s.id, "%s answers 404 for version %d, %v after it served version %d", boot(s), s.version, s.began.Sub(p.at), p.number)
-		}
-	}
-}
-
-// checkLeaving checks that instances without a fault send no requests to a leaving server after the drain time.
-func (e *execution) checkLeaving(s *sentRequest) {
-	for _, r := range e.runs[s.id] {
-		b := e.servers[r.Server]
-		if b.leaving.IsZero() || !r.Began.After(b.leaving.Add(e.bounds.Drain)) {
-			continue
-		}
-		if e.faults.undisturbed(s.instance, e.bounds.Stable, b.leaving, r.Began) {
-			e.add("leaving servers", s.id, "%s sent it to %s, %v after the server said that it is leaving", s.instance, r.Server, r.Began.Sub(b.leaving))
+			e.add("no older configuration", s.id, "%s answers 404 for version %d, %v after it served version %d", s.process(), s.version, s.began.Sub(p.at), p.number)
 		}
 	}
 }
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -55,6 +55,12 @@
 	return s
 }
 
+// announced has server c1 say from one time on that it leaves, which router-1 passes on at 10 s, and run a request at another time.
+func (e *execution) announced(from, ranAt float64) *sentRequest {
+	e.servers["c1"].announcedAt = at(from)
+	return e.served(safeRequest, "look-late", "c1", ranAt)
+}
+
 // limitExceeded has server c1 announce a limit of 2 requests a second, and drop it to 1, and receive 20 requests in 4 s.
 func (e *execution) limitExceeded() {
 	l := serverLimits{limits: []standin.Limit{{From: at(9), PerSecond: 2}, {From: at(14), PerSecond: 1}, {From: at(30), Ended: true}}}
@@ -163,6 +169,15 @@
 			e.refused(newestRouteRequest, "newest-2", http.StatusNotFound, 20.6).version = 2
 		}),
 		Entry("a leaving server that gets requests", "leaving servers", func(e *execution, _ *sentRequest) { e.servers["c1"].leaving = at(7) }),
+		Entry("a leaving server that gets requests of an instance that the store has rejected", "leaving servers", func(e *execution, _ *sentRequest) {
+			e.servers["c1"].leaving = at(7)
+			e.disturbed("router-1", false, 6, 7.5)
+			e.faults.intervals[0].rejection = true
+		}),
+		Entry("a request to a server after its announcement was passed on, while the store is away", "leaving servers", func(e *execution, _ *sentRequest) {
+			e.announced(6, 12.5)
+			e.disturbed(storeScope, false, 6, 13)
+		}),
 		Entry("a request that nobody sent", "unasked", func(e *execution, s *sentRequest) { e.runs["x"] = e.runs[s.id] }),
 		Entry("two orders to a server", "one order", func(e *execution, _ *sentRequest) {
 			engine := standin.NewServer("p1", "prefill")
@@ -224,6 +239,12 @@
 			e.disturbed(storeScope, false, 19, 40)
 			e.served(movedRouteRequest, "moved-1", "c1", 30)
 		}),
+		Entry("a request to a server soon after its announcement was passed on", func(e *execution, _ *sentRequest) { e.announced(9, 11.5) }),
+		Entry("a request to a server whose announcement was passed on before a freeze", func(e *execution, _ *sentRequest) {
+			e.announced(6, 12.5)
+			e.disturbed("router-1", false, 11, 12)
+		}),
+		Entry("a request to a server whose announcement another start passed on", func(e *execution, _ *sentRequest) { e.announced(6, 12.5).boot = 2 }),
 		Entry("a request to a leaving server within the drain time", func(e *execution, _ *sentRequest) { e.servers["c1"].leaving = at(9) }),
 		Entry("requests of an instance that has restarted since it was notified of a limit", func(e *execution, _ *sentRequest) {
 			e.limitExceeded()
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -27,6 +27,8 @@
 		}
 	case ServerLimit:
 		t.limitServers(a)
+	case ServersLeave:
+		return t.leave(a, i)
 	case PoisonPart:
 		t.poison.play(a)
 	case DeadlyRequest:
@@ -174,7 +176,7 @@
 	case ServerCrash:
 		return m.crash(a.Duration)
 	case ServerReplacement:
-		return m.release(t.options.Bounds.Drain, a.Duration)
+		return m.release(t.options.Bounds.Drain, a.Duration, false)
 	}
 	b := m.currentServer()
 	if b == nil {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -35,6 +35,7 @@
 	ServerPathPartition Fault = "server-path-cut"
 	ServerPathReset     Fault = "server-path-reset"
 	ServerPathSlow      Fault = "server-path-slow"
+	ServersLeave        Fault = "servers-leave"
 	ServerLimit         Fault = "server-limit"
 	PoisonPart          Fault = "poison-part"
 	DeadlyRequest       Fault = "deadly-request"
@@ -134,6 +135,7 @@
 	p.Actions = append(p.Actions, lastingActions(seed, poisonStream, PoisonPart, poisonPlanShare, length)...)
 	p.Actions = append(p.Actions, repeatedActions(seed, silentStream, StoreSilent, silentShare, meanSilentPause, length)...)
 	p.Actions = append(p.Actions, lastingActions(seed, deadlyStream, DeadlyRequest, deadlyPlanShare, length)...)
+	p.Actions = append(p.Actions, repeatedActions(seed, leavingStream, ServersLeave, leavingShare, meanLeavingPause, length)...)
 	slices.SortFunc(p.Actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
@@ -144,6 +146,8 @@
 	poisonStream = 3
 	silentStream = 4
 	deadlyStream = 5
+	// Stream 6 is that of the sends of deadly requests.
+	leavingStream = 7
 )
 
 // repeatedActions draws whether a plan has a fault, and when; meanPause is the mean time between two of them.
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -26,6 +26,8 @@
 	Delay time.Duration
 	// HoldToTarget holds back data sent to the target, HoldFromTarget data received from it.
 	HoldToTarget, HoldFromTarget bool
+	// Reject resets new connections.
+	Reject bool
 }
 
 // NewProxy listens on a free loopback address for connections to the target.
@@ -90,6 +92,10 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
+	if p.rejects() {
+		reset(client)
+		return
+	}
 	p.track(client)
 	defer p.untrack(client)
 	upstream, err := net.Dial("tcp", p.target)
@@ -108,6 +114,12 @@
 	<-done
 }
 
+func (p *Proxy) rejects() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Reject
+}
+
 func (p *Proxy) track(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -53,6 +53,10 @@
 	path  *Proxy
 	// leaving is when the store acknowledged that the server is leaving; zero if the server did not announce it.
 	leaving time.Time
+	// announcedAt is when the server began to say so in its answers; zero if it did not.
+	announcedAt time.Time
+	// unlisted is set if the server leaves without an entry in the store.
+	unlisted bool
 	// stoppedAt is when the server crashed or exited.
 	stoppedAt time.Time
 }
@@ -114,7 +118,7 @@
 	defer m.mu.Unlock()
 	for _, b := range m.boots {
 		switch {
-		case b.stoppedAt.IsZero():
+		case b.stoppedAt.IsZero() && !b.unlisted:
 			m.store.PutServer(m.entry(b, b != m.current))
 		default:
 			m.store.RemoveServer(b.server.ID)
@@ -169,17 +173,22 @@
 }
 
 // release replaces the server: a new one starts, and the old one announces that it is leaving and continues for the drain time
-// and the pause.
-func (m *machine) release(drain, pause time.Duration) error {
+// and the pause. If it is unlisted, its entry is removed at once in place of the announcement in the store.
+func (m *machine) release(drain, pause time.Duration, unlisted bool) error {
 	b := m.claim()
 	if b == nil {
 		return nil
 	}
 	err := m.start()
+	announced := time.Now()
 	b.server.AnnounceShutdown()
-	m.store.PutServer(m.entry(b, true))
+	if unlisted {
+		m.store.RemoveServer(b.server.ID)
+	} else {
+		m.store.PutServer(m.entry(b, true))
+	}
 	m.mu.Lock()
-	b.leaving = time.Now()
+	b.unlisted, b.announcedAt, b.leaving = unlisted, announced, time.Now()
 	m.mu.Unlock()
 	time.Sleep(drain + pause)
 	m.store.RemoveServer(b.server.ID)
--- a/lab/soak/timeline.go
+++ b/lab/soak/timeline.go
@@ -26,9 +26,11 @@
 // interval is the period of a fault.
 type interval struct {
 	// scope is an instance's name, or one of the scopes above.
-	scope    string
-	planned  bool
-	from, to time.Time
+	scope   string
+	planned bool
+	// rejection is set if the store rejects the instance, which is not disturbed otherwise.
+	rejection bool
+	from, to  time.Time
 }
 
 // timeline records which part of the system was disturbed when.
@@ -39,10 +41,19 @@
 
 // begin records the beginning of a fault and returns a function that records its end.
 func (t *timeline) begin(scope string, planned bool) (end func()) {
+	return t.add(interval{scope: scope, planned: planned, from: time.Now()})
+}
+
+// beginRejection is like begin, for a time in which the store rejects an instance.
+func (t *timeline) beginRejection(instance string) (end func()) {
+	return t.add(interval{scope: instance, rejection: true, from: time.Now()})
+}
+
+func (t *timeline) add(v interval) (end func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := len(t.intervals)
-	t.intervals = append(t.intervals, interval{scope: scope, planned: planned, from: time.Now()})
+	t.intervals = append(t.intervals, v)
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -99,6 +110,13 @@
 	return !t.overlaps(from.Add(-stable), to, func(v interval) bool { return v.scope == instance || v.scope == storeScope || v.scope == machineScope })
 }
 
+// undisturbedExceptRejection is like undisturbed, but the store may have rejected the instance.
+func (t *timeline) undisturbedExceptRejection(instance string, stable time.Duration, from, to time.Time) bool {
+	return !t.overlaps(from.Add(-stable), to, func(v interval) bool {
+		return v.scope == instance && !v.rejection || v.scope == storeScope || v.scope == machineScope
+	})
+}
+
 // withoutUnplannedFault reports whether there was no unplanned fault at all in the span.
 func (t *timeline) withoutUnplannedFault(from, to time.Time) bool {
 	return !t.overlaps(from, to, func(v interval) bool { return !v.planned })
