Report why a write was refused although net/http reports the close

Cause: an error of a write closes the connection, and if net/http's read loop notices this first, the call ends with its error. Shown by a test in which the connection closes while the refusal is pending: "endpoint_failed: EOF" before.

The refusal is now kept beside the call and joined to its error.

--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -154,6 +154,9 @@
 	if state.abandon() {
 		outcome = openai.NotRun
 	}
+	if refusal := state.refusal.Load(); refusal != nil {
+		err = errors.Join(*refusal, err)
+	}
 	var typed *fault.Error
 	switch {
 	case errors.As(err, &typed):
--- a/router/internal/adapter/servicehttp/client_test.go
+++ b/router/internal/adapter/servicehttp/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -49,6 +51,30 @@
 		Expect(seen.Load()).To(BeZero())
 	})
 
+	// Guards against the error of a closed connection in place of the refusal, which net/http reports if it notices the close first.
+	It("says why the gate refuses the first write although the connection closes meanwhile", func() {
+		dropped := make(chan struct{})
+		web := httptest.NewUnstartedServer(http.NotFoundHandler())
+		web.Config.ConnState = func(c net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				go func() {
+					<-dropped
+					_ = c.Close()
+				}()
+			}
+		}
+		web.Start()
+		DeferCleanup(web.Close)
+		ctx := servicepath.WithBeforeWrite(context.Background(), func(bool) error {
+			close(dropped)
+			time.Sleep(50 * time.Millisecond) // net/http notices the close
+			return fault.New(fault.InstanceNotConfirmed, "late")
+		})
+		_, err := client.Call(ctx, port.Endpoint{URL: web.URL}, call)
+		Expect(fault.Is(err, fault.InstanceNotConfirmed)).To(BeTrue(), "%v", err)
+		Expect(fault.As(err).Outcome).To(Equal(openai.NotRun))
+	})
+
 	It("says not_run when the call was cancelled before its first byte", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		_, err := client.Call(servicepath.WithBeforeWrite(ctx, func(bool) error {
--- a/router/internal/adapter/servicehttp/conn.go
+++ b/router/internal/adapter/servicehttp/conn.go
@@ -25,12 +25,16 @@
 type sendState struct {
 	state           atomic.Int32
 	beforeWriteFunc servicepath.BeforeWriteFunc
+	// refusal is the first error of beforeWriteFunc. The error of the call may be another one: net/http may notice first that the
+	// connection is closed for it.
+	refusal atomic.Pointer[error]
 }
 
 // beforeWrite returns an error if a write must not proceed.
 func (s *sendState) beforeWrite() error {
 	if s.beforeWriteFunc != nil {
 		if err := s.beforeWriteFunc(s.state.Load() == stateUnsent); err != nil {
+			s.refusal.CompareAndSwap(nil, &err)
 			return err
 		}
 	}
