Read the ages of the platform's answers without the cache's lock

Reports and views are built under the lock of the gossip service, and the cache's lock may be held while a list of many endpoints is applied and logged. The two ages are atomics now. routingcache (3 times) and gossip pass under -race.

--- a/router/internal/app/routingcache/outage.go
+++ b/router/internal/app/routingcache/outage.go
@@ -16,9 +16,8 @@
 type outageDetector struct {
 	// minSilence is the shortest time without an answer to any instance that counts as an outage.
 	minSilence time.Duration
-	// lastAnswer is the latest known answer, or the start of this instance while answered is not set.
+	// lastAnswer is the latest known answer, or the start of this instance before the first one.
 	lastAnswer time.Duration
-	answered   bool
 	// silentSince and returnedAt are the beginning and the end of the latest outage; returnedAt is noOutage if there was none.
 	silentSince, returnedAt time.Duration
 }
@@ -33,7 +32,6 @@
 // recordAnswer records when the platform answered an instance, and reports whether that changes the latest outage. Answers to other
 // instances become known late, and may show that what seemed an outage was none, or ended earlier.
 func (d *outageDetector) recordAnswer(at time.Duration) (changed bool) {
-	d.answered = true
 	switch {
 	case at > d.lastAnswer:
 		changed = at-d.lastAnswer >= d.minSilence
@@ -61,27 +59,28 @@
 
 // OwnAnswerAge returns how long ago the platform last answered this instance, and whether it ever did.
 func (m *Cache) OwnAnswerAge() (age time.Duration, answered bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sinceBoot() - m.ownAnswer, m.ownAnswer != noOutage
+	at := time.Duration(m.ownAnswer.Load())
+	return m.sinceBoot() - at, at != noOutage
 }
 
 // FleetAnswerAge returns how long ago the platform last answered any instance, as far as it is known here, and whether it ever did.
 func (m *Cache) FleetAnswerAge() (age time.Duration, answered bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sinceBoot() - m.outage.lastAnswer, m.outage.answered
+	at := time.Duration(m.fleetAnswer.Load())
+	return m.sinceBoot() - at, at != noOutage
 }
 
 // recordOwnAnswer records that the platform answered this instance. m.mu is held.
 func (m *Cache) recordOwnAnswer() {
-	m.ownAnswer = m.sinceBoot()
-	m.recordAnswer(m.ownAnswer)
+	now := m.sinceBoot()
+	m.ownAnswer.Store(int64(now))
+	m.recordAnswer(now)
 }
 
 // recordAnswer records when the platform answered an instance. m.mu is held.
 func (m *Cache) recordAnswer(at time.Duration) {
-	if !m.outage.recordAnswer(at) {
+	changed := m.outage.recordAnswer(at)
+	m.fleetAnswer.Store(int64(m.outage.lastAnswer))
+	if !changed {
 		return
 	}
 	if o := m.outage; o.returnedAt == noOutage {
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -74,13 +74,16 @@
 	// configAnsweredAt and endpointsAnsweredAt are when the last call of each feed succeeded, in time since boot.
 	configAnsweredAt, endpointsAnsweredAt atomic.Int64
 	malformedConfigs                      atomic.Int64
+	// ownAnswer is when the platform last answered this instance, fleetAnswer when it last answered any, in time since boot; noOutage if
+	// it never did.
+	ownAnswer, fleetAnswer atomic.Int64
 
 	mu sync.Mutex
 	// expired holds the endpoints that have been missing since an outage, with the time until which they are kept.
 	expired map[string]time.Duration
 	outage  outageDetector
-	// ownAnswer is when the platform last answered this instance, restoredAt when it was last restored from a backup; noOutage if never.
-	ownAnswer, restoredAt time.Duration
+	// restoredAt is when the platform was last restored from a backup; noOutage if never.
+	restoredAt time.Duration
 	// failedCalls counts consecutive failed calls for the endpoint list since firstFailure. failedSince and recoveredAt are the
 	// beginning and the end of the latest series of outageThreshold or more.
 	failedCalls              int
@@ -100,7 +103,9 @@
 // instances in the fleet, and boot the time since boot.
 func New(p PlatformClient, limits PropagationLimits, instanceCount func() int, logger *log.Logger, boot func() time.Duration) *Cache {
 	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, logger: logger, sinceBoot: boot, expired: map[string]time.Duration{}, recoveredAt: noOutage, departures: newDepartureLog(),
-		outage: newOutageDetector(limits.Heartbeat, boot()), ownAnswer: noOutage, restoredAt: noOutage}
+		outage: newOutageDetector(limits.Heartbeat, boot()), restoredAt: noOutage}
+	m.ownAnswer.Store(int64(noOutage))
+	m.fleetAnswer.Store(int64(noOutage))
 	m.lastReceivedAt.Store(int64(noOutage))
 	m.configAnsweredAt.Store(int64(boot()))
 	m.endpointsAnsweredAt.Store(int64(boot()))
