Let some servers leave in the soak without any announcement

Their entries are removed, and their answers do not say that they leave. The announcements in answers reach all instances within milliseconds and hid instances that ignore a removal.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -176,7 +176,7 @@
 	case ServerCrash:
 		return m.crash(a.Duration)
 	case ServerReplacement:
-		return m.release(t.options.Bounds.Drain, a.Duration, false)
+		return m.release(t.options.Bounds.Drain, a.Duration, departure{})
 	}
 	b := m.currentServer()
 	if b == nil {
--- a/lab/soak/leaving.go
+++ b/lab/soak/leaving.go
@@ -18,18 +18,19 @@
 	rejectionLength = time.Second
 )
 
-// leave has several servers leave together. In most variants the store rejects an instance meanwhile, and in half of them the servers'
-// entries are removed without an announcement in the store.
+// leave has several servers leave together. In most variants the store rejects an instance meanwhile, in half of them the servers'
+// entries are removed without an announcement in the store, and in half of these their answers do not say so, either.
 func (t *testbed) leave(a Action, i *instance) error {
 	defer t.faults.begin(serversScope, true)()
 	var group sync.WaitGroup
 	if a.Variant%3 != 0 {
 		group.Go(func() { t.rejectAtStore(i) })
 	}
-	errs := make([]error, 1+a.Variant/6%maxLeaving)
+	how := departure{unlisted: a.Variant%2 == 0, silent: a.Variant%4 == 0}
+	errs := make([]error, 1+a.Variant/12%maxLeaving)
 	for n := range errs {
 		m := t.machines[(a.Target+n)%len(t.machines)]
-		group.Go(func() { errs[n] = m.release(t.options.Bounds.Drain, a.Duration, a.Variant%2 == 0) })
+		group.Go(func() { errs[n] = m.release(t.options.Bounds.Drain, a.Duration, how) })
 	}
 	group.Wait()
 	return errors.Join(errs...)
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -172,23 +172,34 @@
 	return errors.Join(err, m.start())
 }
 
+// departure is how a server announces that it leaves.
+type departure struct {
+	// unlisted has its entry removed at once, in place of an announcement in the store.
+	unlisted bool
+	// silent leaves the announcement out of its answers.
+	silent bool
+}
+
 // release replaces the server: a new one starts, and the old one announces that it is leaving and continues for the drain time
-// and the pause. If it is unlisted, its entry is removed at once in place of the announcement in the store.
-func (m *machine) release(drain, pause time.Duration, unlisted bool) error {
+// and the pause.
+func (m *machine) release(drain, pause time.Duration, how departure) error {
 	b := m.claim()
 	if b == nil {
 		return nil
 	}
 	err := m.start()
-	announced := time.Now()
-	b.server.AnnounceShutdown()
-	if unlisted {
+	var announced time.Time
+	if !how.silent {
+		announced = time.Now()
+		b.server.AnnounceShutdown()
+	}
+	if how.unlisted {
 		m.store.RemoveServer(b.server.ID)
 	} else {
 		m.store.PutServer(m.entry(b, true))
 	}
 	m.mu.Lock()
-	b.unlisted, b.announcedAt, b.leaving = unlisted, announced, time.Now()
+	b.unlisted, b.announcedAt, b.leaving = how.unlisted, announced, time.Now()
 	m.mu.Unlock()
 	time.Sleep(drain + pause)
 	m.store.RemoveServer(b.server.ID)
