--- a/lab/soak/run_test.go
+++ b/lab/soak/run_test.go
@@ -24,6 +24,7 @@
 	{seed: 3336, length: 12 * time.Second, cause: "a silent store lost the watches of all instances"},
 	{seed: 5002, length: 20 * time.Second, cause: "requests with one part of their prompts crashed one engine after the other"},
 	{seed: 8006, length: 15 * time.Second, cause: "SIGTERM soon after the start ended a process that was reading its settings"},
+	{seed: 9404, length: 12 * time.Second, cause: "an instance that the store rejected for a second ignored the removal of servers"},
 }
 
 const (
