--- a/router/internal/node/removed_test.go
+++ b/router/internal/node/removed_test.go
@@ -66,50 +66,33 @@
 	g.store.ServeHTTP(w, r.WithContext(ctx))
 }
 
-// Guards against an instance that takes the removal of a server for the effect of an outage because only its own calls have failed.
-var _ = It("sends no requests beyond the drain limit to a server that was removed while the store rejected this instance", func() {
-	const drainLimit, outage = 2 * time.Second, time.Second
-	cluster := newTestCluster()
-	cluster.start("r-1")
-	cluster.start("r-2")
-	gate, address := newStoreGate(cluster.store)
-	rejected := cluster.startWith("r-3", func(s *settings.Node) { s.PlatformAddress = address })
-	time.Sleep(time.Second)
-	gate.setClosed(true)
-	time.AfterFunc(outage, func() { gate.setClosed(false) })
-	time.Sleep(outage / 4)
-	removed := cluster.plain[0]
-	cluster.store.Remove("servers", removed.ID)
-	removedAt := time.Now()
-	for time.Since(removedAt) < 2*drainLimit {
-		Expect(rejected.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
-		time.Sleep(10 * time.Millisecond)
-	}
-	runs := removed.Runs()
-	Expect(runs).NotTo(BeEmpty())
-	Expect(runs[len(runs)-1].Began.Sub(removedAt)).To(BeNumerically("<", drainLimit))
-})
-
-// Guards against an instance that learns of a removal from the others only shortly before the drain limit, or after it on a busy machine
-// (soak seed 8330).
-var _ = It("learns from the others in good time that a server was removed while the store rejects this instance", func() {
+var _ = Describe("a server that is removed while the store rejects an instance", func() {
 	const drainLimit = 2 * time.Second
-	cluster := newTestCluster()
-	cluster.start("r-1")
-	cluster.start("r-2")
-	gate, address := newStoreGate(cluster.store)
-	rejected := cluster.startWith("r-3", func(s *settings.Node) { s.PlatformAddress = address })
-	time.Sleep(time.Second)
-	gate.setClosed(true)
-	time.Sleep(drainLimit / 4)
-	removed := cluster.plain[0]
-	cluster.store.Remove("servers", removed.ID)
-	removedAt := time.Now()
-	for time.Since(removedAt) < drainLimit {
-		Expect(rejected.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
-		time.Sleep(10 * time.Millisecond)
-	}
-	runs := removed.Runs()
-	Expect(runs).NotTo(BeEmpty())
-	Expect(runs[len(runs)-1].Began.Sub(removedAt)).To(BeNumerically("<", drainLimit*3/4))
+
+	// Guards against an instance that takes the removal for the effect of an outage because only its own calls have failed, and against one
+	// that learns of it from the others only shortly before the drain limit, or after it on a busy machine (soak seed 8330).
+	DescribeTable("gets no requests of that instance", func(rejection, limit time.Duration) {
+		cluster := newTestCluster()
+		cluster.start("r-1")
+		cluster.start("r-2")
+		gate, address := newStoreGate(cluster.store)
+		rejected := cluster.startWith("r-3", func(s *settings.Node) { s.PlatformAddress = address })
+		time.Sleep(time.Second)
+		gate.setClosed(true)
+		time.AfterFunc(rejection, func() { gate.setClosed(false) })
+		time.Sleep(rejection / 4)
+		removed := cluster.plain[0]
+		cluster.store.Remove("servers", removed.ID)
+		removedAt := time.Now()
+		for time.Since(removedAt) < 2*drainLimit {
+			Expect(rejected.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusOK))
+			time.Sleep(10 * time.Millisecond)
+		}
+		runs := removed.Runs()
+		Expect(runs).NotTo(BeEmpty())
+		Expect(runs[len(runs)-1].Began.Sub(removedAt)).To(BeNumerically("<", limit))
+	},
+		Entry("beyond the drain limit, rejected for a second", time.Second, drainLimit),
+		Entry("beyond three quarters of it, rejected for long", 4*drainLimit, drainLimit*3/4),
+	)
 })
