--- a/router/internal/node/removed_test.go
+++ b/router/internal/node/removed_test.go
@@ -71,7 +71,7 @@
 
 	// Guards against an instance that takes the removal for the effect of an outage because only its own calls have failed, and against one
 	// that learns of it from the others only shortly before the drain limit, or after it on a busy machine (soak seed 8330).
-	DescribeTable("gets no requests of that instance", func(rejection, limit time.Duration) {
+	DescribeTable("gets no requests of that instance", func(rejection, removedAfter, limit time.Duration) {
 		cluster := newTestCluster()
 		cluster.start("r-1")
 		cluster.start("r-2")
@@ -80,7 +80,7 @@
 		time.Sleep(time.Second)
 		gate.setClosed(true)
 		time.AfterFunc(rejection, func() { gate.setClosed(false) })
-		time.Sleep(rejection / 4)
+		time.Sleep(removedAfter)
 		removed := cluster.plain[0]
 		cluster.store.Remove("servers", removed.ID)
 		removedAt := time.Now()
@@ -92,7 +92,7 @@
 		Expect(runs).NotTo(BeEmpty())
 		Expect(runs[len(runs)-1].Began.Sub(removedAt)).To(BeNumerically("<", limit))
 	},
-		Entry("beyond the drain limit, rejected for a second", time.Second, drainLimit),
-		Entry("beyond three quarters of it, rejected for long", 4*drainLimit, drainLimit*3/4),
+		Entry("beyond the drain limit, rejected for a second", time.Second, 250*time.Millisecond, drainLimit),
+		Entry("beyond three quarters of it, rejected for long", 4*drainLimit, 500*time.Millisecond, drainLimit*3/4),
 	)
 })
