Show routers that miss a version after a short outage (CONFIG)

Cause: in a large fleet, news of a version that was written while all watches were lost takes a report, a view and the delays before the store or another instance is asked; together they exceed the bound.

The stand-in store can be silent, and the ports are chosen below those of outgoing connections.

--- a/review/standin/cmd/lostservers/main.go
+++ b/review/standin/cmd/lostservers/main.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return 2, err
 	}
-	routers, err := testbed.StartRouters(2, address, temp)
+	routers, err := testbed.StartRouters(2, address, temp, testbed.SmallBounds)
 	defer func() {
 		for _, r := range routers {
 			r.Kill()
--- a/review/standin/testbed/process.go
+++ b/review/standin/testbed/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,20 +30,54 @@
 	stopRequested bool
 }
 
-// FreePort returns a port that is free on the IP address.
-func FreePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// Ports are chosen below those that systems give to outgoing connections, so that none of these takes a port before a router listens.
+const (
+	firstPort = 15_000
+	lastPort  = 32_000
+)
+
+// FreePort returns a port that is free, for TCP and UDP, on all of the IP addresses.
+func FreePort(ips ...string) (int, error) {
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if isFree(port, ips) {
+			return port, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("found no free port")
 }
 
-// StartRouters starts routers with the command of the deploy file and settings like those of a small installation. dir is a folder for
-// their settings and logs.
-func StartRouters(count int, storeAddress, dir string) ([]*Router, error) {
-	peerPort, err := FreePort("127.0.0.1")
+func isFree(port int, ips []string) bool {
+	for _, ip := range ips {
+		address := fmt.Sprintf("%s:%d", ip, port)
+		tcp, err := net.Listen("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = tcp.Close()
+		udp, err := net.ListenPacket("udp", address)
+		if err != nil {
+			return false
+		}
+		_ = udp.Close()
+	}
+	return true
+}
+
+// Bounds are those of an installation that the settings hold.
+type Bounds struct{ ConfigApply, Drain time.Duration }
+
+// SmallBounds are the bounds of the small installations.
+var SmallBounds = Bounds{ConfigApply: 2 * time.Second, Drain: 2 * time.Second}
+
+// StartRouters starts routers with the command of the deploy file and settings like those of an installation. dir is a folder for their
+// settings and logs.
+func StartRouters(count int, storeAddress, dir string, bounds Bounds) ([]*Router, error) {
+	var ips []string
+	for i := range count {
+		ips = append(ips, fmt.Sprintf("127.0.0.%d", i+1))
+	}
+	peerPort, err := FreePort(ips...)
 	if err != nil {
 		return nil, err
 	}
@@ -52,12 +87,17 @@
 	}
 	var out []*Router
 	for i := range count {
-		ip := fmt.Sprintf("127.0.0.%d", i+1)
+		ip := ips[i]
 		front, err := FreePort(ip)
 		if err != nil {
 			return out, err
 		}
 		ready, err := FreePort(ip)
+		for err == nil && (ready == front || ready == peerPort || front == peerPort) {
+			if front, err = FreePort(ip); err == nil {
+				ready, err = FreePort(ip)
+			}
+		}
 		if err != nil {
 			return out, err
 		}
@@ -69,7 +109,7 @@
 		settings, err := json.MarshalIndent(map[string]any{
 			"instance": name, "domain": "gouda", "caller-listen": r.Front, "ready-listen": r.Ready, "metrics-listen": "",
 			"peer-listen": fmt.Sprintf("%s:%d", ip, peerPort), "seeds": strings.Join(seeds, ","), "platform-address": storeAddress, "memory-mb": 134, "cpu-share": "0.4",
-			"stop-grace": "8s", "config-within": "2000ms", "drain-within": "2000ms", "endpoint-heartbeat": "1200ms", "retry-ratio": "0.2", "retry-fixed": "56",
+			"stop-grace": "8s", "config-within": bounds.ConfigApply.String(), "drain-within": bounds.Drain.String(), "endpoint-heartbeat": "1200ms", "retry-ratio": "0.2", "retry-fixed": "56",
 			"retry-window": "10s",
 		}, "", "  ")
 		if err != nil {
@@ -146,7 +186,13 @@
 			return nil
 		}
 	}
-	return errors.New("the routers did not become ready")
+	var missing []string
+	for _, r := range routers {
+		if !r.IsReady() {
+			missing = append(missing, r.Name+": "+strings.Join(r.Grep(`"level":"error"`), " "))
+		}
+	}
+	return fmt.Errorf("routers did not become ready: %s", strings.Join(missing, "; "))
 }
 
 // Host is the host of all routes.
--- a/review/standin/testbed/store.go
+++ b/review/standin/testbed/store.go
@@ -25,6 +25,8 @@
 	Serving Mode = iota
 	// Busy refuses every call with 503 and cuts the watches that wait.
 	Busy
+	// Silent takes calls and never answers those that arrive meanwhile; their channels stay open. Watches that wait already go on.
+	Silent
 )
 
 type metadata struct {
@@ -83,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mode = m
-	if m != Serving {
+	if m == Busy {
 		s.cut++
 	}
 	s.notify()
@@ -183,6 +185,9 @@
 	switch {
 	case mode == Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case mode == Silent:
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the channel is noticed once the body is read
+		<-r.Context().Done()
 	case !ok:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
@@ -304,7 +309,7 @@
 		s.mu.Lock()
 		var events []storeEvent
 		for _, e := range s.history {
-			if e.kind == kind && e.revision > since && !s.muted {
+			if e.kind == kind && e.revision > since && !s.muted && s.mode == Serving {
 				events = append(events, e)
 			}
 		}
