Answer requests that a planned stop meets while they wait

Cause: node.drain only counted open requests until stopMargin before the end of the grace period, and Run then closed the callers' server. Nothing told a waiting request about the stop: neither the wait for a slot, nor a body that is still arriving, nor a request at an endpoint that answers after the grace period.

Change: package plannedstop holds two signals for all requests of an instance. At the end of the stop notice, from which on new requests are refused, requests that no endpoint has are refused with 503 and Retry-After. stopMargin before the end of the grace period all others end: 502 if they may have run, a cut only if a part of the response was passed on. The server is shut down instead of closed, so that written answers leave.

--- a/router/internal/adapter/frontend/frontend.go
+++ b/router/internal/adapter/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/forward"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -54,6 +55,8 @@
 	MaxBufferedBodyBytes int64
 	// StopPhase returns the current phase of a planned stop.
 	StopPhase func() StopPhase
+	// Stop ends the waits of requests in a planned stop.
+	Stop *plannedstop.Signals
 }
 
 // StopPhase is a phase of a planned stop.
@@ -69,10 +72,6 @@
 	RefusingRequests
 )
 
-// stoppingRetryAfter is the Retry-After value of a request that a stopping instance refuses. The caller should retry on a
-// new connection.
-const stoppingRetryAfter = 10 * time.Millisecond
-
 // Handler serves requests of callers.
 type Handler struct {
 	Deps
@@ -95,7 +94,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if phase == RefusingRequests {
-		h.refuse(w, errStopping())
+		h.refuse(w, plannedstop.Error())
 		return
 	}
 	body := &bodyReader{handler: h, w: w, r: r}
@@ -116,11 +115,6 @@
 	}
 }
 
-// errStopping is the error of a request that a stopping instance refuses.
-func errStopping() *fault.Error {
-	return fault.New(fault.Overloaded, "this instance stops; use a new connection").WithRetryAfter(stoppingRetryAfter)
-}
-
 // handle passes a request to the RequestHandler. It recovers from a panic, so that only this request fails.
 func (h *Handler) handle(ctx context.Context, req *forward.Request, s *responseWriter) (err error) {
 	defer func() {
@@ -166,6 +160,7 @@
 	fault.InstanceNotConfirmed: http.StatusServiceUnavailable,
 	fault.NoEndpoint:           http.StatusServiceUnavailable,
 	fault.PromptQuarantined:    http.StatusServiceUnavailable,
+	fault.Draining:             http.StatusServiceUnavailable,
 	fault.Timeout:              http.StatusGatewayTimeout,
 	fault.EndpointFailed:       http.StatusBadGateway,
 }
@@ -277,15 +272,17 @@
 	controller := http.NewResponseController(b.w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	detach := context.AfterFunc(b.handler.Stop.Waits(), func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer detach()
 	body, err := b.readAll(limit)
+	if b.handler.StopPhase() == RefusingRequests { // the body took so long that an answer might not come in time
+		b.w.Header().Set("Connection", "close")
+		return nil, plannedstop.Error()
+	}
 	var typed *fault.Error
 	if err != nil && !errors.As(err, &typed) {
 		return nil, fault.Wrap(err, fault.BadRequest, openai.NotRun, "the body ended early; send it again")
 	}
-	if err == nil && b.handler.StopPhase() == RefusingRequests { // the body took so long that an answer might not come in time
-		b.w.Header().Set("Connection", "close")
-		return nil, errStopping()
-	}
 	return body, err
 }
 
--- a/router/internal/adapter/frontend/frontend_test.go
+++ b/router/internal/adapter/frontend/frontend_test.go
@@ -19,6 +19,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/adapter/frontend"
 	"tanagerwood.dev/router/internal/app/forward"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -40,7 +41,7 @@
 func newHandler(path handlerFunc, phase frontend.StopPhase, bodyMemory int64) *frontend.Handler {
 	return frontend.New(frontend.Deps{
 		CallerDecoder: headerDecoder{}, RequestHandler: path, SinceBoot: func() time.Duration { return 0 }, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
-		MaxBufferedBodyBytes: bodyMemory, StopPhase: func() frontend.StopPhase { return phase },
+		MaxBufferedBodyBytes: bodyMemory, StopPhase: func() frontend.StopPhase { return phase }, Stop: plannedstop.New(),
 	})
 }
 
@@ -157,6 +158,7 @@
 		h := frontend.New(frontend.Deps{
 			CallerDecoder: headerDecoder{}, RequestHandler: readBody(100), SinceBoot: func() time.Duration { return 0 }, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 			MaxBufferedBodyBytes: 1 << 20, StopPhase: func() frontend.StopPhase { return frontend.StopPhase(phase.Load()) },
+			Stop: plannedstop.New(),
 		})
 		server := httptest.NewServer(h)
 		DeferCleanup(server.Close)
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/background"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/domain/endpointlimit"
 	"tanagerwood.dev/router/internal/domain/engines"
 	"tanagerwood.dev/router/internal/domain/health"
@@ -106,6 +107,9 @@
 	SlotDeadline time.Duration
 	// Exclude holds the ids of endpoints at which this request has failed.
 	Exclude map[string]bool
+	// Stop is closed when the request must not wait any longer because the instance stops. It is nil for a request that may wait until
+	// its context ends.
+	Stop <-chan struct{}
 }
 
 // Dispatcher assigns slots to requests. It is safe for concurrent use.
@@ -226,7 +230,7 @@
 	d.peerRequests[instance] = known
 }
 
-// AcquireSlot waits for a slot and reserves it. Errors have the kind fault.Overloaded, fault.NoEndpoint or
+// AcquireSlot waits for a slot and reserves it. Errors have the kind fault.Overloaded, fault.NoEndpoint, fault.Draining or
 // fault.CallerDisconnected and the outcome not run.
 func (d *Dispatcher) AcquireSlot(ctx context.Context, req *SlotRequest) (*Slot, error) {
 	start := d.SinceBoot()
@@ -242,6 +246,9 @@
 			WithRetryAfter(delay + time.Duration(d.Random()*float64(retryJitter)))
 	}
 	for {
+		if isClosed(req.Stop) {
+			return nil, plannedstop.Error()
+		}
 		slot, err := d.waitForSlot(ctx, req)
 		if err != nil {
 			return nil, err
@@ -376,7 +383,11 @@
 	}
 	select {
 	case <-ctx.Done():
-		return nil, d.removeAbandoned(ctx, list, entry, granted)
+		d.removeWaiting(list, entry, granted)
+		return nil, fault.Wrap(ctx.Err(), fault.CallerDisconnected, openai.NotRun, "the caller is gone")
+	case <-req.Stop:
+		d.removeWaiting(list, entry, granted)
+		return nil, plannedstop.Error()
 	case slot := <-granted:
 		if slot != nil {
 			return slot, nil
@@ -387,9 +398,18 @@
 	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.retryAfter(req.Service))
 }
 
-// removeAbandoned removes a request whose caller has disconnected from the wait list, and releases the slot if one was assigned
-// at the same time.
-func (d *Dispatcher) removeAbandoned(ctx context.Context, list *waitlist.List, entry *waitlist.Entry, granted chan *Slot) error {
+// isClosed reports whether a channel is closed; a nil channel is not.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// removeWaiting removes a request that waits no longer from the wait list, and releases the slot if one was assigned at the same time.
+func (d *Dispatcher) removeWaiting(list *waitlist.List, entry *waitlist.Entry, granted chan *Slot) {
 	d.mu.Lock()
 	removed := list.Remove(entry)
 	d.mu.Unlock()
@@ -398,7 +418,6 @@
 			d.EndpointLoad.Subtract(slot.Endpoint.ID, slot.load)
 		}
 	}
-	return fault.Wrap(ctx.Err(), fault.CallerDisconnected, openai.NotRun, "the caller is gone")
 }
 
 // retryAfter is when a refused caller should retry: about when the slots held now are free again, with a jitter of the same size
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -14,6 +14,7 @@
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/domain/endpointlimit"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
@@ -91,6 +92,8 @@
 	Random func() float64
 	// OnChange is called when the load of prefill engines changes, and when an endpoint is ejected.
 	OnChange func()
+	// Stop tells how far a planned stop of this instance has come.
+	Stop *plannedstop.Signals
 	// OnCrash is called when the records of crashes change, which the other instances must learn at once.
 	OnCrash   func()
 	SinceBoot func() time.Duration
@@ -343,12 +346,17 @@
 
 // finalError converts the error that ends a request to a typed one.
 func (r *requestState) finalError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	// A read of the body that the stop interrupts ends the context, too, although the caller is there.
+	stopped := plannedstop.Ended(ctx) || fault.Is(err, fault.Draining)
+	if ctx.Err() != nil && !stopped {
 		return fault.Wrap(err, fault.CallerDisconnected, r.outcome(), "the caller is gone")
 	}
 	if r.responseStarted {
 		return errors.Join(ErrAborted, fault.Wrap(err, fault.EndpointFailed, openai.Partial, "the answer broke off"))
 	}
+	if stopped {
+		return plannedstop.Error().WithOutcome(r.outcome())
+	}
 	var typed *fault.Error
 	if errors.As(err, &typed) && typed.Kind != fault.CallerDisconnected {
 		return typed.WithOutcome(r.outcome())
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -50,7 +50,7 @@
 
 // isFinal reports whether another attempt is pointless or not allowed.
 func (r *requestState) isFinal(err error) bool {
-	if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.PromptQuarantined) || fault.Is(err, fault.CallerDisconnected) {
+	if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.PromptQuarantined) || fault.Is(err, fault.Draining) || fault.Is(err, fault.CallerDisconnected) {
 		return true
 	}
 	canResume := r.route.Resumable && (!r.dataSent || r.call.ResumeAfter != "")
@@ -91,12 +91,17 @@
 	if r.route.Objective > 0 {
 		limit = min(limit, r.req.Arrived+r.route.Objective-r.priorWait)
 	}
+	var stop <-chan struct{}
+	if !r.mayHaveRun { // the caller of a request that no endpoint has can retry it at another instance
+		stop = r.Stop.Waits().Done()
+	}
 	return &dispatch.SlotRequest{
 		RequestID:    r.req.Caller.RequestID,
 		Service:      r.service.Name,
 		Demand:       demand,
 		SlotDeadline: limit - r.Timings.FirstEventLatency(r.service.Name, demand.PromptTokens),
 		Exclude:      r.triedEndpoints,
+		Stop:         stop,
 	}
 }
 
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -24,6 +24,7 @@
 	"tanagerwood.dev/router/internal/adapter/peerudp"
 	"tanagerwood.dev/router/internal/app/background"
 	"tanagerwood.dev/router/internal/app/gossip"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/settings"
 )
 
@@ -50,9 +51,11 @@
 	maxStopNotice = 2500 * time.Millisecond
 	// noticeDivisor gives the longest notice as a fraction of the stop grace period. The rest is for the requests taken until then.
 	noticeDivisor = 3
-	// stopMargin is how long before the end of the stop grace period the requests that are still open are aborted.
-	stopMargin        = 300 * time.Millisecond
-	drainPollInterval = 20 * time.Millisecond
+	// stopMargin is how long before the end of the stop grace period the requests that are still open are ended. For finalAnswerTimeout
+	// of it, their final answers may be written.
+	stopMargin         = 300 * time.Millisecond
+	finalAnswerTimeout = 150 * time.Millisecond
+	drainPollInterval  = 20 * time.Millisecond
 )
 
 // Options configures a Node.
@@ -75,13 +78,14 @@
 	transport atomic.Pointer[peerudp.Transport]
 	// stopStarted is the time since boot at which a planned stop began, or zero.
 	stopStarted atomic.Int64
+	stopSignals *plannedstop.Signals
 	stop        chan struct{}
 	stopOnce    sync.Once
 }
 
 // New creates a node; Run starts it.
 func New(o Options) *Node {
-	n := &Node{options: o, stop: make(chan struct{})}
+	n := &Node{options: o, stop: make(chan struct{}), stopSignals: plannedstop.New()}
 	n.settings.Store(o.Settings)
 	n.injector = n.newInjector()
 	return n
@@ -128,6 +132,7 @@
 		Int("memory_mb", s.MemoryMB).Msg("")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer context.AfterFunc(ctx, n.stopSignals.Abort)()
 	transport, err := peerudp.Listen(ctx, s.PeerListen, deadConnectionTimeout, n.options.Logger)
 	if err != nil {
 		return err
@@ -157,6 +162,7 @@
 	case <-n.stop:
 		n.drain(ctx, servers[0])
 		p.peers.Leave()
+		n.endRequests(ctx, servers[0])
 	}
 	for _, server := range servers {
 		err = errors.Join(err, server.Close())
@@ -166,7 +172,7 @@
 }
 
 // drain waits until the platform no longer sends connections and all open requests are answered, or until stopMargin before the
-// end of the stop grace period.
+// end of the stop grace period. In between it ends the waits of requests that no endpoint has.
 func (n *Node) drain(ctx context.Context, callers *http.Server) {
 	handler := n.components.Load().handler
 	ticker := time.NewTicker(drainPollInterval)
@@ -174,10 +180,11 @@
 	for {
 		elapsed := clock.System{}.Boot() - time.Duration(n.stopStarted.Load())
 		if n.stopPhase() == frontend.RefusingRequests {
+			n.stopSignals.EndWaits()
 			callers.SetKeepAlivesEnabled(false) // closes idle connections
 		}
 		if elapsed > n.settings.Load().StopGrace-stopMargin || elapsed > n.stopNotice() && handler.OpenRequests() == 0 {
-			n.options.Logger.Info().Str("event", "process.drained").Int("cut", handler.OpenRequests()).Dur("took", elapsed).Msg("")
+			n.options.Logger.Info().Str("event", "process.drained").Int("open", handler.OpenRequests()).Dur("took", elapsed).Msg("")
 			return
 		}
 		select {
@@ -188,6 +195,17 @@
 	}
 }
 
+// endRequests ends the requests that are still open and waits until their final answers are written. A response that was passed on in part
+// is aborted.
+func (n *Node) endRequests(ctx context.Context, callers *http.Server) {
+	n.stopSignals.EndRequests()
+	ctx, cancel := context.WithTimeout(ctx, finalAnswerTimeout)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.options.Logger.Warn().Str("event", "process.requests_cut").Int("open", n.components.Load().handler.OpenRequests()).Err(err).Msg("")
+	}
+}
+
 func memoryLimit(s *settings.Node) int64 {
 	return int64(heapMemoryFraction * float64(s.MemoryMB) * (1 << 20))
 }
@@ -249,7 +267,7 @@
 	}
 	server := &http.Server{
 		Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx },
+		BaseContext: func(net.Listener) context.Context { return n.stopSignals.Requests() },
 	}
 	go func() {
 		if err := server.Serve(tcp); !errors.Is(err, http.ErrServerClosed) {
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -278,7 +278,7 @@
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
 			Quarantine:    crashes, OnCrash: n.triggerReport,
 			IsLeader: func() bool { return n.components.Load().peers.IsLeader() },
-			Random:   rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
+			Random:   rand.Float64, OnChange: n.triggerReport, Stop: n.stopSignals, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*crashstore.Keeper, error) {
@@ -300,7 +300,7 @@
 	do.Provide(i, func(i do.Injector) (*frontend.Handler, error) {
 		return frontend.New(frontend.Deps{
 			CallerDecoder: platform.CallerDecoder{}, RequestHandler: do.MustInvoke[*forward.Forwarder](i), SinceBoot: boot, Logger: logger,
-			MaxBufferedBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryMB) * (1 << 20)), StopPhase: n.stopPhase,
+			MaxBufferedBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryMB) * (1 << 20)), StopPhase: n.stopPhase, Stop: n.stopSignals,
 		}), nil
 	})
 	return i
