End queued requests of serve in good time in a planned stop

Change: after half of the drain timeout, requests of which no endpoint has received anything are refused with not_run and Retry-After, and reads of bodies end. A request leaves the state unsent once, by its first send or by the end of its wait, so that the refusal is true.

Result: the new specs of modelpath, callers and drain pass; they use calls that did not exist before.

--- a/router/internal/adapter/callers/callers_test.go
+++ b/router/internal/adapter/callers/callers_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 	"tanagerwood.dev/router/internal/adapter/callers"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/fault"
@@ -114,14 +116,16 @@
 		models  *fakeModelHandler
 		service *fakeServiceHandler
 		server  *httptest.Server
+		stop    *plannedstop.Signals
 	)
 	BeforeEach(func() {
 		models = &fakeModelHandler{tokens: []string{"Kua", "la ", "\"Lum\npur\""}, ended: make(chan error, 1)}
 		service = &fakeServiceHandler{}
+		stop = plannedstop.New()
 		handler := callers.New(callers.Deps{
 			Config: fixedConfig{testSnapshot()}, Models: models, Service: service,
 			IDs: modelpath.NewIDGenerator(peer.MemberID{Name: "r1", Incarnation: 5}), Clock: clock.System{},
-			WriteTimeout: 300 * time.Millisecond,
+			WriteTimeout: 300 * time.Millisecond, Stop: stop,
 		})
 		server = httptest.NewServer(handler)
 		DeferCleanup(server.Close)
@@ -232,6 +236,25 @@
 		Expect(models.seen).To(BeNil())
 	})
 
+	// Guards against a request whose body arrives slowly, and whose connection a planned stop closes without an answer.
+	It("refuses a request whose body is still arriving when a planned stop ends the waits", func() {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 900\r\n\r\n{")
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		Expect(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		_, err = reader.Peek(1)
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		stop.EndWaits()
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		resp, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get(openai.OutcomeHeader)).To(Equal("not_run"))
+	})
+
 	DescribeTable("refuses requests that two parsers may read differently",
 		func(raw string) {
 			conn, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/router/internal/adapter/callers/completion.go
+++ b/router/internal/adapter/callers/completion.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(w, r, s)
+	body, err := h.readBody(w, r, s)
 	if err != nil {
 		return err
 	}
--- a/router/internal/adapter/callers/handler.go
+++ b/router/internal/adapter/callers/handler.go
@@ -12,6 +12,7 @@
 
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/domain/config"
 	"tanagerwood.dev/router/internal/fault"
@@ -55,6 +56,8 @@
 	// WriteTimeout is the time without any bytes read by the caller after which it is treated as disconnected; 30 s if
 	// zero.
 	WriteTimeout time.Duration
+	// Stop ends the reads of bodies in a planned stop; they never end early if it is nil.
+	Stop *plannedstop.Signals
 }
 
 // Handler is the http.Handler of the callers' port.
@@ -65,6 +68,9 @@
 	if d.WriteTimeout == 0 {
 		d.WriteTimeout = defaultWriteTimeout
 	}
+	if d.Stop == nil {
+		d.Stop = plannedstop.New()
+	}
 	return &Handler{Deps: d}
 }
 
@@ -157,7 +163,7 @@
 }
 
 // readBody reads the request body, up to the configured maximum size.
-func readBody(w http.ResponseWriter, r *http.Request, s *config.Snapshot) ([]byte, error) {
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, s *config.Snapshot) ([]byte, error) {
 	limit := s.Catalogue.Policy.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBody
@@ -166,11 +172,17 @@
 	// The response recorders of tests do not support deadlines; connections always do.
 	_ = controller.SetReadDeadline(time.Now().Add(readTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	detach := context.AfterFunc(h.Stop.Waits(), func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer detach()
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.TooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes; shorten it")
 	}
+	if err != nil && h.Stop.Waits().Err() != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, plannedstop.Error()
+	}
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadRequest, openai.NotRun, "the body ended early; send it again")
 	}
--- a/router/internal/adapter/callers/other.go
+++ b/router/internal/adapter/callers/other.go
@@ -63,7 +63,7 @@
 			return err
 		}
 	}
-	body, err := readBody(w, r, s)
+	body, err := h.readBody(w, r, s)
 	if err != nil {
 		return err
 	}
--- a/router/internal/app/drain/drain.go
+++ b/router/internal/app/drain/drain.go
@@ -34,6 +34,8 @@
 	// leaveTimeout bounds the attempts to leave the roster. If the platform is down, the roster drops the instance later.
 	leaveTimeout       = 10 * time.Second
 	leaveRetryInterval = time.Second
+	// waitDivisor gives the time for which requests may stay queued as a fraction of the finish timeout. The rest is for their answers.
+	waitDivisor = 2
 )
 
 // Clock provides timers. Tests inject their own.
@@ -57,6 +59,8 @@
 // OpenRequests gives access to the queued and open requests of this instance.
 type OpenRequests interface {
 	Open() int
+	// EndWaits refuses the queued requests, which no endpoint has received, and ends the reads of bodies.
+	EndWaits()
 	// EndAll ends each request with its last event and outcome partial, or not_run if nothing was sent.
 	EndAll()
 }
@@ -143,7 +147,12 @@
 		defer close(idle)
 		_ = m.options.Server.Shutdown(ctx) // fails only if the context ends
 	}()
-	if m.waitIdle(idle, m.options.FinishTimeout) {
+	waits := m.options.FinishTimeout / waitDivisor
+	if m.waitIdle(idle, waits) {
+		return
+	}
+	m.options.Requests.EndWaits()
+	if m.waitIdle(idle, m.options.FinishTimeout-waits) {
 		return
 	}
 	m.recordPhase(PhaseFinishing, fmt.Sprintf("drain timeout; ending %d open requests", m.options.Requests.Open()))
--- a/router/internal/app/drain/drain_test.go
+++ b/router/internal/app/drain/drain_test.go
@@ -25,6 +25,7 @@
 	announcements  atomic.Int64
 	openRequests   atomic.Int64
 	endedRequests  atomic.Int64
+	waitsEndedAt   atomic.Int64
 	closed         atomic.Bool
 	shutdown       chan struct{}
 	idle           chan struct{}
@@ -41,6 +42,8 @@
 func (i *fakeInstance) Open() int         { return int(i.openRequests.Load()) }
 func (i *fakeInstance) EndAll()           { i.endedRequests.Add(i.openRequests.Swap(0)) }
 
+func (i *fakeInstance) EndWaits() { i.waitsEndedAt.Store(int64(time.Since(i.startedAt))) }
+
 func (i *fakeInstance) Close() error {
 	i.closed.Store(true)
 	return nil
@@ -141,6 +144,7 @@
 		m.Start()
 		<-m.Done()
 		g.Expect(i.endedRequests.Load()).To(BeEquivalentTo(2))
+		g.Expect(time.Duration(i.waitsEndedAt.Load())).To(Equal(2*time.Second+15*time.Minute/2), "requests that wait must be refused while others can be answered")
 		g.Expect(i.closed.Load()).To(BeTrue(), "open connections must be closed after the grace period")
 		g.Expect(time.Since(i.startedAt)).To(Equal(2*time.Second + 15*time.Minute + 5*time.Second))
 	})
--- a/router/internal/app/modelpath/attempt.go
+++ b/router/internal/app/modelpath/attempt.go
@@ -83,6 +83,9 @@
 func (r *execution) prefill(id string, placement Placement) (*engine.KVTransfer, error) {
 	ep := placement.PrefillEndpoint()
 	call := r.engineCall(id, &engine.KVTransfer{DoRemoteDecode: true})
+	if !r.open.markSent() {
+		return nil, drainingError()
+	}
 	r.recordEvent(event.PrefillStarted, id, ep, "")
 	r.sent = true
 	began := r.Clock.Now()
--- a/router/internal/app/modelpath/fakes_test.go
+++ b/router/internal/app/modelpath/fakes_test.go
@@ -312,9 +312,18 @@
 	charged, settled int64
 	cancelled        bool
 	patience         time.Duration
+	// queueGate blocks requests until it is closed.
+	queueGate chan struct{}
 }
 
-func (a *fakeAdmission) Admit(_ context.Context, _ *config.Customer, tokens int64, patience time.Duration) (port.Charge, error) {
+func (a *fakeAdmission) Admit(ctx context.Context, _ *config.Customer, tokens int64, patience time.Duration) (port.Charge, error) {
+	if a.queueGate != nil {
+		select {
+		case <-ctx.Done():
+			return nil, fault.New(fault.CallerDisconnected, "the caller is gone")
+		case <-a.queueGate:
+		}
+	}
 	a.charged, a.patience = tokens, patience
 	return a, nil
 }
--- a/router/internal/app/modelpath/handler.go
+++ b/router/internal/app/modelpath/handler.go
@@ -96,7 +96,7 @@
 		return Result{}, p.refuse(req, keyWithdrawnError())
 	}
 	p.budget.deposit(p.Config.Current().Catalogue.Policy.RetryBudgetPercent)
-	r := &execution{Handler: p, ctx: ctx, req: req, writer: w}
+	r := &execution{Handler: p, ctx: ctx, req: req, writer: w, open: open}
 	err := r.admit()
 	if err == nil {
 		err = r.runAttempts()
@@ -131,6 +131,7 @@
 	ctx    context.Context
 	req    *Request
 	writer TokenWriter
+	open   *openRequest
 	charge port.Charge
 
 	attemptCount      int
--- a/router/internal/app/modelpath/handler_test.go
+++ b/router/internal/app/modelpath/handler_test.go
@@ -360,4 +360,33 @@
 			Expect(env.engine.heldCount()).To(BeZero())
 		})
 	})
+
+	// Guards against requests that get their place so late in a stop that they are cut at its end.
+	It("refuses requests that wait for rate limit tokens or for a place when their wait ends, and lets the others finish", func() {
+		withFakeClock(func() {
+			env := newTestEnv()
+			sent, waiting := make(chan error, 1), make(chan error, 2)
+			serve := func(result chan<- error) {
+				_, err := env.serve(context.Background())
+				result <- err
+			}
+			go serve(sent)
+			synctest.Wait()
+			env.placer.queueGate = make(chan struct{})
+			go serve(waiting)
+			synctest.Wait()
+			env.admission.queueGate = make(chan struct{})
+			go serve(waiting)
+			synctest.Wait()
+			env.registry.EndWaits()
+			for range 2 {
+				refused := fault.As(<-waiting)
+				Expect(refused.Kind).To(Equal(fault.Draining))
+				Expect(refused.Outcome).To(Equal(openai.NotRun))
+				Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+			}
+			Expect(<-sent).To(Succeed())
+			Expect(env.engine.heldCount()).To(BeZero())
+		})
+	})
 })
--- a/router/internal/app/modelpath/inflight.go
+++ b/router/internal/app/modelpath/inflight.go
@@ -31,6 +31,19 @@
 	customer string
 	digest   config.KeyDigest
 	cancel   context.CancelCauseFunc
+	state    atomic.Int32
+}
+
+// States of an open request. A request leaves stateUnsent once, when it is sent or when a planned stop ends its wait.
+const (
+	stateUnsent int32 = iota
+	stateSent
+	stateWaitEnded
+)
+
+// markSent records that the request is about to be sent to an endpoint. It returns false if a planned stop has ended its wait.
+func (o *openRequest) markSent() bool {
+	return o.state.CompareAndSwap(stateUnsent, stateSent) || o.state.Load() == stateSent
 }
 
 // NewInflightRegistry returns an empty registry.
@@ -62,13 +75,25 @@
 // StopAccepting makes the registry refuse new requests. Open requests continue.
 func (r *InflightRegistry) StopAccepting() { r.draining.Store(true) }
 
-// CancelAll cancels all open requests. Those that have sent something to an endpoint end with outcome partial.
-func (r *InflightRegistry) CancelAll() {
+// EndWaits refuses new requests and the open ones of which no endpoint has received anything. The others continue.
+func (r *InflightRegistry) EndWaits() {
+	r.StopAccepting()
 	r.forEachRequest(func(o *openRequest) {
-		o.cancel(fault.New(fault.Draining, "the instance is stopping; repeat the request"))
+		if o.state.CompareAndSwap(stateUnsent, stateWaitEnded) {
+			o.cancel(drainingError())
+		}
 	})
 }
 
+// CancelAll cancels all open requests. Those that have sent something to an endpoint end with outcome partial.
+func (r *InflightRegistry) CancelAll() {
+	r.forEachRequest(func(o *openRequest) { o.cancel(drainingError()) })
+}
+
+func drainingError() *fault.Error {
+	return fault.New(fault.Draining, "the instance is stopping; repeat the request at another one").WithRetryAfter(drainRetryAfter)
+}
+
 // cancelWithdrawn cancels the open requests whose key is no longer valid and returns their customers.
 func (r *InflightRegistry) cancelWithdrawn(s *config.Snapshot) (ended []string) {
 	r.forEachRequest(func(o *openRequest) {
@@ -100,17 +125,18 @@
 	return fault.New(fault.KeyWithdrawn, "the key was withdrawn; use another one")
 }
 
-// addRequest counts the request before it checks draining, so that a drain that sees no open request cannot miss one.
+// addRequest counts and adds the request before it checks draining, so that a drain that sees no open request cannot miss one, and
+// EndWaits none that waits.
 func (r *InflightRegistry) addRequest(id string, o *openRequest) error {
 	r.open.Add(1)
-	if r.draining.Load() {
-		r.open.Add(-1)
-		return fault.New(fault.Draining, "the instance is stopping; repeat the request at another one").WithRetryAfter(drainRetryAfter)
-	}
 	s := r.shard(id)
 	s.mu.Lock()
 	s.requests[id] = o
 	s.mu.Unlock()
+	if r.draining.Load() {
+		r.removeRequest(id)
+		return drainingError()
+	}
 	return nil
 }
 
--- a/router/internal/instance/adapters.go
+++ b/router/internal/instance/adapters.go
@@ -10,6 +10,7 @@
 	"tanagerwood.dev/router/internal/app/cleanup"
 	"tanagerwood.dev/router/internal/app/membership"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/app/quotasync"
 	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/app/servicepath"
@@ -20,11 +21,18 @@
 type openRequests struct {
 	models   *modelpath.InflightRegistry
 	services *servicepath.Forwarder
+	stop     *plannedstop.Signals
 }
 
 // Open implements drain.OpenRequests and operators.Requests.
 func (o *openRequests) Open() int { return int(o.models.OpenRequests()) + o.services.OpenCalls() }
 
+// EndWaits implements drain.OpenRequests. Calls of plain services wait for a second at most and are left out.
+func (o *openRequests) EndWaits() {
+	o.stop.EndWaits()
+	o.models.EndWaits()
+}
+
 // EndAll implements drain.OpenRequests.
 func (o *openRequests) EndAll() {
 	o.models.CancelAll()
--- a/router/internal/instance/servers.go
+++ b/router/internal/instance/servers.go
@@ -14,6 +14,7 @@
 	"tanagerwood.dev/router/internal/app/drain"
 	"tanagerwood.dev/router/internal/app/membership"
 	"tanagerwood.dev/router/internal/app/modelpath"
+	"tanagerwood.dev/router/internal/app/plannedstop"
 	"tanagerwood.dev/router/internal/app/quotasync"
 	"tanagerwood.dev/router/internal/app/reservations"
 	"tanagerwood.dev/router/internal/app/servicepath"
@@ -29,8 +30,9 @@
 )
 
 func provideServers(injector do.Injector) {
+	do.ProvideValue(injector, plannedstop.New())
 	do.Provide(injector, func(i do.Injector) (*openRequests, error) {
-		return &openRequests{models: do.MustInvoke[*modelpath.InflightRegistry](i), services: do.MustInvoke[*servicepath.Forwarder](i)}, nil
+		return &openRequests{models: do.MustInvoke[*modelpath.InflightRegistry](i), services: do.MustInvoke[*servicepath.Forwarder](i), stop: do.MustInvoke[*plannedstop.Signals](i)}, nil
 	})
 	do.Provide(injector, func(i do.Injector) (*callerServer, error) {
 		handler := callers.New(callers.Deps{
@@ -39,6 +41,7 @@
 			Service: do.MustInvoke[*servicepath.Forwarder](i),
 			IDs:     do.MustInvoke[*modelpath.IDGenerator](i),
 			Clock:   do.MustInvoke[port.Clock](i),
+			Stop:    do.MustInvoke[*plannedstop.Signals](i),
 		})
 		return &callerServer{newServer(handler)}, nil
 	})
