Decide in one place which endpoints are used

Cause: the platform's list and what an instance keeps besides were one map that five callers changed. The same for entries that are hidden after a restore.

Change: the cache holds the platform's list and the kept endpoints apart. replaceList is the only way to a new list, publishEndpoints derives from it what is used.

--- a/router/internal/app/routingcache/expired.go
+++ b/router/internal/app/routingcache/expired.go
@@ -1,7 +1,6 @@
 package routingcache
 
 import (
-	"maps"
 	"time"
 
 	"tanagerwood.dev/api/routing"
@@ -19,7 +18,7 @@
 func (m *Cache) KeptEndpoints() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.expired)
+	return len(m.kept)
 }
 
 // keepsExpiredUntil returns until when missing endpoints are kept after the latest outage or restore. If calls of this instance still
@@ -35,25 +34,25 @@
 	return since + expiredEndpointGrace
 }
 
-// keepExpired reports whether a missing endpoint is kept for now because the platform has just returned from an outage. m.mu is held.
-func (m *Cache) keepExpired(id string, e routing.Endpoint) bool {
+// keepExpired keeps a missing endpoint for now if the platform has just returned from an outage. m.mu is held.
+func (m *Cache) keepExpired(id string, e routing.Endpoint) {
 	now, until := m.sinceBoot(), m.keepsExpiredUntil()
-	if e.Leaving || now >= until {
-		return false
+	if _, kept := m.kept[id]; kept || e.Leaving || now >= until {
+		return
 	}
-	m.expired[id] = until
+	m.kept[id] = keptEndpoint{endpoint: e, until: until}
 	time.AfterFunc(until-now, m.removeExpired)
 	m.logger.Info().Str("event", "endpoint.kept").Str("endpoint", id).Dur("left", until-now).Msg("missing after an outage")
-	return true
 }
 
 // shortenExpired applies an earlier end of the outage to the endpoints that are kept. m.mu is held.
 func (m *Cache) shortenExpired() {
 	now, until := m.sinceBoot(), m.keepsExpiredUntil()
-	for id := range m.expired {
-		m.expired[id] = min(m.expired[id], until)
+	for id, k := range m.kept {
+		k.until = min(k.until, until)
+		m.kept[id] = k
 	}
-	if len(m.expired) > 0 {
+	if len(m.kept) > 0 {
 		time.AfterFunc(max(0, until-now), m.removeExpired)
 	}
 }
@@ -63,19 +62,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.sinceBoot()
-	var due []string
-	for id, until := range m.expired {
-		if now >= until {
-			due = append(due, id)
+	for _, k := range m.kept {
+		if now >= k.until {
+			m.publishEndpoints(m.Endpoints().Revision)
+			return
 		}
 	}
-	if len(due) == 0 {
-		return // another timer has removed them
-	}
-	byID := maps.Clone(m.Endpoints().ByID)
-	for _, id := range due {
-		delete(byID, id)
-		delete(m.expired, id)
-	}
-	m.updateEndpoints(byID, m.Endpoints().Revision)
 }
--- a/router/internal/app/routingcache/restore.go
+++ b/router/internal/app/routingcache/restore.go
@@ -28,13 +28,12 @@
 // departureLog holds the departures that must survive a restore of the store from an older backup. The cache's lock guards it.
 type departureLog struct {
 	byID map[string]departure
-	// hidden holds the endpoints that the backup lists although they were removed, until hideUntil, in time since boot.
-	hidden    map[string]routing.Endpoint
+	// hideUntil is the time since boot until which endpoints are hidden that the backup lists although they were removed.
 	hideUntil time.Duration
 }
 
 func newDepartureLog() departureLog {
-	return departureLog{byID: map[string]departure{}, hidden: map[string]routing.Endpoint{}}
+	return departureLog{byID: map[string]departure{}}
 }
 
 // record updates the departures after a change of the endpoint list.
@@ -57,12 +56,6 @@
 	}
 }
 
-// forget drops the departure of an endpoint that was written again.
-func (s *departureLog) forget(id string) {
-	delete(s.byID, id)
-	delete(s.hidden, id)
-}
-
 // applyTo applies the departures of earlier eras to an endpoint list of a later era.
 func (s *departureLog) applyTo(byID map[string]routing.Endpoint, era uint64, now time.Duration) {
 	for id, recorded := range s.byID {
@@ -73,7 +66,6 @@
 			e.Leaving = true
 			byID[id] = e
 		case now < s.hideUntil:
-			s.hidden[id] = e
 			delete(byID, id)
 		}
 	}
@@ -93,32 +85,5 @@
 func (m *Cache) relistHidden() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.departures.hidden) == 0 || m.sinceBoot() < m.departures.hideUntil {
-		return
-	}
-	old := m.Endpoints()
-	byID := make(map[string]routing.Endpoint, len(old.ByID))
-	for id, e := range old.ByID {
-		byID[id] = e
-	}
-	for id, e := range m.departures.hidden {
-		byID[id] = e
-		m.departures.forget(id)
-	}
-	m.updateEndpoints(byID, old.Revision)
-}
-
-// completeList completes a list that replaces the current one: endpoints that may have expired in an outage stay, and departures
-// of earlier eras are applied. The caller holds m.mu.
-func (m *Cache) completeList(byID map[string]routing.Endpoint, revision uint64) {
-	old := m.Endpoints()
-	if era := routing.Era(revision); old.Revision != 0 && era > routing.Era(old.Revision) {
-		m.handleStoreRestore(era)
-	}
-	for id, e := range old.ByID {
-		if _, listed := byID[id]; !listed && m.keepExpired(id, e) {
-			byID[id] = e
-		}
-	}
-	m.departures.applyTo(byID, routing.Era(revision), m.sinceBoot())
+	m.publishEndpoints(m.Endpoints().Revision)
 }
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -29,7 +29,7 @@
 	WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) ([]routing.EndpointChange, uint64, error)
 }
 
-// EndpointList is the list of endpoints at a revision. It is immutable.
+// EndpointList is the list of the endpoints that are used, as of a revision of the platform's list. It is immutable.
 type EndpointList struct {
 	Revision uint64                      `json:"revision"`
 	ByID     map[string]routing.Endpoint `json:"byId"`
@@ -37,8 +37,11 @@
 
 // Snapshot is the state that instances pass on to each other.
 type Snapshot struct {
-	Config    *routing.Config `json:"config"`
-	Endpoints *EndpointList   `json:"endpoints"`
+	Config *routing.Config `json:"config"`
+	// Endpoints holds only endpoints that the platform lists.
+	Endpoints *EndpointList `json:"endpoints"`
+	// Kept holds the endpoints that the sender uses besides.
+	Kept map[string]KeptEndpoint `json:"kept,omitempty"`
 }
 
 // PropagationLimits are the times within which changes must take effect.
@@ -73,9 +76,11 @@
 	ownAnswer, fleetAnswer atomic.Int64
 
 	mu sync.Mutex
-	// expired holds the endpoints that have been missing since an outage, with the time until which they are kept.
-	expired map[string]time.Duration
-	outage  outageDetector
+	// listed holds the endpoints in the platform's newest known list, kept those that have been missing in it since an outage and are used
+	// for now.
+	listed map[string]routing.Endpoint
+	kept   map[string]keptEndpoint
+	outage outageDetector
 	// restoredAt is when the platform was last restored from a backup; noOutage if never.
 	restoredAt time.Duration
 	// failedCalls counts consecutive failed calls for the endpoint list since firstFailure. failedSince and recoveredAt are the
@@ -96,7 +101,7 @@
 // New returns a cache without a configuration and with an empty endpoint list. The function instanceCount returns the number of
 // instances in the fleet, and boot the time since boot.
 func New(p PlatformClient, limits PropagationLimits, instanceCount func() int, logger *log.Logger, boot func() time.Duration) *Cache {
-	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, logger: logger, sinceBoot: boot, expired: map[string]time.Duration{}, recoveredAt: noOutage, departures: newDepartureLog(),
+	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{}, recoveredAt: noOutage, departures: newDepartureLog(),
 		outage: newOutageDetector(limits.Heartbeat, boot()), restoredAt: noOutage}
 	m.ownAnswer.Store(int64(noOutage))
 	m.fleetAnswer.Store(int64(noOutage))
@@ -123,15 +128,6 @@
 	return now - time.Duration(m.configAnsweredAt.Load()), now - time.Duration(m.endpointsAnsweredAt.Load())
 }
 
-// Snapshot returns the current state for another instance.
-func (m *Cache) Snapshot() Snapshot {
-	c := Snapshot{Endpoints: m.Endpoints()}
-	if t := m.Table(); t != nil {
-		c.Config = t.Config
-	}
-	return c
-}
-
 // Versions returns the version of the configuration and the revision of the endpoint list.
 func (m *Cache) Versions() (config, endpoints uint64) {
 	if t := m.Table(); t != nil {
@@ -140,27 +136,6 @@
 	return config, m.Endpoints().Revision
 }
 
-// ApplySnapshot takes over the parts of another instance's snapshot that are newer.
-func (m *Cache) ApplySnapshot(c Snapshot, from string) {
-	if c.Config != nil {
-		m.applyConfig(c.Config, from)
-	}
-	if c.Endpoints == nil {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if c.Endpoints.Revision > m.Endpoints().Revision {
-		byID := maps.Clone(c.Endpoints.ByID)
-		if routing.Era(c.Endpoints.Revision) > 0 {
-			m.completeList(byID, c.Endpoints.Revision)
-		}
-		m.setEndpoints(byID, c.Endpoints.Revision)
-		m.logger.Info().Str("event", "endpoints.adopted").Str("from", from).Uint64("era", routing.Era(c.Endpoints.Revision)).Uint64("revision", routing.Number(c.Endpoints.Revision)).
-			Int("endpoints", len(byID)).Msg("")
-	}
-}
-
 // IsReceiving reports whether a response from the platform is arriving. Large responses take seconds on slow links.
 func (m *Cache) IsReceiving() bool {
 	return m.sinceBoot()-time.Duration(m.lastReceivedAt.Load()) < receivingTimeout
@@ -253,8 +228,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.completeList(byID, revision)
-	m.updateEndpoints(byID, revision)
+	if revision >= m.Endpoints().Revision {
+		m.replaceList(byID, revision)
+	}
 	return revision, nil
 }
 
@@ -270,48 +246,22 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	byID := maps.Clone(m.Endpoints().ByID)
+	if next < m.Endpoints().Revision {
+		return next, true, nil // another instance's list is newer
+	}
+	listed := maps.Clone(m.listed)
 	for _, c := range changes {
-		old, known := byID[c.ID]
-		delete(m.departures.hidden, c.ID)
-		switch {
-		case c.Endpoint != nil:
-			m.departures.forget(c.ID)
-			delete(m.expired, c.ID)
-			byID[c.ID] = *c.Endpoint
-		case known && !m.keepExpired(c.ID, old):
-			delete(byID, c.ID)
+		if c.Endpoint == nil {
+			delete(listed, c.ID)
+			continue
 		}
+		delete(m.departures.byID, c.ID) // it was written again
+		listed[c.ID] = *c.Endpoint
 	}
-	m.updateEndpoints(byID, next)
+	m.replaceList(listed, next)
 	return next, true, nil
 }
 
-func (m *Cache) updateEndpoints(byID map[string]routing.Endpoint, revision uint64) {
-	old := m.Endpoints()
-	if revision < old.Revision {
-		return
-	}
-	m.setEndpoints(byID, revision)
-	for id, e := range byID {
-		if was, known := old.ByID[id]; !known || was != e {
-			m.logger.Info().Str("event", "endpoint.listed").Str("endpoint", id).Str("service", e.Service).
-				Str("stage", string(e.Stage)).Int64("born", e.StartedMS).Bool("leaving", e.Leaving).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
-		}
-	}
-	for id := range old.ByID {
-		if _, listed := byID[id]; !listed {
-			m.logger.Info().Str("event", "endpoint.gone").Str("endpoint", id).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
-		}
-	}
-}
-
-// setEndpoints replaces the endpoint list. The caller holds m.mu.
-func (m *Cache) setEndpoints(byID map[string]routing.Endpoint, revision uint64) {
-	m.departures.record(m.Endpoints().ByID, byID, routing.Era(revision), m.sinceBoot())
-	m.endpoints.Store(&EndpointList{Revision: revision, ByID: byID})
-}
-
 // recordFailure counts a failed call for the endpoint list.
 func (m *Cache) recordFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil || errors.Is(err, routing.ErrHistoryGone) {
--- a/router/internal/app/routingcache/routingcache_test.go
+++ b/router/internal/app/routingcache/routingcache_test.go
@@ -146,6 +146,9 @@
 
 func (f *fakePlatform) setDown(err error) { f.change(func() { f.down = err }) }
 
+// setHistoryGone has the platform answer watches with routing.ErrHistoryGone, or not any more.
+func (f *fakePlatform) setHistoryGone(gone bool) { f.change(func() { f.historyGone = gone }) }
+
 func (f *fakePlatform) setConfig(version uint64) {
 	f.change(func() { f.config = &routing.Config{Version: version, Revision: f.revision} })
 }
