Bound the memory and the work of answers that never end, over all calls

Other operators reported that a faulty server's endless bytes took the memory of the machine that had called it, and the requests of other clients with it. It can happen here: each reader had a limit for one answer, and nothing limited their sum. Besides, each part of a long event was searched from its beginning: work that grows with its square.

Change: api/membudget. Answers of a kind share a budget and have a small allowance each, by which ordinary answers are read while the budget is used up. All readers take part: h1, platform, peerudp, forward; enginehttp, servicehttp, peerhttp, platformhttp. The end of an event is searched in the new bytes only.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tanagerwood.dev/api/membudget"
 )
 
 // Errors of requests. If an error wraps neither, it is unknown whether the peer has received the request.
@@ -36,6 +38,7 @@
 type Client struct {
 	options Options
 	dialer  net.Dialer
+	memory  *membudget.Budget
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -51,6 +54,9 @@
 	return &Client{options: o, dialer: NewDialer(o.DialTimeout, o.SilenceTimeout), peers: map[string]*peer{}}
 }
 
+// LimitMemory has the heads of responses take their memory out of a budget. It must be called before the first request.
+func (c *Client) LimitMemory(b *membudget.Budget) { c.memory = b }
+
 // Request is a request in the form in which it is sent.
 type Request struct {
 	Method string
@@ -95,6 +101,7 @@
 	resp, written, err := exchange(cn, r)
 	if err != nil {
 		stop()
+		cn.memory.Close()
 		_ = cn.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(err, ctx.Err())
@@ -117,7 +124,9 @@
 		c.countClosed(address)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return newConn(raw, func() { c.countClosed(address) }), nil
+	cn = newConn(raw, func() { c.countClosed(address) })
+	cn.memory = c.memory.Open()
+	return cn, nil
 }
 
 // Probe establishes a connection to the address and closes it. It returns the error of the attempt.
@@ -265,6 +274,7 @@
 // readHead reads the head of the response. Interim responses and responses to other requests are skipped.
 func readHead(cn *conn, r *Request, kept bool) (*http.Response, error) {
 	defer cn.unlimitHead()
+	cn.beginResponse()
 	for range maxSkipped {
 		cn.limitHead()
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
@@ -272,6 +282,9 @@
 			return nil, fmt.Errorf("h1: reading the answer: %w", err)
 		}
 		cn.unlimitHead()
+		if fieldCount(resp.Header) > maxHeadLines {
+			return nil, ErrHeadTooLong
+		}
 		match := Belongs
 		if r.Match != nil {
 			match = r.Match(resp, kept)
@@ -293,6 +306,14 @@
 	return nil, ErrNoMatchingResponse
 }
 
+// fieldCount returns the number of header fields.
+func fieldCount(h http.Header) (n int) {
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 func appendHead(b []byte, r *Request) []byte {
 	b = append(b, r.Method+" "+r.Target+" HTTP/1.1\r\nHost: "+r.Host+"\r\n"...)
 	names := make([]string, 0, len(r.Header))
@@ -339,6 +360,7 @@
 // Close implements io.Closer. It keeps the connection only if another request can use it, and closes it otherwise.
 func (b *body) Close() error {
 	b.done.Do(func() {
+		b.conn.memory.Close()
 		cancelled := !b.stop()
 		if cancelled || !b.ended || !b.reusable || !isClosed(b.written) || b.conn.reader.Buffered() > 0 {
 			_ = b.conn.Close()
--- a/api/h1/conn.go
+++ b/api/h1/conn.go
@@ -13,14 +13,22 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"tanagerwood.dev/api/membudget"
 )
 
 const (
 	readBufferBytes = 8 << 10
 	// defaultIdleTimeout applies if the peer announces no idle timeout; common servers keep idle connections for 5 s or more.
 	defaultIdleTimeout = 4 * time.Second
-	// MaxHeadBytes limits the size of a response head. A faulty peer may send one without end.
+	// MaxHeadBytes limits the size of a response head, maxHeadLines the number of its lines, each of which takes more memory than its
+	// bytes. A faulty peer may send a head without end.
 	MaxHeadBytes = 64 << 10
+	maxHeadLines = 512
+	// MaxUncountedHeadBytes is the limit for clients of net/http, which do not count lines.
+	MaxUncountedHeadBytes = 8 << 10
+	// headMemoryFactor is the memory that a head takes per byte: its text, and the header fields that are made of it.
+	headMemoryFactor = 2
 	// idleTimeoutMargin is how long before the peer's announced timeout a connection is no longer used.
 	idleTimeoutMargin = 500 * time.Millisecond
 )
@@ -32,6 +40,11 @@
 	// headLeft is how many more bytes of a response head may be read; it has no effect while headUnlimited is set.
 	headLeft      int
 	headUnlimited bool
+	// headLines is the number of lines since the last empty one, inLine is set if the last line that was read has bytes.
+	headLines int
+	inLine    bool
+	// memory is what the response takes.
+	memory membudget.Holding
 	// idleTimeout is how long the peer keeps the connection open without a request.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -48,10 +61,10 @@
 	return cn
 }
 
-// ErrHeadTooLong means that the head of a response exceeds MaxHeadBytes. The request may have been executed.
-var ErrHeadTooLong = fmt.Errorf("h1: the head of the answer has more than %d bytes", MaxHeadBytes)
+// ErrHeadTooLong means that the head of a response exceeds its limits. The request may have been executed.
+var ErrHeadTooLong = fmt.Errorf("h1: the head of the answer has more than %d bytes or %d lines", MaxHeadBytes, maxHeadLines)
 
-// limitHead allows at most MaxHeadBytes to be read until unlimitHead is called.
+// limitHead allows at most MaxHeadBytes and about maxHeadLines to be read until unlimitHead is called.
 func (c *conn) limitHead() { c.headLeft, c.headUnlimited = MaxHeadBytes, false }
 
 func (c *conn) unlimitHead() { c.headUnlimited = true }
@@ -61,14 +74,37 @@
 	if c.headUnlimited {
 		return c.Conn.Read(p)
 	}
-	if c.headLeft <= 0 {
+	if c.headLeft <= 0 || c.headLines > maxHeadLines {
 		return 0, ErrHeadTooLong
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	if memoryErr := c.memory.Resize(int64(headMemoryFactor * (MaxHeadBytes - c.headLeft))); memoryErr != nil {
+		return 0, memoryErr
+	}
+	c.countHeadLines(p[:n])
 	return n, err
 }
 
+// countHeadLines counts the lines of a head. An empty line ends it. What follows may be a body, and is counted as if it were another head:
+// no more is read then, unless it is one.
+func (c *conn) countHeadLines(p []byte) {
+	for _, b := range p {
+		switch {
+		case b == '\n' && c.inLine:
+			c.headLines++
+			c.inLine = false
+		case b == '\n':
+			c.headLines = 0
+		case b != '\r':
+			c.inLine = true
+		}
+	}
+}
+
+// beginResponse prepares for the response to the next request.
+func (c *conn) beginResponse() { c.headLines, c.inLine = 0, false }
+
 // Close closes the connection and calls onClose; further calls have no effect.
 func (c *conn) Close() error {
 	var err error
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -17,6 +17,7 @@
 	"tanagerwood.dev/api/engine"
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/fault"
 	"tanagerwood.dev/router/internal/port"
@@ -96,6 +97,7 @@
 	management         *http.Client
 	// managementTransport is separate from inferenceTransport, so that long calls never delay a cancel.
 	managementTransport *http.Transport
+	memory              *membudget.Budget
 }
 
 var _ port.Engine = (*Client)(nil)
@@ -111,6 +113,16 @@
 	return c
 }
 
+// LimitMemory has answers take their memory out of a budget while they are read. It must be called before the first call.
+func (c *Client) LimitMemory(b *membudget.Budget) { c.memory = b }
+
+// readAll reads an answer.
+func (c *Client) readAll(body io.Reader, limit int64) ([]byte, error) {
+	held := c.memory.Open()
+	defer held.Close()
+	return membudget.ReadAll(body, limit, &held)
+}
+
 func newTransport(opts Options, idleTimeout time.Duration, maxIdlePerHost int) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: opts.ConnectTimeout,
@@ -119,7 +131,7 @@
 		},
 	}
 	return &http.Transport{
-		MaxResponseHeaderBytes: h1.MaxHeadBytes,
+		MaxResponseHeaderBytes: h1.MaxUncountedHeadBytes,
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
@@ -146,7 +158,7 @@
 		return result, err
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	raw, err := c.readAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return result, c.transportError(ctx, err, true)
 	}
@@ -194,7 +206,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		return nil, statusError(resp, ep)
+		return nil, c.statusError(resp, ep)
 	}
 	return resp, nil
 }
@@ -278,8 +290,8 @@
 
 // statusError converts a response with a status other than 200 into a *fault.Error. Engines reject a request before they
 // run any of it, except with a 5xx status other than 503.
-func statusError(resp *http.Response, ep port.Endpoint) error {
-	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+func (c *Client) statusError(resp *http.Response, ep port.Endpoint) error {
+	raw, _ := c.readAll(resp.Body, maxErrorBodyBytes)
 	message := "engine " + ep.Name + " answered " + resp.Status
 	var body openai.ErrorBody
 	if json.Unmarshal(raw, &body) == nil && body.Error.Message != "" {
--- a/router/internal/adapter/enginehttp/fuzz_test.go
+++ b/router/internal/adapter/enginehttp/fuzz_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"tanagerwood.dev/api/engine"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/router/internal/port"
 )
 
@@ -18,7 +19,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		r := bufio.NewReaderSize(bytes.NewReader(raw), 16)
 		for {
-			data, err := readEvent(r)
+			data, err := readEvent(r, &membudget.Holding{})
 			if err != nil {
 				return
 			}
--- a/router/internal/adapter/enginehttp/manage.go
+++ b/router/internal/adapter/enginehttp/manage.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -67,9 +66,9 @@
 	defer resp.Body.Close()
 	refusedOrder := resp.StatusCode == http.StatusConflict && path == "/orders"
 	if resp.StatusCode != http.StatusOK && !refusedOrder {
-		return statusError(resp, ep)
+		return c.statusError(resp, ep)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	raw, err := c.readAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return fault.Wrap(err, fault.EndpointFailed, openai.Unknown, "the management answer of "+ep.Name+" broke off")
 	}
--- a/router/internal/adapter/enginehttp/stream.go
+++ b/router/internal/adapter/enginehttp/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -36,12 +37,14 @@
 	// timeout bounds the wait for the next chunk: FirstTokenTimeout for the first one, ProgressTimeout for the others.
 	timeout time.Duration
 	done    bool
+	// memory is what the event that is read takes.
+	memory membudget.Holding
 }
 
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, c *Client, body io.ReadCloser) *stream {
 	return &stream{
 		ctx: ctx, cancel: cancel, client: c, body: body,
-		reader: bufio.NewReaderSize(body, streamBufferSize), timeout: c.opts.FirstTokenTimeout,
+		reader: bufio.NewReaderSize(body, streamBufferSize), timeout: c.opts.FirstTokenTimeout, memory: c.memory.Open(),
 	}
 }
 
@@ -55,7 +58,8 @@
 	s.timeout = s.client.opts.ProgressTimeout
 	watchdog := time.AfterFunc(timeout, func() { s.cancel(&SilentConnectionError{Waited: timeout}) })
 	defer watchdog.Stop()
-	data, err := readEvent(s.reader)
+	data, err := readEvent(s.reader, &s.memory)
+	defer s.memory.Close()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -92,11 +96,11 @@
 }
 
 // readEvent returns the data of the next event that has any. Data lines of one event are joined by newlines.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+func readEvent(r *bufio.Reader, memory *membudget.Holding) ([]byte, error) {
 	var data []byte
 	hasData := false
 	for {
-		line, err := readLine(r)
+		line, err := readLine(r, int64(cap(data)), memory)
 		if err != nil {
 			return nil, err
 		}
@@ -122,7 +126,8 @@
 	}
 }
 
-func readLine(r *bufio.Reader) ([]byte, error) {
+// readLine reads a line of an event that takes held bytes so far.
+func readLine(r *bufio.Reader, held int64, memory *membudget.Holding) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.ReadSlice('\n')
@@ -130,6 +135,9 @@
 		if len(line) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+		if err := memory.Resize(held + int64(cap(line))); err != nil {
+			return nil, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/router/internal/adapter/peerhttp/client.go
+++ b/router/internal/adapter/peerhttp/client.go
@@ -7,13 +7,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/router/internal/fault"
@@ -64,15 +64,19 @@
 	authorization string
 	timeouts      Timeouts
 	http          *http.Client
+	memory        *membudget.Budget
 }
 
+// LimitMemory has replies take their memory out of a budget while they are read. It must be called before the first call.
+func (c *Client) LimitMemory(b *membudget.Budget) { c.memory = b }
+
 var _ port.Peers = (*Client)(nil)
 
 // NewTransport returns the transport for peer connections.
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Transport{
-		MaxResponseHeaderBytes: h1.MaxHeadBytes,
+		MaxResponseHeaderBytes: h1.MaxUncountedHeadBytes,
 		DialContext:            dialer.DialContext,
 		MaxIdleConns:           0, // no limit, so that every peer has a pooled connection at any fleet size
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
@@ -159,7 +163,9 @@
 		return reply, unreachableError(ctx, err, address, path)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	held := c.memory.Open()
+	defer held.Close()
+	body, err := membudget.ReadAll(resp.Body, maxReplyBytes+1, &held)
 	if err != nil {
 		return reply, unreachableError(ctx, err, address, path)
 	}
--- a/router/internal/adapter/peerudp/peerudp.go
+++ b/router/internal/adapter/peerudp/peerudp.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/router/internal/app/gossip"
 )
 
@@ -40,6 +40,7 @@
 	conn     *net.UDPConn
 	listener net.Listener
 	client   *h1.Client
+	memory   *membudget.Budget
 	signer   signer
 	logger   *log.Logger
 }
@@ -63,6 +64,13 @@
 	return &Transport{conn: conn, listener: listener, client: client, logger: logger}, nil
 }
 
+// LimitMemory has the states of other instances take their memory out of a budget while they are read. It must be called before the first
+// Fetch.
+func (t *Transport) LimitMemory(b *membudget.Budget) {
+	t.memory = b
+	t.client.LimitMemory(b)
+}
+
 // SetSecrets replaces the secrets that all instances share. The first one signs messages and each of them verifies messages, so that
 // secrets can be rotated instance by instance. Without secrets, messages are not authenticated.
 func (t *Transport) SetSecrets(secrets []string) { t.signer.setSecrets(secrets) }
@@ -101,7 +109,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return gossip.State{}, fmt.Errorf("peerudp: %s answered with status %d", address, resp.StatusCode)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	held := t.memory.Open()
+	defer held.Close()
+	raw, err := membudget.ReadAll(resp.Body, maxStateBytes, &held)
 	if err == nil && !t.signer.verifyHex(resp.Header.Get(signatureHeader), raw) {
 		err = errSignature
 	}
--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -21,7 +20,9 @@
 	"github.com/tidwall/gjson"
 
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/jsonbody"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
 	"tanagerwood.dev/router/internal/fault"
@@ -74,8 +75,12 @@
 	http    *http.Client
 	// cachedInstances is the last instance list, which is returned after a 304 response.
 	cachedInstances atomic.Pointer[instanceList]
+	memory          *membudget.Budget
 }
 
+// LimitMemory has responses take their memory out of a budget while they are read. It must be called before the first call.
+func (c *Client) LimitMemory(b *membudget.Budget) { c.memory = b }
+
 // instanceList is an immutable instance list with its ETag.
 type instanceList struct {
 	etag      string
@@ -92,6 +97,7 @@
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.IdleConnTimeout = idleTimeout
 	base.MaxIdleConnsPerHost = maxIdleConnections
+	base.MaxResponseHeaderBytes = h1.MaxUncountedHeadBytes
 	base.Proxy = nil // connect directly, ignoring the proxy environment variables
 	var transport http.RoundTripper = base
 	if o.Events != nil {
@@ -248,7 +254,9 @@
 		return 0, "", noResponseError(err, r, connected.Load())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	held := c.memory.Open()
+	defer held.Close()
+	body, err := membudget.ReadAll(resp.Body, maxResponseBytes, &held)
 	if err != nil {
 		return 0, "", noResponseError(err, r, true)
 	}
--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +12,7 @@
 	"time"
 
 	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/app/servicepath"
 	"tanagerwood.dev/router/internal/fault"
@@ -37,6 +37,7 @@
 type Client struct {
 	pooled, fresh                         *http.Transport
 	pooledRoundTripper, freshRoundTripper http.RoundTripper
+	memory                                *membudget.Budget
 }
 
 var _ port.Service = (*Client)(nil)
@@ -53,6 +54,9 @@
 	return c
 }
 
+// LimitMemory has responses take their memory out of a budget while they are read. It must be called before the first call.
+func (c *Client) LimitMemory(b *membudget.Budget) { c.memory = b }
+
 // Close closes the idle pooled connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
@@ -60,7 +64,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	secure := &tls.Dialer{NetDialer: dialer, Config: &tls.Config{NextProtos: []string{"http/1.1"}}}
 	return &http.Transport{
-		MaxResponseHeaderBytes: h1.MaxHeadBytes,
+		MaxResponseHeaderBytes: h1.MaxUncountedHeadBytes,
 		DialContext:            trackingDial(dialer.DialContext),
 		DialTLSContext:         trackingDial(secure.DialContext),
 		DisableCompression:     true,
@@ -114,7 +118,9 @@
 		return port.ServiceResponse{}, callError(ctx, err, state)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	held := c.memory.Open()
+	defer held.Close()
+	body, err := membudget.ReadAll(resp.Body, maxResponseBytes+1, &held)
 	if err != nil {
 		return port.ServiceResponse{}, callError(ctx, err, state)
 	}
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
@@ -77,7 +78,9 @@
 	// IsLeader reports whether this instance acts for the whole fleet.
 	IsLeader func() bool
 	// Limits admits requests to endpoints that have announced a request limit.
-	Limits       *endpointlimit.Limiter
+	Limits *endpointlimit.Limiter
+	// AnswerMemory is the budget for what is buffered of answers; nil means no limit.
+	AnswerMemory *membudget.Budget
 	EndpointLoad *inflight.Tracker
 	Health       *health.Tracker
 	Timings      *latency.Estimator
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/lo"
 
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
@@ -23,6 +24,8 @@
 	// maxBufferedBytes is the size up to which a response is buffered before it is passed on, so that a truncated response can be
 	// replaced by another endpoint's.
 	maxBufferedBytes = 128 << 10
+	// copyBufferBytes is the size of the buffer through which the rest of a longer response is passed on.
+	copyBufferBytes = 16 << 10
 	// crossDomainPenalty is the load that is added for an endpoint in another failure domain, as a fraction of the endpoint's
 	// capacity.
 	crossDomainPenalty = 0.1
@@ -233,7 +236,9 @@
 // forwardResponse passes a response on to the caller. A 5xx response is withheld if the request may be sent to another endpoint.
 func (r *requestState) forwardResponse(answer *routing.Answer) error {
 	defer answer.Body.Close()
-	body, complete, err := readBuffered(answer)
+	held := r.AnswerMemory.Open()
+	defer held.Close()
+	body, complete, err := readBuffered(answer, &held)
 	if err != nil {
 		return err
 	}
@@ -250,7 +255,7 @@
 	if err := r.writer.WriteHeader(answer.Status, answer.Header); err != nil {
 		return err
 	}
-	return r.copyBody(answer, body)
+	return r.copyBody(answer, body, &held)
 }
 
 // retriesFailure reports whether a 5xx response leads to an attempt at another endpoint.
@@ -266,26 +271,35 @@
 // ignoreWriteError drops the error of a caller that disconnected while its complete response was written.
 func ignoreWriteError(error) error { return nil }
 
-func (r *requestState) copyBody(answer *routing.Answer, first []byte) error {
-	buffer := make([]byte, 32<<10)
-	for chunk := first; ; {
-		if err := r.writer.WriteChunk(chunk); err != nil {
-			return err
-		}
+// copyBody passes on what was buffered of a body, whose memory is then given back, and the rest as it arrives.
+func (r *requestState) copyBody(answer *routing.Answer, buffered []byte, held *membudget.Holding) error {
+	if err := r.writer.WriteChunk(buffered); err != nil {
+		return err
+	}
+	held.Close()
+	buffer := make([]byte, copyBufferBytes)
+	for {
 		n, err := answer.Body.Read(buffer)
-		chunk = buffer[:n]
+		chunk := buffer[:n]
 		if err == io.EOF {
 			return r.writer.WriteChunk(chunk)
 		}
 		if err != nil {
 			return err
 		}
+		if err := r.writer.WriteChunk(chunk); err != nil {
+			return err
+		}
 	}
 }
 
-// readBuffered reads a response's body up to maxBufferedBytes and reports whether the body is complete.
-func readBuffered(answer *routing.Answer) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+// readBuffered reads a response's body up to maxBufferedBytes, or as far as the budget for answers allows, and reports whether the body is
+// complete.
+func readBuffered(answer *routing.Answer, held *membudget.Holding) (body []byte, complete bool, err error) {
+	body, err = membudget.ReadAll(answer.Body, maxBufferedBytes, held)
+	if errors.Is(err, membudget.ErrExhausted) {
+		return body, false, nil
+	}
 	if err != nil {
 		return nil, false, fmt.Errorf("reading the response body: %w", err)
 	}
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/sse"
 )
@@ -38,11 +39,14 @@
 		return r.forwardResponse(answer)
 	}
 	r.streamEnd = streamEnd{closeDelimited: answer.CloseDelimited}
-	s := &streamRelay{requestState: r, answer: answer, recorder: recorder, start: start, progress: progress}
+	s := &streamRelay{requestState: r, answer: answer, recorder: recorder, start: start, progress: progress, memory: r.AnswerMemory.Open()}
+	defer s.memory.Close()
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, readErr := answer.Body.Read(buffer)
-		s.pending = append(s.pending, buffer[:n]...)
+		if err := s.appendPending(buffer[:n]); err != nil {
+			return err
+		}
 		ended := errors.Is(readErr, io.EOF)
 		if err := s.forwardPending(ended); err != nil {
 			return err
@@ -79,11 +83,25 @@
 	// pending holds the bytes that were read and not yet passed on. hasData is set once an event with data was passed on.
 	pending []byte
 	hasData bool
+	// searched is the number of pending bytes that hold no complete event.
+	searched int
+	// memory is what pending takes.
+	memory membudget.Holding
+}
+
+// appendPending appends what was read to the bytes that wait for the end of their event.
+func (s *streamRelay) appendPending(p []byte) error {
+	s.pending = append(s.pending, p...)
+	if err := s.memory.Resize(int64(cap(s.pending))); err != nil {
+		return fmt.Errorf("reading an event of more than %d bytes: %w", len(s.pending), err)
+	}
+	return nil
 }
 
 // forwardPending passes the complete events on, and at the end of a body that is no stream of events all of it.
 func (s *streamRelay) forwardPending(ended bool) error {
-	complete := sse.CompleteLen(s.pending)
+	complete := sse.CompleteLenAfter(s.pending, s.searched)
+	s.searched = len(s.pending) - complete
 	s.streamEnd.unfinishedBytes = len(s.pending) - complete
 	if ended && !s.expectsEvents(s.answer) {
 		complete = len(s.pending)
--- a/router/internal/domain/sse/sse.go
+++ b/router/internal/domain/sse/sse.go
@@ -27,6 +27,16 @@
 	return end
 }
 
+// CompleteLenAfter is CompleteLen for bytes of which the first known ones hold no complete event. It looks only at the others, so that the
+// cost of a long event that arrives in small parts does not grow with the square of its size.
+func CompleteLenAfter(b []byte, known int) int {
+	from := max(0, known-len(eventEndCRLF)+1)
+	if n := CompleteLen(b[from:]); n > 0 {
+		return from + n
+	}
+	return 0
+}
+
 // CountEvents returns the number of events that end in b.
 func CountEvents(b []byte) int { return bytes.Count(b, eventEndLF) + bytes.Count(b, eventEndCRLF) }
 
--- a/router/internal/domain/sse/sse_test.go
+++ b/router/internal/domain/sse/sse_test.go
@@ -91,3 +91,32 @@
 		}
 	})
 }
+
+// Guards against event ends that are overlooked because they arrive in two parts, and against a search that begins anew with each part.
+func TestCompleteAfterKnownBytes(t *testing.T) {
+	for _, stream := range []string{"data: a\n\nda", "data: a\r\n\r\nda", "data: a\n\r\n", "data: a\ndata: b\n\n", "data: a", "\n\n", "x\n\ny\n\nz"} {
+		b := []byte(stream)
+		for known := range len(b) {
+			if sse.CompleteLen(b[:known]) > 0 {
+				continue
+			}
+			if got, want := sse.CompleteLenAfter(b, known), sse.CompleteLen(b); got != want {
+				t.Errorf("%q after %d bytes: complete events end at %d, want %d", stream, known, got, want)
+			}
+		}
+	}
+	long := bytes.Repeat([]byte("x"), 256<<10)
+	once := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			sse.CompleteLen(long)
+		}
+	})
+	after := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			sse.CompleteLenAfter(long, len(long)-1)
+		}
+	})
+	if after.NsPerOp() > once.NsPerOp()/10 {
+		t.Errorf("a byte more takes %d ns, the whole event %d ns", after.NsPerOp(), once.NsPerOp())
+	}
+}
--- a/router/internal/instance/providers.go
+++ b/router/internal/instance/providers.go
@@ -8,6 +8,7 @@
 	"github.com/samber/do/v2"
 
 	"tanagerwood.dev/api/event"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/peer"
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/adapter/enginehttp"
@@ -58,6 +59,8 @@
 }
 
 func provideAdapters(injector do.Injector) {
+	answerMemory := membudget.New(answerAllowanceBytes, answerMemoryBytes)
+	controlMemory := membudget.New(controlAllowanceBytes, controlMemoryBytes)
 	do.Provide(injector, func(i do.Injector) (*event.Log, error) {
 		s, self := do.MustInvoke[*settings.Settings](i), do.MustInvoke[peer.Member](i)
 		incarnation := strconv.FormatUint(self.Incarnation, 10)
@@ -69,24 +72,41 @@
 	do.Provide(injector, func(i do.Injector) (port.EventLog, error) { return do.MustInvoke[*statelog.Recorder](i), nil })
 	do.Provide(injector, func(i do.Injector) (port.Platform, error) {
 		s := do.MustInvoke[*settings.Settings](i)
-		return platformhttp.New(platformhttp.Options{
+		client := platformhttp.New(platformhttp.Options{
 			BaseURL: s.PlatformURL, Token: s.PlatformToken, Events: do.MustInvoke[*event.Log](i),
-		}), nil
+		})
+		client.LimitMemory(controlMemory)
+		return client, nil
 	})
 	do.Provide(injector, func(i do.Injector) (*peerhttp.Client, error) {
 		s := do.MustInvoke[*settings.Settings](i)
 		timeouts := peerhttp.DefaultTimeouts()
-		return peerhttp.NewClient(s.PeerToken, timeouts, do.MustInvoke[*event.Log](i), peerhttp.NewTransport()), nil
+		client := peerhttp.NewClient(s.PeerToken, timeouts, do.MustInvoke[*event.Log](i), peerhttp.NewTransport())
+		client.LimitMemory(controlMemory)
+		return client, nil
 	})
 	do.Provide(injector, func(i do.Injector) (port.Peers, error) { return do.MustInvoke[*peerhttp.Client](i), nil })
 	do.Provide(injector, func(i do.Injector) (port.Engine, error) {
-		return enginehttp.New(enginehttp.Options{}, do.MustInvoke[*event.Log](i)), nil
+		client := enginehttp.New(enginehttp.Options{}, do.MustInvoke[*event.Log](i))
+		client.LimitMemory(answerMemory)
+		return client, nil
 	})
 	do.Provide(injector, func(i do.Injector) (*servicehttp.Client, error) {
-		return servicehttp.New(do.MustInvoke[*event.Log](i)), nil
+		client := servicehttp.New(do.MustInvoke[*event.Log](i))
+		client.LimitMemory(answerMemory)
+		return client, nil
 	})
 }
 
+// Memory for answers while they are read, in bytes: of endpoints, and of the platform and peers. Each answer may take the allowance, and all
+// others together the rest. An instance has 128 MB.
+const (
+	answerAllowanceBytes  = 16 << 10
+	answerMemoryBytes     = 16 << 20
+	controlAllowanceBytes = 64 << 10
+	controlMemoryBytes    = 16 << 20
+)
+
 // provideSharedDependencies provides what the request paths share: configuration, membership, admission, loads
 // and reservations.
 func provideSharedDependencies(injector do.Injector) {
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/samber/do/v2"
 
 	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/platform"
 	"tanagerwood.dev/router/internal/adapter/clock"
@@ -43,9 +44,15 @@
 	// maxHeaderBytes limits the size of request headers.
 	maxHeaderBytes = 64 << 10
 	// heapMemoryFraction is the fraction of the process's memory that is set as the Go runtime's soft memory limit, above which
-	// garbage collection runs more often. bodyMemoryFraction is the fraction available to buffered bodies.
-	heapMemoryFraction = 0.7
-	bodyMemoryFraction = 0.25
+	// garbage collection runs more often. bodyMemoryFraction is the fraction available to buffered bodies of requests,
+	// answerMemoryFraction that to what is buffered of answers of endpoints beyond answerAllowanceBytes for each, and
+	// controlMemoryFraction that to answers of the store and of other instances beyond controlAllowanceBytes for each.
+	heapMemoryFraction    = 0.7
+	bodyMemoryFraction    = 0.25
+	answerMemoryFraction  = 0.1
+	controlMemoryFraction = 0.1
+	answerAllowanceBytes  = 16 << 10
+	controlAllowanceBytes = 64 << 10
 	// maxStopNotice is how long at most a stopping instance still accepts connections. The platform removes an instance after two failed
 	// readiness probes, which it sends once per second.
 	maxStopNotice = 2500 * time.Millisecond
@@ -79,14 +86,17 @@
 	// stopStarted is the time since boot at which a planned stop began, or zero.
 	stopStarted atomic.Int64
 	stopSignals *plannedstop.Signals
-	stop        chan struct{}
-	stopOnce    sync.Once
+	// controlMemory is the budget for answers of the store and of other instances.
+	controlMemory *membudget.Budget
+	stop          chan struct{}
+	stopOnce      sync.Once
 }
 
 // New creates a node; Run starts it.
 func New(o Options) *Node {
 	n := &Node{options: o, stop: make(chan struct{}), stopSignals: plannedstop.New()}
 	n.settings.Store(o.Settings)
+	n.controlMemory = membudget.New(controlAllowanceBytes, memoryShare(o.Settings, controlMemoryFraction))
 	n.injector = n.newInjector()
 	return n
 }
@@ -127,7 +137,7 @@
 // Run serves requests until a planned stop is complete, ctx is canceled or a server fails.
 func (n *Node) Run(ctx context.Context) error {
 	s := n.options.Settings
-	debug.SetMemoryLimit(memoryLimit(s))
+	debug.SetMemoryLimit(memoryShare(s, heapMemoryFraction))
 	n.options.Logger.Info().Str("event", "process.started").Str("version", n.options.Version).Str("domain", s.Domain).
 		Int("memory_mb", s.MemoryMB).Msg("")
 	ctx, cancel := context.WithCancel(ctx)
@@ -138,6 +148,7 @@
 		return err
 	}
 	transport.SetSecrets(s.PeerSecrets)
+	transport.LimitMemory(n.controlMemory)
 	if len(s.PeerSecrets) == 0 {
 		n.options.Logger.Warn().Str("event", "peers.not_authenticated").Msg("set -peer-secrets, or let only instances reach -peer-listen")
 	}
@@ -206,8 +217,9 @@
 	}
 }
 
-func memoryLimit(s *settings.Node) int64 {
-	return int64(heapMemoryFraction * float64(s.MemoryMB) * (1 << 20))
+// memoryShare returns a fraction of the instance's memory, in bytes.
+func memoryShare(s *settings.Node, fraction float64) int64 {
+	return int64(fraction * float64(s.MemoryMB) * (1 << 20))
 }
 
 func (n *Node) startLoops(ctx context.Context, p *components) {
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -33,7 +33,7 @@
 		return
 	}
 	n.settings.Store(next)
-	debug.SetMemoryLimit(memoryLimit(next))
+	debug.SetMemoryLimit(memoryShare(next, heapMemoryFraction))
 	if t := n.transport.Load(); t != nil {
 		t.SetSecrets(next.PeerSecrets)
 	}
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
 
+	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/platform"
 	"tanagerwood.dev/router/internal/adapter/clock"
@@ -203,6 +204,7 @@
 	crashes := quarantine.New()
 	do.ProvideValue(i, crashes)
 	store := platform.NewStore(s.PlatformAddress, deadConnectionTimeout)
+	store.LimitMemory(n.controlMemory)
 	do.ProvideValue(i, store)
 	do.ProvideValue(i, newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era))
 	do.ProvideValue(i, inflight.NewTracker())
@@ -228,7 +230,9 @@
 	})
 	do.ProvideValue(i, health.NewTracker(n.fleetSize))
 	do.ProvideValue(i, stages.NewTransitions())
+	answerMemory := membudget.New(answerAllowanceBytes, memoryShare(s, answerMemoryFraction))
 	endpoints := platform.NewEndpoints(endpointDialTimeout, deadConnectionTimeout, maxIdleConnections)
+	endpoints.LimitMemory(answerMemory)
 	endpoints.OnNotice(n.recordNotice)
 	endpoints.OnSend(n.recordSend)
 	do.ProvideValue(i, endpoints)
@@ -278,7 +282,7 @@
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
 			Quarantine:    crashes, OnCrash: n.triggerReport,
 			IsLeader: func() bool { return n.components.Load().peers.IsLeader() },
-			Random:   rand.Float64, OnChange: n.triggerReport, Stop: n.stopSignals, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
+			Random:   rand.Float64, OnChange: n.triggerReport, Stop: n.stopSignals, AnswerMemory: answerMemory, SinceBoot: boot, Logger: logger, Metrics: do.MustInvoke[metrics.Registry](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*crashstore.Keeper, error) {
@@ -300,7 +304,7 @@
 	do.Provide(i, func(i do.Injector) (*frontend.Handler, error) {
 		return frontend.New(frontend.Deps{
 			CallerDecoder: platform.CallerDecoder{}, RequestHandler: do.MustInvoke[*forward.Forwarder](i), SinceBoot: boot, Logger: logger,
-			MaxBufferedBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryMB) * (1 << 20)), StopPhase: n.stopPhase, Stop: n.stopSignals,
+			MaxBufferedBodyBytes: memoryShare(s, bodyMemoryFraction), StopPhase: n.stopPhase, Stop: n.stopSignals,
 		}), nil
 	})
 	return i
