--- a/router/internal/app/gossip/lost_watches_test.go
+++ b/router/internal/app/gossip/lost_watches_test.go
@@ -190,9 +190,9 @@
 // Guards against a chain of delays between the first instance that learns of a change after an outage and the last one, which exceeds the
 // propagation limit in fleets with readers (review/4). Each outage begins in the pause after a change, so that all next watches are lost.
 func TestNewsReachesReadersInGoodTime(t *testing.T) {
-	const instances, outages, outage, limit = 160, 6, time.Second, 4 * time.Second
-	for run := range 3 {
-		t.Run(fmt.Sprint(run), func(t *testing.T) {
+	const outages, outage = 6, time.Second
+	for instances, limit := range map[int]time.Duration{8: 2 * time.Second, 30: 2 * time.Second, 75: 3 * time.Second, 160: 4 * time.Second, 300: 4 * time.Second} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n, p := newNetwork(), newSilentPlatform()
 				n.propagationLimit = limit
