Give a spec of callers the retries that it needs

Traced: the answer is 502 "no further attempt is allowed". Two of four engines refuse everything, so that each of the spec's six requests may need two retries, 12 in all; the router's retry budget holds 10 at its start and gets a tenth per request. The budget is right and has tests of its own.

--- a/router/internal/adapter/callers/e2e_test.go
+++ b/router/internal/adapter/callers/e2e_test.go
@@ -169,6 +169,7 @@
 func (w *testRouter) snapshot(key string) *config.Snapshot {
 	c := testSnapshot().Catalogue
 	c.Customers[0].Keys[0].SHA256 = hexDigest(config.DigestKey(key))
+	c.Policy.RetryBudgetPercent = 100 // a spec's six requests may need two retries each, more than the initial balance
 	c.Pools = []catalogue.Pool{{Name: "prefill", Role: catalogue.RolePrefill, Model: testModel}, {Name: "decode", Role: catalogue.RoleDecode, Model: testModel}}
 	return config.New(1, c)
 }
@@ -206,8 +207,11 @@
 	resp, err = w.post(context.Background(), body+"}")
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
+	raw, err = io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(http.StatusOK), string(raw))
 	var c openai.Completion
-	Expect(json.NewDecoder(resp.Body).Decode(&c)).To(Succeed())
+	Expect(json.Unmarshal(raw, &c)).To(Succeed())
 	Expect(c.Choices).NotTo(BeEmpty())
 	return streamed, contentOf(c.Choices[0])
 }
