--- a/router/internal/adapter/peerudp/peerudp_test.go
+++ b/router/internal/adapter/peerudp/peerudp_test.go
@@ -19,7 +19,7 @@
 func listen(t *testing.T) (*peerudp.Transport, string) {
 	t.Helper()
 	discardLogger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	for port := range 100 {
+	for port := range 1000 { // runs at the same time on one machine share the range
 		address := fmt.Sprint("127.0.0.1:", 18700+port)
 		if transport, err := peerudp.Listen(context.Background(), address, time.Second, discardLogger); err == nil {
 			t.Cleanup(func() { _ = transport.Close() })
