Report a starting node as ready only once it knows the endpoints

Change: readiness and the acceptance of requests wait for the endpoint list as well, from the store or from a peer.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -87,7 +87,7 @@
 	Domain       string
 	// InstanceCount is the number of instances that share the endpoints' connections.
 	InstanceCount func() int
-	// PeersSynced reports whether this instance knows the state of the other instances.
+	// PeersSynced reports whether this instance knows the endpoints and the state of the other instances.
 	PeersSynced func() bool
 	// AwaitPeerSync blocks until the state of the other instances as of the call is known, or done is closed.
 	AwaitPeerSync func(done <-chan struct{})
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -139,6 +139,10 @@
 // Endpoints returns the current endpoint list.
 func (m *Cache) Endpoints() *EndpointList { return m.endpoints.Load() }
 
+// IsComplete reports whether both the configuration and the endpoint list are known. Without the list, requests would be refused
+// although endpoints exist.
+func (m *Cache) IsComplete() bool { return m.Table() != nil && m.Endpoints().Revision > 0 }
+
 // AnswerAges returns how long ago the platform last answered a call for the configuration and one for the endpoint list. They
 // grow while a watch waits for a change; a lost watch shows as an age beyond its wait.
 func (m *Cache) AnswerAges() (config, endpoints time.Duration) {
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -278,7 +278,10 @@
 			Limits: do.MustInvoke[*endpointlimit.Limiter](i), RetryBudget: do.MustInvoke[*retrybudget.Budget](i), EndpointLoad: do.MustInvoke[*inflight.Tracker](i),
 			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain,
 			InstanceCount: n.fleetSize,
-			PeersSynced:   func() bool { return n.components.Load().peers.Joined() },
+			PeersSynced: func() bool {
+				p := n.components.Load()
+				return p.routingCache.IsComplete() && p.peers.Joined()
+			},
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
 			Quarantine:    crashes, OnCrash: n.triggerReport,
 			IsLeader: func() bool { return n.components.Load().peers.IsLeader() },
