Place work by the speed of each endpoint

Endpoints of one service differ in speed and slow down for a time, but work was placed by counts of requests and tokens, and a load of four figures was dropped as a whole. A factor per endpoint is now learnt, shared in optional fields of existing messages, and combined with the stated speed; it is in force only for services that state their speed or with endpoint-pacing.

--- a/api/routing/call.go
+++ b/api/routing/call.go
@@ -62,6 +62,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// SpeedPercent is how long work takes on the endpoint's machine at the moment; 100 means as usual, and 0 that the endpoint does not
+	// report it.
+	SpeedPercent float64
 }
 
 // Demand is the number of tokens that a model request declares.
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -86,7 +87,9 @@
 	// Timings estimates for how long slots are held, MemoryEstimator how much memory requests use.
 	Timings         *latency.Estimator
 	MemoryEstimator *memestimate.Estimator
-	Domain          string
+	// Speeds estimates the speed of engines; nil if that is not used.
+	Speeds *speed.Tracker
+	Domain string
 	// InstanceCount is the number of instances that share the engines.
 	InstanceCount func() int
 	// Random returns a number in [0, 1).
@@ -288,11 +291,15 @@
 func (d *Dispatcher) decodeCandidates(service string, now time.Duration) []engines.Candidate {
 	endpoints := health.UsableEndpoints(d.Health, d.State.Stage(service, routing.Decode), endpointID, now)
 	out := make([]engines.Candidate, 0, len(endpoints))
+	usesSpeed := d.Speeds.InForce(service)
 	for _, ep := range endpoints {
 		out = append(out, engines.Candidate{
 			Endpoint: ep, Load: d.EndpointLoad.TotalAt(ep.ID), FailureRate: d.Health.FailureRate(ep.ID, now),
 			Full: now < d.fullUntil[ep.ID] || d.Limits.Delay(ep) > 0,
 		})
+		if usesSpeed {
+			out[len(out)-1].SpeedFactor = d.Speeds.Factor(ep, now)
+		}
 	}
 	return out
 }
--- a/router/internal/app/dispatch/slot.go
+++ b/router/internal/app/dispatch/slot.go
@@ -7,6 +7,7 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/inflight"
+	"tanagerwood.dev/router/internal/domain/speed"
 )
 
 // Slot is an acquired slot at a decode engine. Release must be called.
@@ -78,6 +79,8 @@
 
 // RecordFirstEvent records the time to the first event of a stream whose prompt was processed by a prefill engine.
 func (s *Slot) RecordFirstEvent(delay time.Duration) {
+	work := speed.Work{Service: s.service, Step: speed.FirstEvent}
+	s.dispatcher.Speeds.Record(s.Endpoint, work, 1, delay, s.dispatcher.SinceBoot())
 	if delay > memoryWaitThreshold {
 		s.dispatcher.MemoryEstimator.RecordShortage(s.service)
 		return
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -25,6 +25,7 @@
 	"tanagerwood.dev/router/internal/domain/retrydetect"
 	"tanagerwood.dev/router/internal/domain/routetable"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -84,7 +85,11 @@
 	EndpointLoad *inflight.Tracker
 	Health       *health.Tracker
 	Timings      *latency.Estimator
-	Domain       string
+	// Speeds estimates the speed of endpoints. LoadAge returns the age of what is known of the requests of other instances at plain
+	// endpoints.
+	Speeds  *speed.Tracker
+	LoadAge func() time.Duration
+	Domain  string
 	// InstanceCount is the number of instances that share the endpoints' connections.
 	InstanceCount func() int
 	// PeersSynced reports whether this instance knows the state of the other instances.
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -121,8 +121,9 @@
 		r.EndpointLoad.Subtract(ep.ID, load)
 		r.OnChange()
 	}()
-	expected := r.Timings.PrefillLatency(r.service.Name, r.EndpointLoad.TotalAt(ep.ID).Tokens)
-	ctx, cancel := context.WithTimeout(r.ctx, max(minPrefillTimeout, prefillTimeoutFactor*expected))
+	queued := r.EndpointLoad.TotalAt(ep.ID).Tokens
+	expected := r.Timings.PrefillLatency(r.service.Name, queued)
+	ctx, cancel := context.WithTimeout(r.ctx, r.extended(ep, max(minPrefillTimeout, prefillTimeoutFactor*expected)))
 	defer cancel()
 	call := r.call
 	call.TimeLeft = r.timeLeft()
@@ -133,6 +134,7 @@
 	r.recordOutcome(ep, err, start)
 	if err == nil {
 		r.Timings.RecordPrefill(r.service.Name, demand.PromptTokens, took)
+		r.recordPrefillSpeed(ep, queued, took)
 		if alreadyRunning == 0 && r.EndpointLoad.TotalAt(ep.ID).Requests == load.Requests {
 			r.Timings.RecordIdlePrefill(r.service.Name, demand.PromptTokens, took)
 		}
@@ -159,10 +161,10 @@
 func (r *requestState) usesLocalPrefill(slot *dispatch.Slot, prefill routing.Endpoint) bool {
 	name, prompt := r.service.Name, r.demand().PromptTokens
 	return engines.PrefillOnDecode(engines.PrefillEstimate{
-		TimeLeft:          r.timeToObjective() - r.Timings.DecodeStartLatency(name),
+		TimeLeft:          r.timeToObjective() - r.scaled(slot.Endpoint, r.Timings.DecodeStartLatency(name)),
 		MaxEventGap:       r.route.EventGap,
-		PrefillTime:       r.Timings.PrefillBusyTime(name, prompt),
-		QueuedPrefillTime: r.Timings.PrefillBusyTime(name, r.EndpointLoad.TotalAt(prefill.ID).Tokens+prompt),
+		PrefillTime:       r.scaled(slot.Endpoint, r.Timings.PrefillBusyTime(name, prompt)),
+		QueuedPrefillTime: r.scaled(prefill, r.Timings.PrefillBusyTime(name, r.EndpointLoad.TotalAt(prefill.ID).Tokens+prompt)),
 		DecodeLoad:        r.EndpointLoad.TotalAt(slot.Endpoint.ID),
 	})
 }
@@ -179,10 +181,16 @@
 	now := r.SinceBoot()
 	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, routing.Prefill), endpointID, now)
 	candidates := make([]engines.Candidate, 0, len(usable))
+	usesSpeed := r.Speeds.InForce(r.service.Name)
 	for _, ep := range usable {
-		if r.Limits.Delay(ep) == 0 {
-			candidates = append(candidates, engines.Candidate{Endpoint: ep, Load: r.EndpointLoad.TotalAt(ep.ID), FailureRate: r.Health.FailureRate(ep.ID, now)})
+		if r.Limits.Delay(ep) > 0 {
+			continue
 		}
+		c := engines.Candidate{Endpoint: ep, Load: r.EndpointLoad.TotalAt(ep.ID), FailureRate: r.Health.FailureRate(ep.ID, now)}
+		if usesSpeed {
+			c.SpeedFactor = r.Speeds.Factor(ep, now)
+		}
+		candidates = append(candidates, c)
 	}
 	best := engines.SelectPrefill(candidates, tokens, domain)
 	if best < 0 {
@@ -201,7 +209,7 @@
 		}
 		return err
 	}
-	ctx, progress, stop := r.withStallTimeout(handle == nil)
+	ctx, progress, stop := r.withStallTimeout(ep, handle == nil)
 	defer stop()
 	answer, start, err := r.openStream(ctx, slot, handle)
 	if handle != nil && r.mayResend(ep, err) {
@@ -255,14 +263,14 @@
 
 // withStallTimeout returns a context that is cancelled when no event has arrived for longer than callers wait, and a progress
 // function to call for each event. Routes without an objective and an event gap have no such timeout.
-func (r *requestState) withStallTimeout(readsPrompt bool) (ctx context.Context, progress, stop func()) {
+func (r *requestState) withStallTimeout(ep routing.Endpoint, readsPrompt bool) (ctx context.Context, progress, stop func()) {
 	if r.route.Objective == 0 && r.route.EventGap == 0 {
 		return r.ctx, func() {}, func() {}
 	}
 	limit := max(minStallTimeout, stallObjectiveFactor*r.route.Objective, stallEventGapFactor*r.route.EventGap) + stallTimeoutMargin
 	first := limit
 	if readsPrompt {
-		first += prefillTimeoutFactor * r.Timings.PrefillLatency(r.service.Name, r.demand().PromptTokens)
+		first += r.extended(ep, prefillTimeoutFactor*r.Timings.PrefillLatency(r.service.Name, r.demand().PromptTokens))
 	}
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	timer := time.AfterFunc(first, func() { cancel(errStalled) })
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -107,8 +107,12 @@
 	return routing.Endpoint{}, false
 }
 
-// leastLoaded returns the index of the endpoint with the least load.
+// leastLoaded returns the index of the endpoint with the least load, or of that which is expected to answer first if the speed of the
+// endpoints is known.
 func (r *requestState) leastLoaded(candidates []routing.Endpoint) int {
+	if r.Speeds.InForce(r.service.Name) {
+		return r.soonestDone(candidates)
+	}
 	now := r.SinceBoot()
 	best, bestLoad := -1, 0.0
 	for i, ep := range candidates {
@@ -135,7 +139,7 @@
 	load := inflight.Load{Requests: 1}
 	r.EndpointLoad.Add(ep.ID, load)
 	defer r.EndpointLoad.Subtract(ep.ID, load)
-	ctx, progress, stop := r.plainAttemptContext()
+	ctx, progress, stop := r.plainAttemptContext(ep)
 	defer stop()
 	call := r.call
 	call.TimeLeft = r.timeLeft()
@@ -145,6 +149,7 @@
 	if err == nil {
 		r.attempts++
 		r.mayHaveRun = true
+		r.recordPlainSpeed(ep, answer.Status, start)
 		err = r.forwardPlainAnswer(answer, start, progress)
 	} else if !errors.Is(err, routing.ErrNotRun) {
 		r.attempts++
@@ -160,11 +165,11 @@
 }
 
 // plainAttemptContext returns the context of an attempt: with a stall timeout for a stream, and with attemptTimeout otherwise.
-func (r *requestState) plainAttemptContext() (ctx context.Context, progress, stop func()) {
+func (r *requestState) plainAttemptContext(ep routing.Endpoint) (ctx context.Context, progress, stop func()) {
 	if r.route.Kind == routing.Streaming {
-		return r.withStallTimeout(false)
+		return r.withStallTimeout(ep, false)
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, r.attemptTimeout())
+	ctx, cancel := context.WithTimeout(r.ctx, r.attemptTimeout(ep))
 	return ctx, func() {}, cancel
 }
 
@@ -184,11 +189,12 @@
 func (unrecordedStream) RecordFirstEvent(time.Duration) {}
 func (unrecordedStream) RecordCompletion()              {}
 
-// attemptTimeout is the timeout of an attempt: all the time left, or half of it if another attempt is possible.
-func (r *requestState) attemptTimeout() time.Duration {
+// attemptTimeout is the timeout of an attempt: all the time left, or half of it if another attempt is possible. A slow endpoint has
+// longer.
+func (r *requestState) attemptTimeout(ep routing.Endpoint) time.Duration {
 	left := r.timeLeft()
 	if r.route.MayRepeat() && r.attempts+1 < r.route.MaxAttempts {
-		return max(left/2, min(r.route.Objective, left))
+		return min(r.extended(ep, max(left/2, min(r.route.Objective, left))), left)
 	}
 	return left
 }
--- a/router/internal/app/gossip/collectors.go
+++ b/router/internal/app/gossip/collectors.go
@@ -199,6 +199,7 @@
 	s.EndpointLoad.ReplacePeer(name, nil)
 	s.Queue.ReplacePeerRequests(name, nil)
 	s.Health.ApplyReport(name, nil, s.Boot())
+	s.Speeds.RemovePeer(name, s.Boot())
 }
 
 func (s *Service) viewTimeout() time.Duration { return viewTimeoutPeriods * s.reportPeriod() }
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -28,6 +28,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 )
@@ -129,6 +130,8 @@
 	Queue        Queue
 	Transitions  *stages.Transitions
 	Health       *health.Tracker
+	// Speeds holds the estimates of the speed of endpoints; nil if there are none.
+	Speeds *speed.Tracker
 	// Availability holds the endpoints that have announced that they leave, and those that have a request limit.
 	Availability *availability.Tracker
 	// Quarantine holds the crashes of engines at the beginning of answers.
@@ -261,6 +264,14 @@
 	return min(max(minReportPeriod, time.Duration(s.FleetSize())*reportPeriodPerPeer), maxReportPeriod)
 }
 
+// LoadAge returns the mean age of what is known of the requests of other instances at plain endpoints, which are reported periodically.
+func (s *Service) LoadAge() time.Duration {
+	if s.collectors.collecting() {
+		return s.reportPeriod() / 2
+	}
+	return s.reportPeriod()
+}
+
 // Joined reports whether this instance knows what the others have admitted and placed. Before that it would place requests and
 // charge limits as if it were alone.
 func (s *Service) Joined() bool {
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -13,6 +13,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/quarantine"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 )
@@ -40,6 +41,8 @@
 	Transitions []stages.Transition `json:"changing,omitempty"`
 	// Outcomes holds the results at endpoints that have failed lately; in periodic messages only.
 	Outcomes map[string]health.Outcomes `json:"outcomes,omitempty"`
+	// Speeds holds measurements at endpoints that are faster or slower than their service; in periodic messages only.
+	Speeds map[string]speed.Report `json:"speeds,omitempty"`
 	// Leaving lists the endpoints that have announced that they leave; in periodic messages only.
 	Leaving []availability.LeavingEndpoint `json:"leaving,omitempty"`
 	// Limits lists the request limits that endpoints have stated: in periodic messages those stated to the sender, in views all.
@@ -204,6 +207,7 @@
 func (s *Service) addPeriodicFields(m Message) Message {
 	now := s.Boot()
 	m.Periodic, m.Transitions, m.Outcomes = true, s.Transitions.Local(now), s.Health.LocalReport(now)
+	m.Speeds = s.Speeds.LocalReport(now)
 	m.Leaving, m.Limits = s.Availability.LeavingEndpoints(now), s.Availability.OwnLimits(now)
 	return m
 }
--- a/router/internal/app/gossip/network_test.go
+++ b/router/internal/app/gossip/network_test.go
@@ -19,6 +19,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/domain/stages"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 )
@@ -77,6 +78,7 @@
 	heard       map[string]int
 	transitions *stages.Transitions
 	health      *health.Tracker
+	speeds      *speed.Tracker
 	notices     *availability.Tracker
 	crashes     *quarantine.Tracker
 	limits      *endpointlimit.Limiter
@@ -246,12 +248,12 @@
 		}
 		return n.customer(key)
 	})
-	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, crashes: quarantine.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
+	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, crashes: quarantine.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), speeds: speed.New(func(service string) bool { return service == paced }), heard: map[string]int{}}
 	nd.mirror = routingcache.New(platform, routingcache.PropagationLimits{Config: n.propagationLimit, Endpoints: n.propagationLimit},
 		func() int { return nd.FleetSize() }, quiet, boot)
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
-		Mirror: nd.mirror, Limiter: nd.limiter, EndpointLoad: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Availability: notices, Quarantine: nd.crashes, Boot: boot, Logger: quiet,
+		Mirror: nd.mirror, Limiter: nd.limiter, EndpointLoad: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Speeds: nd.speeds, Availability: notices, Quarantine: nd.crashes, Boot: boot, Logger: quiet,
 	})
 	nd.limits = endpointlimit.New(endpointlimit.Deps{Notices: notices, Quotas: limiter, OnAdmit: nd.TriggerReport, SinceBoot: boot})
 	n.mu.Lock()
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -73,6 +73,7 @@
 	if m.Periodic {
 		s.Transitions.ReplacePeer(m.Sender.Name, m.Transitions, now)
 		s.Health.ApplyReport(m.Sender.Name, m.Outcomes, now)
+		s.Speeds.ApplyReport(m.Sender.Name, m.Speeds, now)
 		s.Availability.MergePeer(m.Leaving, now)
 	}
 	s.Queue.ReplacePeerRequests(m.Sender.Name, m.Waiting)
--- a/router/internal/app/gossip/views.go
+++ b/router/internal/app/gossip/views.go
@@ -69,7 +69,7 @@
 	config, endpoints := s.Mirror.Versions()
 	m := Message{
 		Sender: s.Self, ViewFor: reader, ConfigVersion: config, EndpointsRevision: endpoints, Spent: s.Limiter.SpentExcluding(reader), BucketLevels: s.Limiter.BucketLevels(now), Work: s.EndpointLoad.TotalExcept(reader),
-		Waiting: s.Queue.WaitingExcept(reader), Transitions: s.Transitions.All(now), Outcomes: s.Health.ReportExcluding(reader, now),
+		Waiting: s.Queue.WaitingExcept(reader), Transitions: s.Transitions.All(now), Outcomes: s.Health.ReportExcluding(reader, now), Speeds: s.Speeds.ReportExcluding(reader, now),
 		Leaving: s.Availability.LeavingEndpoints(now), Limits: s.Availability.AllLimits(now),
 		Crashes: s.Quarantine.Suspect(now), PlatformAnswerAgeMS: answerAgeMS(s.Mirror.FleetAnswerAge()),
 	}
@@ -194,6 +194,7 @@
 	s.EndpointLoad.ReplacePeer(aggregateName, m.Work)
 	s.Transitions.ReplacePeer(aggregateName, m.Transitions, now)
 	s.Health.ApplyReport(aggregateName, m.Outcomes, now)
+	s.Speeds.ApplyReport(aggregateName, m.Speeds, now)
 	s.Availability.MergePeer(m.Leaving, now)
 	s.Queue.ReplacePeerRequests(aggregateName, m.Waiting)
 	close(arrival)
--- a/router/internal/domain/inflight/inflight.go
+++ b/router/internal/domain/inflight/inflight.go
@@ -65,6 +65,20 @@
 	return t.local[endpoint].plus(t.peerTotal[endpoint])
 }
 
+// LocalAt returns the load of this instance at an endpoint.
+func (t *Tracker) LocalAt(endpoint string) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.local[endpoint]
+}
+
+// PeersAt returns the load of the other instances at an endpoint.
+func (t *Tracker) PeersAt(endpoint string) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peerTotal[endpoint]
+}
+
 // Local returns the load of this instance by endpoint.
 func (t *Tracker) Local() map[string]Load {
 	t.mu.Lock()
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -26,6 +26,7 @@
 	"tanagerwood.dev/router/internal/app/background"
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/plannedstop"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/settings"
 )
 
@@ -252,6 +253,10 @@
 	}
 	p.health.RetainListed(len(listed), known)
 	p.dispatcher.PruneEndpoints(known)
+	p.speeds.Prune(func(start speed.Start) bool {
+		ep, ok := listed[start.ID]
+		return ok && ep.StartedMS == start.StartedMS
+	}, clock.System{}.Boot())
 }
 
 type listener struct {
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -15,6 +15,7 @@
 	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
+	"tanagerwood.dev/router/internal/domain/speed"
 )
 
 // settingsCheckInterval is the interval at which the settings file is checked for changes that come without a SIGHUP.
@@ -92,6 +93,18 @@
 	return r
 }
 
+// registerSpeedGauges adds the number of services whose endpoints state their speed, and of endpoints that deviate from their service.
+func registerSpeedGauges(r metrics.Registry, speeds *speed.Tracker) {
+	metrics.NewRegisteredFunctionalGauge("speed.services", r, func() int64 {
+		services, _ := speeds.Counts(clock.System{}.Boot())
+		return int64(services)
+	})
+	metrics.NewRegisteredFunctionalGauge("speed.deviating", r, func() int64 {
+		_, deviating := speeds.Counts(clock.System{}.Boot())
+		return int64(deviating)
+	})
+}
+
 // registerCacheGauges adds the version of the configuration in force and the time since the platform last answered each feed. Together
 // they tell a watch that was lost from one whose changes cannot be applied.
 func registerCacheGauges(r metrics.Registry, cache *routingcache.Cache) {
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -27,6 +27,7 @@
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/domain/stages"
 )
 
@@ -46,6 +47,8 @@
 	budget       *retrybudget.Budget
 	quarantine   *quarantine.Tracker
 	crashStore   *crashstore.Keeper
+	speeds       *speed.Tracker
+	load         *inflight.Tracker
 	metrics      metrics.Registry
 }
 
@@ -64,6 +67,8 @@
 		budget:       do.MustInvoke[*retrybudget.Budget](n.injector),
 		quarantine:   do.MustInvoke[*quarantine.Tracker](n.injector),
 		crashStore:   do.MustInvoke[*crashstore.Keeper](n.injector),
+		speeds:       do.MustInvoke[*speed.Tracker](n.injector),
+		load:         do.MustInvoke[*inflight.Tracker](n.injector),
 		metrics:      do.MustInvoke[metrics.Registry](n.injector),
 	}
 }
@@ -176,6 +181,17 @@
 	}
 }
 
+// recordLoad records the load that an endpoint has stated in a response.
+func (n *Node) recordLoad(ep routing.Endpoint, load routing.Load) {
+	p := n.components.Load()
+	if p.speeds.RecordLoad(ep, load, p.load.LocalAt(ep.ID).Requests, clock.System{}.Boot()) {
+		n.options.Logger.Info().Str("event", "speed.in_force").Str("service", ep.Service).Str("endpoint", ep.ID).Msg("")
+	}
+}
+
+// usesSpeed reports whether the settings or the configuration ask for estimates of the speed of a service's endpoints.
+func (n *Node) usesSpeed(string) bool { return n.settings.Load().EndpointPacing }
+
 // recordNotice records an endpoint's notices: that it is leaving, asks for a pause, or has a request limit. It reports leaving
 // endpoints and limits to the peers.
 func (n *Node) recordNotice(ep routing.Endpoint, notice routing.Notice) {
@@ -206,7 +222,8 @@
 	store := platform.NewStore(s.PlatformAddress, deadConnectionTimeout)
 	store.LimitMemory(n.controlMemory)
 	do.ProvideValue(i, store)
-	do.ProvideValue(i, newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era))
+	registry := newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era)
+	do.ProvideValue(i, registry)
 	do.ProvideValue(i, inflight.NewTracker())
 	do.ProvideValue(i, latencyEstimator)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
@@ -229,12 +246,16 @@
 		}), nil
 	})
 	do.ProvideValue(i, health.NewTracker(n.fleetSize))
+	speeds := speed.New(n.usesSpeed)
+	do.ProvideValue(i, speeds)
+	registerSpeedGauges(registry, speeds)
 	do.ProvideValue(i, stages.NewTransitions())
 	answerMemory := membudget.New(answerAllowanceBytes, memoryShare(s, answerMemoryFraction))
 	endpoints := platform.NewEndpoints(endpointDialTimeout, deadConnectionTimeout, maxIdleConnections)
 	endpoints.LimitMemory(answerMemory)
 	endpoints.OnNotice(n.recordNotice)
 	endpoints.OnSend(n.recordSend)
+	endpoints.OnLoad(n.recordLoad)
 	do.ProvideValue(i, endpoints)
 	do.Provide(i, func(i do.Injector) (*routingcache.Cache, error) {
 		limits := routingcache.PropagationLimits{Config: s.ConfigPropagationLimit, Endpoints: s.DrainPropagationLimit, Heartbeat: s.EndpointHeartbeat}
@@ -256,7 +277,7 @@
 			Seeds: s.SeedAddresses(), Transport: do.MustInvoke[gossip.Transport](i), Registry: do.MustInvoke[*platform.Store](i),
 			Mirror: do.MustInvoke[*routingcache.Cache](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			EndpointLoad: do.MustInvoke[*inflight.Tracker](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Transitions: do.MustInvoke[*stages.Transitions](i),
-			Health: do.MustInvoke[*health.Tracker](i), Availability: availabilityTracker, Quarantine: crashes, Boot: boot, Logger: logger,
+			Health: do.MustInvoke[*health.Tracker](i), Speeds: speeds, Availability: availabilityTracker, Quarantine: crashes, Boot: boot, Logger: logger,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*retrybudget.Budget, error) {
@@ -267,7 +288,7 @@
 		return dispatch.New(dispatch.Deps{
 			Engines: do.MustInvoke[*platform.Endpoints](i), State: do.MustInvoke[routingState](i),
 			EndpointLoad: do.MustInvoke[*inflight.Tracker](i), Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i),
-			Limits: do.MustInvoke[*endpointlimit.Limiter](i), MemoryEstimator: memestimate.New(), Domain: s.Domain, InstanceCount: n.fleetSize,
+			Limits: do.MustInvoke[*endpointlimit.Limiter](i), MemoryEstimator: memestimate.New(), Speeds: speeds, Domain: s.Domain, InstanceCount: n.fleetSize,
 			Random: rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger,
 		}), nil
 	})
@@ -277,6 +298,7 @@
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), RateLimiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Limits: do.MustInvoke[*endpointlimit.Limiter](i), RetryBudget: do.MustInvoke[*retrybudget.Budget](i), EndpointLoad: do.MustInvoke[*inflight.Tracker](i),
 			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain,
+			Speeds: speeds, LoadAge: func() time.Duration { return n.components.Load().peers.LoadAge() },
 			InstanceCount: n.fleetSize,
 			PeersSynced:   func() bool { return n.components.Load().peers.Joined() },
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
--- a/router/internal/settings/node.go
+++ b/router/internal/settings/node.go
@@ -50,6 +50,9 @@
 	FixedRetries float64
 	RetryWindow  time.Duration
 
+	// EndpointPacing places work by the speed of each endpoint for all services, not only for those that ask for it.
+	EndpointPacing bool
+
 	LogLevel string
 }
 
@@ -93,6 +96,7 @@
 	fs.Float64Var(&n.RetryRatio, "retry-ratio", defaultRetryRatio, "retries per request, as a `ratio`")
 	fs.Float64Var(&n.FixedRetries, "retry-fixed", defaultFixedRetries, "`number` of retries in a window beside the ratio, for the fleet")
 	fs.DurationVar(&n.RetryWindow, "retry-window", defaultRetryWindow, "`time` over which retries are counted")
+	fs.BoolVar(&n.EndpointPacing, "endpoint-pacing", false, "place work by the speed of each endpoint, and pace endpoints that start or recover, for all services")
 	fs.StringVar(&n.LogLevel, "log-level", DefaultLogLevel, "debug, info, warn or error")
 	return n
 }
