Let readers ask for a newer version sooner than every 4 s

Cause: a reader that had just asked the store again could not ask for the next version within mirrorRefreshInterval, even if the calls of the last request had been answered. A newer version may now be asked for after 1 s once both feeds had an answer; a request that cancels unanswered calls leaves the next ones 4 s.

--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -63,9 +63,11 @@
 	joinDelay = 100 * time.Millisecond
 	// mirrorRefreshDelay is how long a peer may have a newer version before the platform is asked again: the answer of the own watch
 	// comes about as soon as that of the peer's. Since the answer may be arriving already, the platform is asked at most once in
-	// mirrorRefreshInterval. The collectors of a large fleet, whose readers wait for them, have shorter times.
+	// mirrorRefreshInterval. The collectors of a large fleet, whose readers wait for them, have shorter times. For a version newer than
+	// the one last asked for, newerRefreshInterval is enough once the platform has answered since; see mayAskAgain.
 	mirrorRefreshDelay       = 700 * time.Millisecond
 	mirrorRefreshInterval    = 4 * time.Second
+	newerRefreshInterval     = time.Second
 	collectorRefreshDelay    = 100 * time.Millisecond
 	collectorRefreshInterval = time.Second
 	// catchUpInterval is the interval at which an instance that is behind a peer checks whether the delays have passed.
@@ -175,6 +177,8 @@
 	// fallbackAt is when copies of other instances may be fetched although this one has no configuration, mirrorRefreshAt when
 	// the platform may be asked again. Times are since boot.
 	fallbackAt, mirrorRefreshAt time.Duration
+	// lastRefresh is when the platform was last asked again, and for which versions.
+	lastRefresh refresh
 	// earlyFetchAt is when a copy may be fetched after mirrorRefreshDelay if the platform does not answer this instance.
 	earlyFetchAt time.Duration
 	// reported is the state in the last report, reportedWaiting its number of waiting requests.
--- a/router/internal/app/gossip/lost_watches_test.go
+++ b/router/internal/app/gossip/lost_watches_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -20,6 +21,8 @@
 	silent bool
 	lost   int
 	calls  int
+	// latency delays the answers of nine of ten calls.
+	latency time.Duration
 	// revision is that of the last write of any object, changedAt that of the configuration and the endpoint.
 	revision, changedAt uint64
 	wake                chan struct{}
@@ -33,13 +36,16 @@
 func (p *silentPlatform) call(ctx context.Context, wait time.Duration) error {
 	p.mu.Lock()
 	p.calls++
-	silent := p.silent
+	silent, latency := p.silent, p.latency
+	if p.calls%10 == 0 {
+		latency = 0
+	}
 	if silent {
 		p.lost++
 	}
 	p.mu.Unlock()
 	if !silent {
-		return nil
+		return p.delay(ctx, latency)
 	}
 	select {
 	case <-ctx.Done():
@@ -49,6 +55,16 @@
 	}
 }
 
+// delay waits for the latency of an answer.
+func (p *silentPlatform) delay(ctx context.Context, latency time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(latency):
+		return nil
+	}
+}
+
 // watch returns the revision after the first change, or the revision after the wait, and whether there was a change.
 func (p *silentPlatform) watch(ctx context.Context, since uint64, wait time.Duration) (revision uint64, changed bool, err error) {
 	if err := p.call(ctx, wait); err != nil {
@@ -97,6 +113,12 @@
 	p.silent = silent
 }
 
+func (p *silentPlatform) setLatency(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latency = d
+}
+
 func (p *silentPlatform) counts() (calls, lost int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -219,6 +241,67 @@
 	}
 }
 
+// Guards against readers that have just asked the platform again and may not do so for a version that is written soon after (soak seed
+// 9700). The second of two short outages follows as soon as all instances know the version of the first one.
+func TestNextVersionIsAskedForSoon(t *testing.T) {
+	const rounds, outage, secondOutage = 4, time.Second, 650 * time.Millisecond
+	for instances, limit := range map[int]time.Duration{30: 2 * time.Second, 60: 2 * time.Second, 75: 3 * time.Second, 300: 4 * time.Second} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, p := newNetwork(), newSilentPlatform()
+				n.propagationLimit = limit
+				var nodes []*node
+				for i := range instances {
+					nd := n.startOn(t, p, fmt.Sprint("i", i), 1)
+					go nd.mirror.Run(t.Context())
+					nodes = append(nodes, nd)
+				}
+				time.Sleep(10 * time.Second)
+				for range rounds {
+					for _, length := range []time.Duration{outage, secondOutage} {
+						p.write()
+						time.Sleep(50 * time.Millisecond)
+						p.setSilent(true)
+						time.Sleep(length)
+						p.setSilent(false)
+						if took := timeToLearn(nodes, p.write(), limit); took > limit {
+							t.Errorf("after an outage of %s the last instance learns the version %s after it was written, want at most %s", length, took, limit)
+						}
+					}
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against calls to a slow platform that are cancelled again and again before they are answered, so that instances without copies
+// of others learn nothing.
+func TestCallsToASlowPlatformAreNotCancelledForEachVersion(t *testing.T) {
+	const instances, versions, pause, latency, limit = 30, 20, 400 * time.Millisecond, 1400 * time.Millisecond, 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		n, p := newNetwork(), newSilentPlatform()
+		var nodes []*node
+		for i := range instances {
+			nd := n.startOn(t, p, fmt.Sprint("i", i), 1)
+			go nd.mirror.Run(t.Context())
+			nodes = append(nodes, nd)
+		}
+		time.Sleep(10 * time.Second)
+		n.mu.Lock()
+		n.fetchErr = errors.New("no copies")
+		n.mu.Unlock()
+		p.setLatency(latency)
+		for range versions {
+			p.write()
+			time.Sleep(pause)
+		}
+		if took := timeToLearn(nodes, p.write(), limit); took > limit {
+			t.Errorf("the last instance learns the version %s after it was written, want at most %s", took, limit)
+		}
+	})
+}
+
 // timeToLearn returns when the last instance has the version in force, for the configuration and the endpoint; at most 2 limits.
 func timeToLearn(nodes []*node, version uint64, limit time.Duration) time.Duration {
 	began := time.Now()
--- a/router/internal/app/gossip/versions.go
+++ b/router/internal/app/gossip/versions.go
@@ -63,9 +63,8 @@
 	behind := now - p.behindSince
 	hasConfig, receiving := config > 0, s.Mirror.IsReceiving()
 	delay, interval := s.refreshTimes()
-	if hasConfig && !receiving && behind >= delay && now >= s.mirrorRefreshAt {
-		s.mirrorRefreshAt = now + interval
-		s.Mirror.RestartWatches()
+	if hasConfig && !receiving && behind >= delay && s.mayAskAgain(p, now) {
+		s.askAgain(p, now, interval)
 	}
 	if s.fetching || behind < s.fetchDelay(hasConfig, receiving, now) || !hasConfig && now < s.fallbackAt {
 		return
@@ -82,6 +81,39 @@
 	}()
 }
 
+// refresh is a request to ask the platform again, with the newest versions that were known then.
+type refresh struct {
+	at                time.Duration
+	config, endpoints uint64
+}
+
+// mayAskAgain reports whether the platform may be asked again because of the peer's versions; s.mu is held. A version newer than the one
+// last asked for need not wait for the whole interval if the calls of the last request have been answered.
+func (s *Service) mayAskAgain(p *peer, now time.Duration) bool {
+	if now >= s.mirrorRefreshAt {
+		return true
+	}
+	newer := p.configVersion > s.lastRefresh.config || p.endpointsRevision > s.lastRefresh.endpoints
+	return newer && now-s.lastRefresh.at >= newerRefreshInterval && s.refreshAnswered(now)
+}
+
+// refreshAnswered reports whether both feeds have had an answer since the platform was last asked again; s.mu is held.
+func (s *Service) refreshAnswered(now time.Duration) bool {
+	configAge, endpointsAge := s.Mirror.AnswerAges()
+	return max(configAge, endpointsAge) <= now-s.lastRefresh.at
+}
+
+// askAgain asks the platform again because of the peer's versions; s.mu is held. If this cancels unanswered calls, the next ones have
+// mirrorRefreshInterval: a slow platform would never answer if its calls were cancelled again and again.
+func (s *Service) askAgain(p *peer, now, interval time.Duration) {
+	if !s.refreshAnswered(now) {
+		interval = mirrorRefreshInterval
+	}
+	s.mirrorRefreshAt = now + interval
+	s.lastRefresh = refresh{now, max(s.lastRefresh.config, p.configVersion), max(s.lastRefresh.endpoints, p.endpointsRevision)}
+	s.Mirror.RestartWatches()
+}
+
 // refreshTimes returns how long a peer may have a newer version before the platform is asked again, and how often that may be.
 func (s *Service) refreshTimes() (delay, interval time.Duration) {
 	if s.hasReaders() {
