Keep an unused allowance of a customer when instances start

Cause: a bucket began with half of the burst at its first use, however late; a late view charged the others' shares for time that their reports had covered; charges were taken from what had accrued beyond the burst. A standing quota now accrues from the start, shares are assumed since the last report, and the initial level follows from the quota rule.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -154,6 +154,8 @@
 	// deadline is the time since boot by which the caller must have its final response.
 	deadline time.Duration
 	cost     int64
+	// rateRefusal describes the refusal by the customer's rate limit; nil if there was none.
+	rateRefusal *rateRefusal
 
 	// mayHaveRun is set once an endpoint may have started to process the request.
 	mayHaveRun bool
@@ -305,10 +307,12 @@
 		return nil
 	}
 	r.cost = requestCost(r.customer, r.req.Caller.Demand)
-	ok, wait := r.RateLimiter.Take(sharedlimit.CustomerQuota(r.customer), r.cost, r.SinceBoot())
+	quota := sharedlimit.CustomerQuota(r.customer)
+	ok, wait := r.RateLimiter.Take(quota, r.cost, r.SinceBoot())
 	if ok {
 		return nil
 	}
+	r.recordRateRefusal(quota)
 	r.cost = 0
 	return fault.New(fault.RateLimited, "the customer is over its rate; come back after Retry-After").WithRetryAfter(wait)
 }
--- a/router/internal/app/forward/record.go
+++ b/router/internal/app/forward/record.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -19,10 +20,12 @@
 	registry       metrics.Registry
 	answered       metrics.Counter
 	failedAttempts metrics.Counter
-	duration       metrics.Histogram
-	firstEvent     metrics.Histogram
-	slotWait       metrics.Histogram
-	prefill        metrics.Histogram
+	// rateAssumed counts the refusals by rate limits because of what silent instances were assumed to have admitted.
+	rateAssumed metrics.Counter
+	duration    metrics.Histogram
+	firstEvent  metrics.Histogram
+	slotWait    metrics.Histogram
+	prefill     metrics.Histogram
 }
 
 func newRequestMetrics(r metrics.Registry) *requestMetrics {
@@ -31,6 +34,7 @@
 	}
 	return &requestMetrics{
 		registry:       r,
+		rateAssumed:    metrics.NewRegisteredCounter("requests.rate_limited_by_assumption", r),
 		answered:       metrics.NewRegisteredCounter("requests.answered", r),
 		failedAttempts: metrics.NewRegisteredCounter("attempts.failed", r),
 		duration:       histogram("request.milliseconds"),
@@ -40,6 +44,22 @@
 	}
 }
 
+// rateRefusal is a refusal by a customer's rate limit: the limit, what was left of it here, and what the request costs.
+type rateRefusal struct {
+	quota   *sharedlimit.Quota
+	balance sharedlimit.Balance
+	cost    int64
+}
+
+// recordRateRefusal records a refusal by the customer's rate limit for the line of the request. It counts those of requests that would
+// have been admitted without what silent instances are assumed to have admitted.
+func (r *requestState) recordRateRefusal(q *sharedlimit.Quota) {
+	r.rateRefusal = &rateRefusal{quota: q, balance: r.RateLimiter.Balance(q.Key), cost: r.cost}
+	if balance := r.rateRefusal.balance; balance.Left+balance.Assumed >= float64(r.cost) {
+		r.metrics.rateAssumed.Inc(1)
+	}
+}
+
 // recordResult logs the end of the request and updates its metrics.
 func (r *requestState) recordResult(err error) {
 	took := r.SinceBoot() - r.req.Arrived
@@ -50,6 +70,10 @@
 	if r.customer != nil {
 		entry = entry.Str("customer", r.customer.Name)
 	}
+	if refusal := r.rateRefusal; refusal != nil {
+		entry = entry.Int64("cost", refusal.cost).Float64("rate", refusal.quota.RatePerSecond).Float64("burst", refusal.quota.Burst).
+			Int64("left", int64(refusal.balance.Left)).Int64("assumed", int64(refusal.balance.Assumed))
+	}
 	if r.lastEndpoint != "" {
 		entry = entry.Str("endpoint", r.lastEndpoint).Int("sends", r.sends).Int("attempts", r.attempts)
 	}
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -390,7 +390,9 @@
 
 // addInstances adds the instances of a list as peers.
 func (s *Service) addInstances(list []routing.Instance) {
-	s.discoveredAt.CompareAndSwap(0, int64(s.Boot()))
+	if now := s.Boot(); s.discoveredAt.CompareAndSwap(0, int64(now)) {
+		s.Limiter.Begin(now)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, in := range list {
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -18,9 +18,16 @@
 	// minSilenceTimeout is the lower bound of the time without a message after which an instance is assumed to admit
 	// its share of the rate.
 	minSilenceTimeout = time.Second
-	// initialLevelFraction is the part of the burst that a new bucket holds. What was admitted before it was created is
-	// not known.
+	// initialLevelFraction is the part of the burst that a new bucket holds of a quota that has not been in force since the start of the
+	// instance. What was admitted before is not known.
 	initialLevelFraction = 0.5
+	// In any ruleWindow, (1 + ruleExcess) times the rate and the burst and ruleSlackTokens may be admitted. The burst may have been used
+	// just before all instances restarted, so that a new bucket holds initialExcessFraction of what exceeds the rate and the burst; the
+	// rest is for what instances admit before they hear from each other.
+	ruleWindow            = 8 * time.Second
+	ruleExcess            = 0.1
+	ruleSlackTokens       = 73_000
+	initialExcessFraction = 0.5
 	// sufficientFraction is the part of the burst at which a request of any size is admitted. A bucket never holds more
 	// than its burst, so larger requests would never be admitted otherwise.
 	sufficientFraction = 0.9
@@ -32,11 +39,16 @@
 	Key           string
 	RatePerSecond float64
 	Burst         float64
+	// Standing is set if all that is admitted under the quota is counted against it, from the start of the instance. An unused standing
+	// quota accrues before its first use.
+	Standing bool
+	// CountsTokens is set if the units are tokens. Otherwise they are requests.
+	CountsTokens bool
 }
 
 // CustomerQuota returns the quota of a customer, in tokens or requests.
 func CustomerQuota(c *routing.Customer) *Quota {
-	return &Quota{Key: c.Name, RatePerSecond: c.RatePerSecond, Burst: c.Burst}
+	return &Quota{Key: c.Name, RatePerSecond: c.RatePerSecond, Burst: c.Burst, Standing: true, CountsTokens: c.CountsTokens}
 }
 
 // Limiter holds the buckets of the quotas. It is safe for concurrent use.
@@ -53,6 +65,8 @@
 	// charged is the total taken from the buckets for other instances, including removed ones.
 	charged        map[string]float64
 	silenceTimeout time.Duration
+	// countedSince is the time since boot from which on all that is admitted is counted; neverCounted until Begin.
+	countedSince time.Duration
 }
 
 type bucket struct {
@@ -70,6 +84,14 @@
 	return min(b.burst, b.level+max(0, now-b.updated).Seconds()*b.rate)
 }
 
+// discardExcess lowers the level by what it exceeded the burst by at the given time. Without it, what others admit after that would be
+// taken from an allowance that nobody had.
+func (b *bucket) discardExcess(at time.Duration) {
+	if b.burst > 0 {
+		b.level -= max(0, b.level+max(0, at-b.updated).Seconds()*b.rate-b.burst)
+	}
+}
+
 // timeUntil returns the time until the bucket, which is up to date, admits a request of the given cost.
 func (b *bucket) timeUntil(q *Quota, cost int64) time.Duration {
 	required := min(float64(cost), sufficientFraction*q.Burst)
@@ -80,8 +102,10 @@
 	incarnation uint64
 	// source is the instance that sends the aggregate of the others.
 	source string
-	// confirmedAt is the last time at which the totals of the peer were known to be complete.
+	// confirmedAt is the last time at which the totals of the peer were known to be complete. missed is set if a later message
+	// of the peer is known to be missing.
 	confirmedAt time.Duration
+	missed      bool
 	// initialized is false until the first report of the peer. What it admitted before that is not charged here.
 	initialized bool
 	// spent holds the last reported totals of the peer, by key. assumed holds what was charged beyond them while
@@ -102,9 +126,20 @@
 func New(findQuota func(key string) *Quota) *Limiter {
 	return &Limiter{
 		findQuota: findQuota, buckets: map[string]*bucket{}, spent: map[string]int64{}, peers: map[string]*peer{}, charged: map[string]float64{}, silenceTimeout: minSilenceTimeout,
+		countedSince: neverCounted,
 	}
 }
 
+// neverCounted is the countedSince of a limiter before Begin.
+const neverCounted = time.Duration(math.MaxInt64)
+
+// Begin records that from now on this instance learns what the others admit. It is called once, at the start.
+func (l *Limiter) Begin(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.countedSince = now
+}
+
 // neverConfirmed is the confirmedAt of an instance that has not sent a report yet.
 const neverConfirmed = time.Duration(math.MinInt64 / 2)
 
@@ -133,6 +168,25 @@
 	return true, 0
 }
 
+// Balance is what a bucket holds.
+type Balance struct {
+	// Left is the level, and Assumed what was taken from it for silent instances and may be returned.
+	Left, Assumed float64
+}
+
+// Balance returns what the bucket of the key held when it was last used.
+func (l *Limiter) Balance(key string) (b Balance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bucket := l.buckets[key]; bucket != nil {
+		b.Left = bucket.level
+	}
+	for _, p := range l.peers {
+		b.Assumed += p.assumed[key]
+	}
+	return b
+}
+
 // Delay returns the time until a request of the given cost would be admitted; zero if it would be now.
 func (l *Limiter) Delay(q *Quota, cost int64, now time.Duration) time.Duration {
 	if q.RatePerSecond <= 0 {
@@ -205,13 +259,16 @@
 	}
 }
 
-// applySpent charges what a peer has spent since its last report. It also creates buckets of quotas without requests
+// applySpent charges what a peer has spent since its last report, thus after it was last confirmed. It also creates buckets of quotas without requests
 // at this instance, because other instances ask it for their levels. l.mu is held.
 func (l *Limiter) applySpent(p *peer, spent map[string]int64, now time.Duration) {
 	for key, n := range spent {
 		if q := l.findQuota(key); q != nil && q.RatePerSecond > 0 && l.buckets[key] == nil && n != p.spent[key] {
 			l.refill(q, now)
 		}
+		if b := l.buckets[key]; b != nil {
+			b.discardExcess(p.confirmedAt)
+		}
 		l.charge(p, key, float64(n)-float64(p.spent[key])-p.assumed[key])
 		p.spent[key] = n
 		delete(p.assumed, key)
@@ -293,13 +350,22 @@
 	}
 	for key, level := range r.Levels {
 		if l.buckets[key] == nil {
-			l.buckets[key] = &bucket{level: float64(level), updated: now}
+			l.buckets[key] = l.newBucketAt(key, float64(level), now)
 		}
 	}
 	l.applySpent(p, r.Spent, now)
 	l.confirmUpToDate(p, now)
 }
 
+// newBucketAt returns a bucket with a level that another instance has reported. l.mu is held.
+func (l *Limiter) newBucketAt(key string, level float64, now time.Duration) *bucket {
+	b := &bucket{level: level, updated: now}
+	if q := l.findQuota(key); q != nil {
+		b.rate, b.burst = q.RatePerSecond, q.Burst
+	}
+	return b
+}
+
 // capLevels lowers the buckets to the given levels where these are lower. l.mu is held.
 func (l *Limiter) capLevels(levels map[string]int64, now time.Duration) {
 	for key, level := range levels {
@@ -314,7 +380,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p := l.peers[aggregatePeer]; p != nil {
-		p.confirmedAt = neverConfirmed
+		p.missed = true
 	}
 }
 
@@ -338,7 +404,7 @@
 		l.charge(p, key, -n)
 		delete(p.assumed, key)
 	}
-	p.confirmedAt = now
+	p.confirmedAt, p.missed = now, false
 }
 
 // replacePeer replaces the record of a peer that has restarted or reports for the first time. The totals of a restarted
@@ -399,21 +465,42 @@
 func (l *Limiter) refill(q *Quota, now time.Duration) *bucket {
 	b := l.buckets[q.Key]
 	if b == nil {
-		b = &bucket{level: initialLevelFraction * q.Burst, updated: now}
+		b = l.newBucket(q, now)
 		l.buckets[q.Key] = b
 	}
 	b.rate, b.burst = q.RatePerSecond, q.Burst
-	elapsed := max(0, now-b.updated).Seconds()
-	b.updated = now
-	accrued := elapsed * q.RatePerSecond
-	b.level += accrued
-	share := accrued / float64(l.totalWeight+1)
+	b.level += max(0, now-b.updated).Seconds() * q.RatePerSecond
 	for _, p := range l.peers {
-		if now-p.confirmedAt > l.silenceTimeout {
-			p.assumed[q.Key] += share * float64(p.weight)
-			l.charge(p, q.Key, share*float64(p.weight))
+		if p.missed || now-p.confirmedAt > l.silenceTimeout {
+			l.assumeShare(p, q, now-max(b.updated, p.confirmedAt))
 		}
 	}
+	b.updated = now
 	b.level = min(b.level, q.Burst)
 	return b
 }
+
+// initialLevel returns the level of a new bucket.
+func (q *Quota) initialLevel() float64 {
+	if !q.Standing || !q.CountsTokens {
+		return initialLevelFraction * q.Burst
+	}
+	return min(q.Burst, initialExcessFraction*(ruleExcess*(q.RatePerSecond*ruleWindow.Seconds()+q.Burst)+ruleSlackTokens))
+}
+
+// newBucket returns the bucket of a quota under which nothing has been admitted since all is counted. l.mu is held.
+func (l *Limiter) newBucket(q *Quota, now time.Duration) *bucket {
+	b := &bucket{level: q.initialLevel(), updated: now}
+	if q.Standing {
+		b.updated = min(now, l.countedSince)
+	}
+	return b
+}
+
+// assumeShare charges a silent peer's share of the rate for the time since it was last confirmed. What it admitted before that has been
+// charged already. l.mu is held.
+func (l *Limiter) assumeShare(p *peer, q *Quota, unconfirmed time.Duration) {
+	share := max(0, unconfirmed).Seconds() * q.RatePerSecond / float64(l.totalWeight+1) * float64(p.weight)
+	p.assumed[q.Key] += share
+	l.charge(p, q.Key, share)
+}
