--- a/router/internal/domain/sharedlimit/restart_test.go
+++ b/router/internal/domain/sharedlimit/restart_test.go
@@ -38,7 +38,6 @@
 	*sharedlimit.Limiter
 	name        string
 	incarnation uint64
-	sequence    int
 }
 
 // simFleet is a fleet without a network. Reports take a step; instances learn of each other as in package gossip.
