Admit requests by priority

Priorities of routes and customers were decoded or ignored, and long objectives went ahead of urgent requests in the wait list. Requests of services that differ in priority are now ordered by class, with a third of the less urgent ones queued like the most urgent; plain requests yield while endpoints are full, and X-Request-Priority reaches the endpoints of such services.

--- a/api/routing/call.go
+++ b/api/routing/call.go
@@ -38,6 +38,8 @@
 	Body   []byte
 	// Customer is the name of the customer to which the caller's key belongs; empty on public routes.
 	Customer string
+	// Priority is the priority of the request, from 0, the most urgent, to 9; nil if the requests of the service do not differ in it.
+	Priority *int
 	// TimeLeft is the remaining time for which the caller waits.
 	TimeLeft time.Duration
 	// ResumeAfter is the id of the last event that the caller has received; empty if the stream starts at its beginning.
--- a/api/routing/config.go
+++ b/api/routing/config.go
@@ -37,7 +37,7 @@
 	Objective time.Duration `json:"objective"`
 	// EventGap is the longest pause between events with which a stream still counts as on time; zero if none is given.
 	EventGap time.Duration `json:"eventGap"`
-	// Priority is the priority of the route's requests; 0 is the highest.
+	// Priority is the priority of the requests of customers without one; 0 is the most urgent.
 	Priority int      `json:"priority"`
 	Targets  []Target `json:"targets"`
 	// MaxAttempts is the largest number of endpoints that may execute one attempt of a caller.
@@ -75,6 +75,9 @@
 	Engine *Engine `json:"engine,omitempty"`
 }
 
+// UsualPriority is the priority of requests for which none is given. Endpoints use the same one.
+const UsualPriority = 5
+
 // Customer is a tenant of the installation.
 type Customer struct {
 	Name string   `json:"name"`
@@ -86,6 +89,8 @@
 	CountsTokens  bool    `json:"countsTokens"`
 	// DefaultTokens is the cost of a request that declares no tokens.
 	DefaultTokens int64 `json:"plainTokens"`
+	// Priority takes precedence over that of the route; nil if none is given.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Limits restrict what callers may send.
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -3,7 +3,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -22,6 +21,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
+	"tanagerwood.dev/router/internal/domain/priority"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -104,6 +104,10 @@
 	Demand    routing.Demand
 	// SlotDeadline is the latest time at which the slot must be acquired for the response to be on time.
 	SlotDeadline time.Duration
+	Class        priority.Class
+	// Reserved is the place that the request takes first if it belongs to the share of the less urgent requests that is reserved for
+	// them; nil otherwise.
+	Reserved *waitlist.Place
 	// Exclude holds the ids of endpoints at which this request has failed.
 	Exclude map[string]bool
 	// Stop is closed when the request must not wait any longer because the instance stops. It is nil for a request that may wait until
@@ -204,10 +208,10 @@
 			continue
 		}
 		for _, r := range requests {
-			out = append(out, waitlist.Request{ID: r.ID, Service: r.service, Tokens: r.Tokens, SlackMS: (r.LatestStart - now).Milliseconds()})
+			out = append(out, waitlist.Request{ID: r.ID, Service: r.service, Tokens: r.Tokens, SlackMS: (r.LatestStart - now).Milliseconds(), Class: r.Class})
 		}
 	}
-	slices.SortFunc(out, func(a, b waitlist.Request) int { return cmp.Compare(a.SlackMS, b.SlackMS) })
+	waitlist.SortForPeers(out)
 	return out[:min(len(out), maxSharedRequests)]
 }
 
@@ -223,7 +227,7 @@
 	known := make([]peerRequest, len(requests))
 	for i, r := range requests {
 		known[i] = peerRequest{service: r.Service, PeerRequest: waitlist.PeerRequest{
-			ID: r.ID, Tokens: r.Tokens, LatestStart: now - peerMessageDelay + time.Duration(r.SlackMS)*time.Millisecond,
+			ID: r.ID, Tokens: r.Tokens, LatestStart: now - peerMessageDelay + time.Duration(r.SlackMS)*time.Millisecond, Class: r.Class.Valid(),
 		}}
 	}
 	d.peerRequests[instance] = known
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -91,10 +91,13 @@
 // broadcastState sends the instance's load and waiting requests to the other instances.
 func (in *instance) broadcastState() {
 	load, waiting := in.load.Local(), in.Waiting()
+	for _, ep := range in.fleet.endpoints {
+		load[ep.ID] = load[ep.ID] // reports the endpoints without load, too
+	}
 	time.AfterFunc(in.fleet.peerDelay, func() {
 		for _, other := range in.fleet.instances {
 			if other != in {
-				other.load.ReplacePeer(in.name, load)
+				other.load.UpdatePeer(in.name, load)
 				other.ReplacePeerRequests(in.name, waiting)
 				other.Dispatch()
 			}
--- a/router/internal/app/dispatch/wait.go
+++ b/router/internal/app/dispatch/wait.go
@@ -17,6 +17,7 @@
 	granted := make(chan *Slot, 1)
 	entry := &waitlist.Entry{
 		ID: req.RequestID, Tokens: d.MemoryEstimator.RequestMemory(req.Service, req.Demand, 0), LatestStart: req.SlotDeadline, ExcludedEngines: req.Exclude,
+		Class: req.Class, Reserved: req.Reserved,
 	}
 	entry.OnDecision = func(engine *routing.Endpoint) {
 		if engine == nil {
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -20,6 +20,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
+	"tanagerwood.dev/router/internal/domain/priority"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/retrydetect"
@@ -108,6 +109,7 @@
 type Forwarder struct {
 	Deps
 	retryDetector *retrydetect.Detector
+	refusals      refusalTimes
 	metrics       *requestMetrics
 }
 
@@ -154,6 +156,9 @@
 	// deadline is the time since boot by which the caller must have its final response.
 	deadline time.Duration
 	cost     int64
+	// priorities describes the priorities of the service's requests, class is that of this request.
+	priorities priority.Service
+	class      priority.Class
 
 	// mayHaveRun is set once an endpoint may have started to process the request.
 	mayHaveRun bool
@@ -267,6 +272,7 @@
 	if err := r.checkQuarantine(); err != nil {
 		return err
 	}
+	r.prioritize()
 	return r.chargeRateLimit()
 }
 
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -62,6 +62,7 @@
 	start := r.SinceBoot()
 	slot, err := r.Dispatcher.AcquireSlot(r.ctx, r.slotRequest())
 	r.durations.slotWait += r.SinceBoot() - start
+	r.countSlot(r.SinceBoot()-start, err)
 	if err != nil {
 		return err
 	}
@@ -95,11 +96,14 @@
 	if !r.mayHaveRun { // the caller of a request that no endpoint has can retry it at another instance
 		stop = r.Stop.Waits().Done()
 	}
+	latestStart := limit - r.Timings.FirstEventLatency(r.service.Name, demand.PromptTokens)
 	return &dispatch.SlotRequest{
 		RequestID:    r.req.Caller.RequestID,
 		Service:      r.service.Name,
 		Demand:       demand,
-		SlotDeadline: limit - r.Timings.FirstEventLatency(r.service.Name, demand.PromptTokens),
+		SlotDeadline: latestStart,
+		Class:        r.class,
+		Reserved:     r.reservedPlace(latestStart),
 		Exclude:      r.triedEndpoints,
 		Stop:         stop,
 	}
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -35,6 +35,9 @@
 
 // forwardPlain sends the request to one endpoint after another until it is answered or may not be retried.
 func (r *requestState) forwardPlain() error {
+	if err := r.yield(); err != nil {
+		return err
+	}
 	for {
 		if err := r.checkQuarantine(); err != nil {
 			return r.forwardWithheldFailure(err)
@@ -51,6 +54,7 @@
 			return nil
 		}
 		r.recordFailure(ep, err)
+		r.refusals.record(r.service.Name, err, r.SinceBoot())
 		if r.isFinal(err) {
 			return err
 		}
--- a/router/internal/domain/routetable/routetable.go
+++ b/router/internal/domain/routetable/routetable.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/priority"
 )
 
 // Table is an immutable index of one configuration.
@@ -19,6 +20,7 @@
 	customersByName map[string]*routing.Customer
 	servicesByName  map[string]*routing.Service
 	serviceList     []*routing.Service
+	priorities      map[string]priority.Service
 }
 
 // New indexes a configuration, which must not be modified afterwards.
@@ -29,6 +31,7 @@
 		customersByKey:  make(map[string]*routing.Customer),
 		customersByName: make(map[string]*routing.Customer, len(c.Customers)),
 		servicesByName:  make(map[string]*routing.Service, len(c.Services)),
+		priorities:      priority.Services(c),
 	}
 	for i := range c.Routes {
 		host := strings.ToLower(c.Routes[i].Host)
@@ -75,6 +78,9 @@
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *routing.Service { return t.servicesByName[name] }
 
+// Priorities describes the priorities of the requests of the service.
+func (t *Table) Priorities(service string) priority.Service { return t.priorities[service] }
+
 // PickTarget selects the service of one of a route's targets in proportion to their weights, by a random point in [0, 1). It
 // returns "" if no target has a weight.
 func PickTarget(r *routing.Route, point float64) string {
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -1,6 +1,6 @@
-// Package waitlist orders the requests that wait for a decode slot, across all instances, by their latest start time. A request
-// waits only while it can still be answered on time; one that is clearly too late is refused at once, so that a burst does not
-// build a queue that delays later requests in turn. Each instance receives the waiting requests of its peers and leaves free
+// Package waitlist orders the requests that wait for a decode slot, across all instances, by their class and then by their latest
+// start time. A request waits only while it can still be answered on time; one that is clearly too late is refused at once, so that
+// a burst does not build a queue that delays later requests in turn. Each instance receives the waiting requests of its peers and leaves free
 // slots to those that come before its own, because instances that compete for the same slot at the same moment overload the
 // engine.
 package waitlist
@@ -11,6 +11,7 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/priority"
 )
 
 // Request is a waiting request in the form in which instances exchange it.
@@ -22,6 +23,8 @@
 	Tokens int64 `json:"t"`
 	// SlackMS is the time in milliseconds for which the request can still wait and be answered on time; negative if it is late.
 	SlackMS int64 `json:"l"`
+	// Class is the class in which the request is queued at present.
+	priority.Class
 }
 
 // Entry is a waiting request of this instance. Times are since boot.
@@ -30,6 +33,9 @@
 	Tokens int64
 	// LatestStart is when the request must leave the list to be answered on time.
 	LatestStart time.Duration
+	Class       priority.Class
+	// Reserved is set while the request is queued as one of the share of the less urgent requests that is reserved for them.
+	Reserved *Place
 	// ExcludedEngines holds the IDs of the engines that have failed the request.
 	ExcludedEngines map[string]bool
 	// OnDecision is called once, when Dispatch removes the request from the list: with the assigned engine, or with nil if the
@@ -39,18 +45,34 @@
 	admitted bool
 }
 
+// Place is a request's place in the order: its class, and its latest start in that class.
+type Place struct {
+	Class       priority.Class
+	LatestStart time.Duration
+}
+
+// place returns the place in which the request is queued at present.
+func (e *Entry) place() Place {
+	if e.Reserved != nil {
+		return *e.Reserved
+	}
+	return Place{Class: e.Class, LatestStart: e.LatestStart}
+}
+
 // PeerRequest is a waiting request of another instance.
 type PeerRequest struct {
 	ID          string
 	Tokens      int64
 	LatestStart time.Duration
+	Class       priority.Class
 }
 
 // List holds this instance's waiting requests for one service. The caller must serialize access.
 type List struct {
 	entries []*Entry
-	// contendedUntil is the time until which late requests are assigned no slot.
-	contendedUntil time.Duration
+	// contendedUntil is the time until which late requests are assigned no slot, by the class of the on-time request that had to wait.
+	// It applies to that class and to less urgent ones.
+	contendedUntil map[priority.Class]time.Duration
 }
 
 // Len returns the number of waiting requests.
@@ -58,7 +80,10 @@
 
 // Add inserts a request.
 func (l *List) Add(e *Entry) {
-	at, _ := slices.BinarySearchFunc(l.entries, e, func(a, b *Entry) int { return cmp.Compare(a.LatestStart, b.LatestStart) })
+	at, _ := slices.BinarySearchFunc(l.entries, e, func(a, b *Entry) int {
+		placeA, placeB := a.place(), b.place()
+		return cmp.Or(priority.Compare(placeA.Class, placeB.Class), cmp.Compare(placeA.LatestStart, placeB.LatestStart))
+	})
 	l.entries = slices.Insert(l.entries, at, e)
 }
 
@@ -76,7 +101,8 @@
 func (l *List) Requests(service string, now time.Duration) []Request {
 	out := make([]Request, len(l.entries))
 	for i, e := range l.entries {
-		out[i] = Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (e.LatestStart - now).Milliseconds()}
+		place := e.place()
+		out[i] = Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (place.LatestStart - now).Milliseconds(), Class: place.Class}
 	}
 	return out
 }
@@ -87,6 +113,7 @@
 
 // queuedRequest is a waiting request of any instance.
 type queuedRequest struct {
+	class   priority.Class
 	late    bool
 	urgency time.Duration
 	id      string
@@ -113,29 +140,35 @@
 // entry is nil for requests of other instances.
 type AssignFunc func(tokens int64, own *Entry) *routing.Endpoint
 
-// contentionPeriod is how long late requests are assigned no slot after an on-time request had to wait. A slot is held for
-// seconds, in which further requests arrive that can still be on time.
+// contentionPeriod is how long late requests are assigned no slot after an on-time request, of the same class or a more urgent one,
+// had to wait. A slot is held for seconds, in which further requests arrive that can still be on time.
 const contentionPeriod = time.Second
 
 // Dispatch visits the requests of all instances in the order in which they should be served. The first on-time request without an
 // engine ends the assignments, since later slots are kept for it and the requests behind it. Requests of this instance leave the
 // list when they are assigned an engine. They also leave it, refused, if they are late, or if they are new and enough slots are
-// not expected to be released before their latest start.
+// not expected to be released before their latest start. A request with a reserved place that would be refused there stays in the
+// list in its own class.
 func (l *List) Dispatch(now time.Duration, others []PeerRequest, turnover Turnover, take AssignFunc) {
 	blocked := 0
 	for _, w := range l.serviceOrder(now, others) {
 		var engine *routing.Endpoint
-		if blocked == 0 && !(w.late && now < l.contendedUntil) {
+		if blocked == 0 && !(w.late && l.contended(w.class, now)) {
 			engine = take(w.tokens, w.own)
 		}
 		if engine == nil && !w.late {
 			blocked++
-			l.contendedUntil = now + contentionPeriod
+			l.contend(w.class, now)
 		}
 		if w.own == nil {
 			continue
 		}
-		if engine != nil || w.late || !w.own.admitted && now+turnover.timeToFree(blocked) > w.own.LatestStart {
+		refused := engine == nil && (w.late || !w.own.admitted && now+turnover.timeToFree(blocked) > w.own.place().LatestStart)
+		if refused && w.own.Reserved != nil {
+			l.leaveReservedPlace(w.own)
+			continue
+		}
+		if engine != nil || refused {
 			l.Remove(w.own)
 			w.own.OnDecision(engine)
 		}
@@ -143,15 +176,44 @@
 	}
 }
 
+// leaveReservedPlace queues a request in its own class, in which the next dispatch decides about it as about a new one.
+func (l *List) leaveReservedPlace(e *Entry) {
+	l.Remove(e)
+	e.Reserved, e.admitted = nil, false
+	l.Add(e)
+}
+
+// contend records that an on-time request of the class has to wait.
+func (l *List) contend(class priority.Class, now time.Duration) {
+	if l.contendedUntil == nil {
+		l.contendedUntil = map[priority.Class]time.Duration{}
+	}
+	l.contendedUntil[class] = now + contentionPeriod
+}
+
+// contended reports whether late requests of the class are assigned no slot.
+func (l *List) contended(class priority.Class, now time.Duration) bool {
+	for waited, until := range l.contendedUntil {
+		if now < until && priority.Compare(waited, class) <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *List) serviceOrder(now time.Duration, others []PeerRequest) []queuedRequest {
 	all := make([]queuedRequest, 0, len(l.entries)+len(others))
 	for _, e := range l.entries {
-		all = append(all, queuedRequest{late: now > e.LatestStart, urgency: e.LatestStart / urgencyResolution, id: e.ID, tokens: e.Tokens, own: e})
+		place := e.place()
+		all = append(all, queuedRequest{class: place.Class, late: now > place.LatestStart, urgency: place.LatestStart / urgencyResolution, id: e.ID, tokens: e.Tokens, own: e})
 	}
 	for _, o := range others {
-		all = append(all, queuedRequest{late: now > o.LatestStart, urgency: o.LatestStart / urgencyResolution, id: o.ID, tokens: o.Tokens})
+		all = append(all, queuedRequest{class: o.Class, late: now > o.LatestStart, urgency: o.LatestStart / urgencyResolution, id: o.ID, tokens: o.Tokens})
 	}
 	slices.SortStableFunc(all, func(a, b queuedRequest) int {
+		if byClass := priority.Compare(a.class, b.class); byClass != 0 {
+			return byClass
+		}
 		if a.late != b.late {
 			if a.late {
 				return 1
