Bound what is held for slow callers and what prefill engines hold

Callers that read nothing held request bodies and answers up to the write timeout, withheld failure responses did not count towards the budget of answers, and prompts queued at a prefill engine without regard to its memory.

--- a/router/internal/adapter/frontend/frontend.go
+++ b/router/internal/adapter/frontend/frontend.go
@@ -19,6 +19,7 @@
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/forward"
 	"tanagerwood.dev/router/internal/app/plannedstop"
+	"tanagerwood.dev/router/internal/domain/slowreader"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -53,6 +54,8 @@
 	Logger         *log.Logger
 	// MaxBufferedBodyBytes limits the total size of the request bodies that are held in memory at the same time.
 	MaxBufferedBodyBytes int64
+	// SlowCallers bounds the memory that is held for callers that do not read; nil means no limit.
+	SlowCallers *slowreader.Tracker
 	// StopPhase returns the current phase of a planned stop.
 	StopPhase func() StopPhase
 	// Stop ends the waits of requests in a planned stop.
@@ -77,6 +80,8 @@
 	Deps
 	bufferedBodyBytes atomic.Int64
 	openRequests      atomic.Int64
+	// slowCheckScheduled is set while a check of the blocked writes is scheduled.
+	slowCheckScheduled atomic.Bool
 }
 
 // New returns a Handler with the given dependencies.
@@ -104,7 +109,7 @@
 		Caller: h.CallerDecoder.Decode(r.Header), Method: r.Method, Target: r.RequestURI, Path: path, Host: r.Host,
 		ReadBody: body.read, Arrived: h.SinceBoot(),
 	}
-	rw := &responseWriter{w: w, controller: http.NewResponseController(w)}
+	rw := &responseWriter{w: w, controller: http.NewResponseController(w), handler: h, body: body}
 	err := h.handle(r.Context(), req, rw)
 	switch {
 	case err == nil:
@@ -196,6 +201,8 @@
 	w             http.ResponseWriter
 	controller    *http.ResponseController
 	headerWritten bool
+	handler       *Handler
+	body          *bodyReader
 }
 
 func (s *responseWriter) setHeader(header http.Header) {
@@ -214,9 +221,7 @@
 	s.setHeader(header)
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	s.w.WriteHeader(status)
-	s.extendWriteDeadline()
-	_, err := s.w.Write(body)
-	return err
+	return s.writeTracked(body)
 }
 
 // WriteHeader implements forward.ResponseWriter.
@@ -229,11 +234,10 @@
 
 // WriteChunk implements forward.ResponseWriter.
 func (s *responseWriter) WriteChunk(p []byte) error {
-	s.extendWriteDeadline()
-	if _, err := s.w.Write(p); err != nil {
+	if err := s.writeTracked(p); err != nil {
 		return err
 	}
-	return s.controller.Flush()
+	return s.track(0, s.controller.Flush)
 }
 
 // extendWriteDeadline resets the write deadline before each write, so that only a caller that stops reading is disconnected.
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -308,7 +308,7 @@
 	if s == nil || s.Engine == nil {
 		return engines.Capacity{}, nil
 	}
-	return engines.Capacity{Slots: s.Engine.Slots, Tokens: d.MemoryEstimator.UsableMemory(s.Name, s.Engine.MemoryTokens)}, s.Engine
+	return engines.Capacity{Slots: s.Engine.Slots, Tokens: d.MemoryEstimator.UsableMemory(s.Name, s.Engine.MemoryTokens), Total: s.Engine.MemoryTokens}, s.Engine
 }
 
 func (d *Dispatcher) reserve(ctx context.Context, slot *Slot) error {
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -37,8 +37,10 @@
 
 	mu            sync.Mutex
 	reserveErrors map[string]error
-	reserved      map[string]int
-	pause         time.Duration
+	// onReserve decides about a reservation if it is set.
+	onReserve func(ep routing.Endpoint) error
+	reserved  map[string]int
+	pause     time.Duration
 	// reserveCalls counts the reservation calls by endpoint.
 	reserveCalls map[string]int
 	released     int
@@ -90,9 +92,10 @@
 
 // broadcastState sends the instance's load and waiting requests to the other instances.
 func (in *instance) broadcastState() {
-	load, waiting := in.load.Local(), in.Waiting()
+	own, waiting := in.load.Local(), in.Waiting()
+	load := map[string]inflight.Load{} // reports the endpoints without load, too
 	for _, ep := range in.fleet.endpoints {
-		load[ep.ID] = load[ep.ID] // reports the endpoints without load, too
+		load[ep.ID] = own[ep.ID]
 	}
 	time.AfterFunc(in.fleet.peerDelay, func() {
 		for _, other := range in.fleet.instances {
@@ -122,6 +125,11 @@
 	if err := f.reserveErrors[ep.ID]; err != nil {
 		return routing.Reservation{}, err
 	}
+	if f.onReserve != nil {
+		if err := f.onReserve(ep); err != nil {
+			return routing.Reservation{}, err
+		}
+	}
 	f.reserved[ep.ID]++
 	return routing.Reservation{Endpoint: ep, ID: fmt.Sprint(ep.ID, f.reserved[ep.ID])}, nil
 }
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -173,7 +173,9 @@
 	lastEndpoint     string
 	status           int
 	withheldResponse *failedResponse
-	durations        stepDurations
+	// withheldMemory is what the withheld response takes.
+	withheldMemory membudget.Holding
+	durations      stepDurations
 	// eventCount is the number of events passed on to the caller, priorWait the time that the caller spent on refused attempts
 	// before this request.
 	eventCount int
@@ -213,6 +215,7 @@
 // response was written; the connection must then be closed so that the response does not look complete.
 func (f *Forwarder) Handle(ctx context.Context, req *Request, w ResponseWriter) error {
 	r := &requestState{Forwarder: f, req: req, writer: w}
+	defer r.withheldMemory.Close()
 	err := r.prepare(ctx)
 	if err == nil {
 		var cancel context.CancelFunc
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -184,8 +184,9 @@
 	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, routing.Prefill), endpointID, now)
 	candidates := make([]engines.Candidate, 0, len(usable))
 	for _, ep := range usable {
-		if r.Limits.Delay(ep) == 0 {
-			candidates = append(candidates, engines.Candidate{Endpoint: ep, Load: r.EndpointLoad.TotalAt(ep.ID), FailureRate: r.Health.FailureRate(ep.ID, now)})
+		load := r.EndpointLoad.TotalAt(ep.ID)
+		if r.Limits.Delay(ep) == 0 && engines.HoldsPrompt(load, tokens, r.service.Engine.MemoryTokens) {
+			candidates = append(candidates, engines.Candidate{Endpoint: ep, Load: load, FailureRate: r.Health.FailureRate(ep.ID, now)})
 		}
 	}
 	best := engines.SelectPrefill(candidates, tokens, domain)
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -247,6 +247,7 @@
 		return err
 	}
 	if answer.Status >= http.StatusInternalServerError && complete && r.retriesFailure() {
+		r.withholdMemory(&held)
 		r.withheldResponse = &failedResponse{status: answer.Status, header: answer.Header, body: body}
 		return fmt.Errorf("%w: status %d", errEndpointFailure, answer.Status)
 	}
@@ -262,6 +263,13 @@
 	return r.copyBody(answer, body, &held)
 }
 
+// withholdMemory keeps the memory of a withheld response taken until the request ends.
+func (r *requestState) withholdMemory(held *membudget.Holding) {
+	r.withheldMemory.Close()
+	r.withheldMemory = *held
+	*held = r.AnswerMemory.Open()
+}
+
 // retriesFailure reports whether a 5xx response leads to an attempt at another endpoint.
 func (r *requestState) retriesFailure() bool {
 	return r.route.Kind == routing.Safe && r.attempts < r.route.MaxAttempts && r.sends < maxSends && r.hasUntriedEndpoint() &&
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -36,8 +36,9 @@
 
 // Capacity is the capacity of each engine of a service.
 type Capacity struct {
-	Slots  int
-	Tokens int64
+	Slots int
+	// Tokens is the memory that may be assigned. Total is all of the memory; zero if it is unknown.
+	Tokens, Total int64
 }
 
 // hasRoom reports whether the engine has a slot and memory for the request.
@@ -46,7 +47,8 @@
 		return false
 	}
 	// A request that exceeds the free memory fits only on an engine without other requests.
-	return c.Load.Tokens+tokens <= capacity.Tokens || c.Load.Requests == 0
+	idle := c.Load.Requests == 0 && (capacity.Total == 0 || tokens <= capacity.Total)
+	return c.Load.Tokens+tokens <= capacity.Tokens || idle
 }
 
 // Utilization returns the fraction of the engine's slots or memory in use, whichever is larger.
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -51,8 +51,10 @@
 	bodyMemoryFraction    = 0.25
 	answerMemoryFraction  = 0.1
 	controlMemoryFraction = 0.1
-	answerAllowanceBytes  = 16 << 10
-	controlAllowanceBytes = 64 << 10
+	// slowCallerMemoryFraction is the fraction that requests may hold together whose callers have read nothing for a second.
+	slowCallerMemoryFraction = 0.1
+	answerAllowanceBytes     = 16 << 10
+	controlAllowanceBytes    = 64 << 10
 	// maxStopNotice is how long at most a stopping instance still accepts connections. The platform removes an instance after two failed
 	// readiness probes, which it sends once per second.
 	maxStopNotice = 2500 * time.Millisecond
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -27,6 +27,7 @@
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
+	"tanagerwood.dev/router/internal/domain/slowreader"
 	"tanagerwood.dev/router/internal/domain/stages"
 )
 
@@ -302,10 +303,17 @@
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*frontend.Handler, error) {
+		slowCallers := slowreader.NewTracker(memoryShare(s, slowCallerMemoryFraction))
+		registerSlowCallerGauges(do.MustInvoke[metrics.Registry](i), slowCallers)
 		return frontend.New(frontend.Deps{
 			CallerDecoder: platform.CallerDecoder{}, RequestHandler: do.MustInvoke[*forward.Forwarder](i), SinceBoot: boot, Logger: logger,
-			MaxBufferedBodyBytes: memoryShare(s, bodyMemoryFraction), StopPhase: n.stopPhase, Stop: n.stopSignals,
+			MaxBufferedBodyBytes: memoryShare(s, bodyMemoryFraction), StopPhase: n.stopPhase, Stop: n.stopSignals, SlowCallers: slowCallers,
 		}), nil
 	})
 	return i
 }
+
+func registerSlowCallerGauges(r metrics.Registry, t *slowreader.Tracker) {
+	metrics.NewRegisteredFunctionalGauge("callers.blocked_bytes", r, t.Held)
+	metrics.NewRegisteredFunctionalGauge("callers.cut_slow", r, t.CutWrites)
+}
