--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -20,6 +20,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
+	"tanagerwood.dev/router/internal/domain/priority"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/retrydetect"
@@ -113,6 +114,7 @@
 type Forwarder struct {
 	Deps
 	retryDetector *retrydetect.Detector
+	refusals      refusalTimes
 	metrics       *requestMetrics
 }
 
@@ -161,6 +163,9 @@
 	cost     int64
 	// rateRefusal describes the refusal by the customer's rate limit; nil if there was none.
 	rateRefusal *rateRefusal
+	// priorities describes the priorities of the service's requests, class is that of this request.
+	priorities priority.Service
+	class      priority.Class
 
 	// mayHaveRun is set once an endpoint may have started to process the request.
 	mayHaveRun bool
@@ -175,7 +180,9 @@
 	lastEndpoint     string
 	status           int
 	withheldResponse *failedResponse
-	durations        stepDurations
+	// withheldMemory is what the withheld response takes.
+	withheldMemory membudget.Holding
+	durations      stepDurations
 	// eventCount is the number of events passed on to the caller, priorWait the time that the caller spent on refused attempts
 	// before this request.
 	eventCount int
@@ -215,6 +222,7 @@
 // response was written; the connection must then be closed so that the response does not look complete.
 func (f *Forwarder) Handle(ctx context.Context, req *Request, w ResponseWriter) error {
 	r := &requestState{Forwarder: f, req: req, writer: w}
+	defer r.withheldMemory.Close()
 	err := r.prepare(ctx)
 	if err == nil {
 		var cancel context.CancelFunc
@@ -274,6 +282,7 @@
 	if err := r.checkQuarantine(); err != nil {
 		return err
 	}
+	r.prioritize()
 	return r.chargeRateLimit()
 }
 
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -62,6 +62,7 @@
 	start := r.SinceBoot()
 	slot, err := r.Dispatcher.AcquireSlot(r.ctx, r.slotRequest())
 	r.durations.slotWait += r.SinceBoot() - start
+	r.countSlot(r.SinceBoot()-start, err)
 	if err != nil {
 		return err
 	}
@@ -95,11 +96,14 @@
 	if !r.mayHaveRun { // the caller of a request that no endpoint has can retry it at another instance
 		stop = r.Stop.Waits().Done()
 	}
+	latestStart := limit - r.Timings.FirstEventLatency(r.service.Name, demand.PromptTokens)
 	return &dispatch.SlotRequest{
 		RequestID:    r.req.Caller.RequestID,
 		Service:      r.service.Name,
 		Demand:       demand,
-		SlotDeadline: limit - r.Timings.FirstEventLatency(r.service.Name, demand.PromptTokens),
+		SlotDeadline: latestStart,
+		Class:        r.class,
+		Reserved:     r.reservedPlace(latestStart),
 		Exclude:      r.triedEndpoints,
 		Stop:         stop,
 	}
@@ -183,10 +187,11 @@
 	candidates := make([]engines.Candidate, 0, len(usable))
 	usesSpeed := r.Speeds.InForce(r.service.Name)
 	for _, ep := range usable {
-		if r.Limits.Delay(ep) > 0 {
+		load := r.EndpointLoad.TotalAt(ep.ID)
+		if r.Limits.Delay(ep) > 0 || !engines.HoldsPrompt(load, tokens, r.service.Engine.MemoryTokens) {
 			continue
 		}
-		c := engines.Candidate{Endpoint: ep, Load: r.EndpointLoad.TotalAt(ep.ID), FailureRate: r.Health.FailureRate(ep.ID, now)}
+		c := engines.Candidate{Endpoint: ep, Load: load, FailureRate: r.Health.FailureRate(ep.ID, now)}
 		if usesSpeed {
 			c.SpeedFactor = r.Speeds.Factor(ep, now)
 		}
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -35,6 +35,9 @@
 
 // forwardPlain sends the request to one endpoint after another until it is answered or may not be retried.
 func (r *requestState) forwardPlain() error {
+	if err := r.yield(); err != nil {
+		return err
+	}
 	for {
 		if err := r.checkQuarantine(); err != nil {
 			return r.forwardWithheldFailure(err)
@@ -51,6 +54,7 @@
 			return nil
 		}
 		r.recordFailure(ep, err)
+		r.refusals.record(r.service.Name, err, r.SinceBoot())
 		if r.isFinal(err) {
 			return err
 		}
@@ -249,6 +253,7 @@
 		return err
 	}
 	if answer.Status >= http.StatusInternalServerError && complete && r.retriesFailure() {
+		r.withholdMemory(&held)
 		r.withheldResponse = &failedResponse{status: answer.Status, header: answer.Header, body: body}
 		return fmt.Errorf("%w: status %d", errEndpointFailure, answer.Status)
 	}
@@ -264,6 +269,13 @@
 	return r.copyBody(answer, body, &held)
 }
 
+// withholdMemory keeps the memory of a withheld response taken until the request ends.
+func (r *requestState) withholdMemory(held *membudget.Holding) {
+	r.withheldMemory.Close()
+	r.withheldMemory = *held
+	*held = r.AnswerMemory.Open()
+}
+
 // retriesFailure reports whether a 5xx response leads to an attempt at another endpoint.
 func (r *requestState) retriesFailure() bool {
 	return r.route.Kind == routing.Safe && r.attempts < r.route.MaxAttempts && r.sends < maxSends && r.hasUntriedEndpoint() &&
