--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -71,6 +71,9 @@
 	ID string
 	// NewConnection has the request sent over a new connection, on which no earlier response can arrive.
 	NewConnection bool
+	// BeforeSend, if it is set, is called when a connection is ready. If it returns an error, nothing is sent, and the request fails with an
+	// error that wraps ErrNotSent and that one.
+	BeforeSend func() error
 	// Match reports whether a response belongs to the request. kept is set if the connection has carried other requests before, whose
 	// responses a faulty peer may send again. If Match is nil, the first response is used.
 	Match func(resp *http.Response, kept bool) Match
@@ -97,6 +100,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			cn.memory.Close()
+			_ = cn.Close()
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	resp, written, err := exchange(cn, r)
 	if err != nil {
--- a/api/routing/call.go
+++ b/api/routing/call.go
@@ -15,6 +15,8 @@
 	// ErrMisdirected means that another endpoint has the address, or that the endpoint is in another stage. It is returned
 	// together with ErrNotRun.
 	ErrMisdirected = errors.New("another endpoint answers at the address, or the endpoint has another stage")
+	// ErrEvacuated means that the endpoint's domain is evacuated and that nothing was sent. It is returned together with ErrNotRun.
+	ErrEvacuated = errors.New("the endpoint's domain is evacuated")
 	// ErrHistoryGone means that the platform no longer has the history after the given revision; list again.
 	ErrHistoryGone = errors.New("the platform's history is gone; read the list again")
 	// ErrConflict means that another writer has changed the entry in the platform, or that it already exists.
--- a/api/routing/endpoint.go
+++ b/api/routing/endpoint.go
@@ -32,6 +32,20 @@
 	Endpoint *Endpoint
 }
 
+// Evacuation is an entry of the platform's list of evacuated domains.
+type Evacuation struct {
+	Domain string
+	// Revision is that of the entry.
+	Revision uint64
+}
+
+// EvacuationChange is one change in the platform's list of evacuated domains.
+type EvacuationChange struct {
+	Evacuation
+	// Ended is set if the entry was removed.
+	Ended bool
+}
+
 // Instance is a router process as it registers itself.
 type Instance struct {
 	Name string `json:"name"`
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	PauseRemaining(service string, stage routing.Stage) time.Duration
 	// Paused reports whether an endpoint has asked for a pause that is not over.
 	Paused(ep routing.Endpoint) bool
+	// AllEvacuated reports whether evacuations leave a service without endpoints in the stage.
+	AllEvacuated(service string, stage routing.Stage) bool
 }
 
 // Deps holds the dependencies of a Dispatcher.
@@ -248,6 +250,9 @@
 		if isClosed(req.Stop) {
 			return nil, plannedstop.Error()
 		}
+		if d.State.AllEvacuated(req.Service, routing.Decode) {
+			return nil, d.evacuatedError()
+		}
 		slot, err := d.waitForSlot(ctx, req)
 		if err != nil {
 			return nil, err
@@ -338,7 +343,7 @@
 	d.fullUntil[slot.Endpoint.ID] = now + min(fullBackoff<<min(d.consecutiveRefusals[slot.Endpoint.ID], 8), maxFullBackoff)
 	d.consecutiveRefusals[slot.Endpoint.ID]++
 	d.mu.Unlock()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, routing.ErrEvacuated) {
 		return
 	}
 	if !errors.Is(err, routing.ErrNotRun) || health.IsUnreachable(err) {
@@ -358,6 +363,10 @@
 	if list.Len()+len(peers) == 0 {
 		return
 	}
+	if d.State.AllEvacuated(service, routing.Decode) {
+		list.RefuseAll()
+		return
+	}
 	now := d.SinceBoot()
 	capacity, _ := d.engineSize(service)
 	candidates := d.decodeCandidates(service, now)
--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,8 @@
 	// reserveCalls counts the reservation calls by endpoint.
 	reserveCalls map[string]int
 	released     int
+	// evacuated is set if all engines are in evacuated domains.
+	evacuated atomic.Bool
 }
 
 type instance struct {
@@ -110,6 +113,8 @@
 
 func (f *fleet) Paused(routing.Endpoint) bool { return false }
 
+func (f *fleet) AllEvacuated(string, routing.Stage) bool { return f.evacuated.Load() }
+
 func (f *fleet) PauseRemaining(string, routing.Stage) time.Duration { return f.pause }
 
 func (f *fleet) Reserve(_ context.Context, ep routing.Endpoint, _ int64, _ time.Duration) (routing.Reservation, error) {
--- a/router/internal/app/dispatch/wait.go
+++ b/router/internal/app/dispatch/wait.go
@@ -52,11 +52,20 @@
 			return slot, nil
 		}
 	}
+	if d.State.AllEvacuated(req.Service, routing.Decode) {
+		return nil, d.evacuatedError()
+	}
 	d.Logger.Info().Str("event", "place.none").Str("request", req.RequestID).Int("waiting", waiting).
 		Dur("place_held", d.Timings.MeanHoldTime(req.Service)).Dur("past_on_time", d.SinceBoot()-req.SlotDeadline).Msg("")
 	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.retryAfter(req.Service))
 }
 
+// evacuatedError returns the error of a request to a service whose decode engines are all in evacuated domains.
+func (d *Dispatcher) evacuatedError() error {
+	return fault.New(fault.Overloaded, "all engines of the service are in evacuated domains; come back after Retry-After").
+		WithRetryAfter(minRetryAfter + time.Duration(d.Random()*float64(retryJitter)))
+}
+
 // isClosed reports whether a channel is closed; a nil channel is not.
 func isClosed(c <-chan struct{}) bool {
 	select {
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -59,6 +59,8 @@
 	PauseRemaining(service string, stage routing.Stage) time.Duration
 	// Paused reports whether an endpoint has asked for a pause that is not over.
 	Paused(ep routing.Endpoint) bool
+	// Evacuated reports whether an endpoint must get nothing because its domain is evacuated.
+	Evacuated(ep routing.Endpoint) bool
 	// Leaving reports whether an endpoint is known to leave or to be gone.
 	Leaving(ep routing.Endpoint) bool
 	// Left reports whether an endpoint that was chosen at the given time since boot may have been leaving for so long since then
@@ -168,7 +170,9 @@
 	lastEndpoint     string
 	status           int
 	withheldResponse *failedResponse
-	durations        stepDurations
+	// prefilledAt is the engine of the latest prefill.
+	prefilledAt routing.Endpoint
+	durations   stepDurations
 	// eventCount is the number of events passed on to the caller, priorWait the time that the caller spent on refused attempts
 	// before this request.
 	eventCount int
@@ -341,6 +345,9 @@
 	if r.timeLeft() <= 0 || r.ctx.Err() != nil {
 		return false
 	}
+	if errors.Is(err, routing.ErrEvacuated) {
+		return true // nothing was sent
+	}
 	if errors.Is(err, routing.ErrNotRun) {
 		return r.sends < maxSends && r.RetryBudget.TryRetry(r.service.Name, r.SinceBoot())
 	}
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -132,12 +132,17 @@
 	r.durations.prefill += took
 	r.recordOutcome(ep, err, start)
 	if err == nil {
+		r.prefilledAt = ep
 		r.Timings.RecordPrefill(r.service.Name, demand.PromptTokens, took)
 		if alreadyRunning == 0 && r.EndpointLoad.TotalAt(ep.ID).Requests == load.Requests {
 			r.Timings.RecordIdlePrefill(r.service.Name, demand.PromptTokens, took)
 		}
 		return &handle, nil
 	}
+	if errors.Is(err, routing.ErrEvacuated) {
+		r.prefills--
+		return r.prefill(slot) // at an engine of another domain, if there is one
+	}
 	r.recordFailure(ep, fmt.Errorf("prefill: %w", err))
 	if r.ctx.Err() != nil {
 		return nil, fault.Wrap(err, fault.CallerDisconnected, openai.NotRun, "the caller is gone")
@@ -201,6 +206,9 @@
 		}
 		return err
 	}
+	if handle != nil && r.State.Evacuated(r.prefilledAt) {
+		handle = nil // the engine would fetch the KV cache from the evacuated domain; it expires there
+	}
 	ctx, progress, stop := r.withStallTimeout(handle == nil)
 	defer stop()
 	answer, start, err := r.openStream(ctx, slot, handle)
@@ -230,7 +238,7 @@
 // mayResend reports whether a request may be sent once more to an engine that refused it. The request may have waited there for seconds,
 // and the engine may have announced since then that it leaves or wants no requests.
 func (r *requestState) mayResend(ep routing.Endpoint, err error) bool {
-	if !errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrMisdirected) || r.State.Leaving(ep) || r.State.Paused(ep) {
+	if !errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrMisdirected) || r.State.Evacuated(ep) || r.State.Leaving(ep) || r.State.Paused(ep) {
 		return false
 	}
 	return r.checkQuarantine() == nil && r.mayRetry(err) && r.Limits.Admit(ep)
@@ -240,6 +248,8 @@
 // taken seconds.
 func (r *requestState) checkSlot(slot *dispatch.Slot) error {
 	switch ep := slot.Endpoint; {
+	case r.State.Evacuated(ep):
+		return fmt.Errorf("%w: %w: %s", routing.ErrNotRun, routing.ErrEvacuated, ep.Domain)
 	case r.State.Paused(ep):
 		return fmt.Errorf("%w: the endpoint has asked for a pause", routing.ErrNotRun)
 	case r.State.Left(ep, slot.AcquiredAt()):
@@ -284,6 +294,7 @@
 	r.expectAnswer(start)
 	slot.MarkUsed()
 	answer, err := r.Client.Decode(ctx, slot.Endpoint, r.maxConns(), &call, handle, slot.Reservation)
+	r.uncountUnsent(err)
 	if err == nil || !errors.Is(err, routing.ErrNotRun) {
 		r.attempts++
 		r.mayHaveRun = true
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -142,6 +142,7 @@
 	start := r.SinceBoot()
 	r.expectAnswer(start)
 	answer, err := r.Client.Send(ctx, ep, r.maxConns(), &call)
+	r.uncountUnsent(err)
 	if err == nil {
 		r.attempts++
 		r.mayHaveRun = true
@@ -202,12 +203,21 @@
 	r.triedEndpoints[ep.ID] = true
 }
 
+// uncountUnsent takes back the count of a send that an evacuation has prevented, so that it does not use up the sends of the request.
+func (r *requestState) uncountUnsent(err error) {
+	if errors.Is(err, routing.ErrEvacuated) {
+		r.sends--
+	}
+}
+
 // recordOutcome updates the endpoint's health with the outcome of a send.
 func (r *requestState) recordOutcome(ep routing.Endpoint, err error, start time.Duration) {
 	now := r.SinceBoot()
 	switch {
 	case err == nil:
 		r.Health.RecordSuccess(ep.ID, now)
+	case errors.Is(err, routing.ErrEvacuated):
+		// Nothing was sent, which says nothing about the endpoint.
 	case r.ctx.Err() != nil && now < r.deadline:
 		// The caller has disconnected, which says nothing about the endpoint.
 	default:
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -27,6 +27,8 @@
 	// ConfigVersion is the version of the configuration, EndpointsRevision the revision of the list of endpoints at the sender.
 	ConfigVersion     uint64 `json:"version"`
 	EndpointsRevision uint64 `json:"endpoints"`
+	// Evacuations holds the evacuated domains: in reports, views and announcements of versions.
+	Evacuations *routingcache.EvacuationReport `json:"evacuations,omitempty"`
 	// PlatformAnswerAgeMS is how many milliseconds ago the platform last answered the sender, or in views any instance; zero if unknown.
 	PlatformAnswerAgeMS int64            `json:"answered,omitempty"`
 	Spent               map[string]int64 `json:"spent,omitempty"`
@@ -164,7 +166,7 @@
 // newMessage returns the fields that all reports hold.
 func (s *Service) newMessage() Message {
 	config, endpoints := s.Mirror.Versions()
-	return Message{Sender: s.Self, ConfigVersion: config, EndpointsRevision: endpoints, Waiting: s.Queue.Waiting(),
+	return Message{Sender: s.Self, ConfigVersion: config, EndpointsRevision: endpoints, Waiting: s.Queue.Waiting(), Evacuations: s.Mirror.EvacuationReport(),
 		PlatformAnswerAgeMS: answerAgeMS(s.Mirror.OwnAnswerAge())}
 }
 
--- a/router/internal/app/gossip/network_test.go
+++ b/router/internal/app/gossip/network_test.go
@@ -44,6 +44,8 @@
 	datagrams map[string]int
 	// customers holds the customers of the configuration by name.
 	customers map[string]*sharedlimit.Quota
+	// evacuations is the store of the evacuations that instances read; nil if they read none.
+	evacuations *evacuationStore
 	// propagationLimit is the time within which changes at the platform must take effect.
 	propagationLimit time.Duration
 }
@@ -249,6 +251,9 @@
 	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, crashes: quarantine.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
 	nd.mirror = routingcache.New(platform, routingcache.PropagationLimits{Config: n.propagationLimit, Endpoints: n.propagationLimit},
 		func() int { return nd.FleetSize() }, quiet, boot)
+	if n.evacuations != nil {
+		nd.mirror.ReadEvacuations(evacuationClient{n.evacuations, name}, evacuationLimit)
+	}
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
 		Mirror: nd.mirror, Limiter: nd.limiter, EndpointLoad: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Availability: notices, Quarantine: nd.crashes, Boot: boot, Logger: quiet,
--- a/router/internal/app/gossip/peers.go
+++ b/router/internal/app/gossip/peers.go
@@ -9,6 +9,9 @@
 
 // HandleMessage applies a message of another instance.
 func (s *Service) HandleMessage(m Message) {
+	if m.Sender.Name != s.Self.Name {
+		s.Mirror.ApplyEvacuationReport(m.Evacuations, m.Sender.Name)
+	}
 	switch {
 	case m.Sender.Name == s.Self.Name || m.Sender.Name == "":
 		// Two instances of the same name would answer each other's messages endlessly.
--- a/router/internal/app/gossip/versions.go
+++ b/router/internal/app/gossip/versions.go
@@ -30,9 +30,22 @@
 		}
 	}
 	s.mu.Unlock()
-	s.send(Message{Sender: s.Self, VersionsOnly: true, ConfigVersion: config, EndpointsRevision: endpoints}, addresses)
+	s.send(Message{Sender: s.Self, VersionsOnly: true, ConfigVersion: config, EndpointsRevision: endpoints, Evacuations: s.Mirror.EvacuationReport()}, addresses)
 }
 
+// AnnounceEvacuations has the other instances told of evacuations at once: by a collector its readers and the other collectors, by any
+// other instance those to which it reports.
+func (s *Service) AnnounceEvacuations() {
+	if s.hasReaders() {
+		s.AnnounceVersions()
+		return
+	}
+	s.TriggerStatusReport()
+}
+
+// KnowsMembers reports whether the list of instances is known.
+func (s *Service) KnowsMembers() bool { return s.discoveredAt.Load() > 0 }
+
 // handleVersions applies an announcement of versions.
 func (s *Service) handleVersions(m Message) {
 	s.mu.Lock()
--- a/router/internal/app/gossip/views.go
+++ b/router/internal/app/gossip/views.go
@@ -71,7 +71,7 @@
 		Sender: s.Self, ViewFor: reader, ConfigVersion: config, EndpointsRevision: endpoints, Spent: s.Limiter.SpentExcluding(reader), BucketLevels: s.Limiter.BucketLevels(now), Work: s.EndpointLoad.TotalExcept(reader),
 		Waiting: s.Queue.WaitingExcept(reader), Transitions: s.Transitions.All(now), Outcomes: s.Health.ReportExcluding(reader, now),
 		Leaving: s.Availability.LeavingEndpoints(now), Limits: s.Availability.AllLimits(now),
-		Crashes: s.Quarantine.Suspect(now), PlatformAnswerAgeMS: answerAgeMS(s.Mirror.FleetAnswerAge()),
+		Crashes: s.Quarantine.Suspect(now), Evacuations: s.Mirror.EvacuationReport(), PlatformAnswerAgeMS: answerAgeMS(s.Mirror.FleetAnswerAge()),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/internal/app/routingcache/endpoints.go
+++ b/router/internal/app/routingcache/endpoints.go
@@ -77,7 +77,7 @@
 func (m *Cache) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Snapshot{Endpoints: m.Endpoints()}
+	c := Snapshot{Endpoints: m.Endpoints(), Evacuations: m.EvacuationReport()}
 	if t := m.Table(); t != nil {
 		c.Config = t.Config
 	}
@@ -95,6 +95,7 @@
 
 // ApplySnapshot takes over the parts of another instance's snapshot that are newer.
 func (m *Cache) ApplySnapshot(c Snapshot, from string) {
+	m.ApplyEvacuationReport(c.Evacuations, from)
 	if c.Config != nil {
 		m.applyConfig(c.Config, from)
 	}
--- a/router/internal/app/routingcache/feed.go
+++ b/router/internal/app/routingcache/feed.go
@@ -39,19 +39,33 @@
 	name string
 	// limit is the time within which a change must take effect.
 	limit time.Duration
-	// restart ends an open watch of this feed or the pause after a failed call, and restartOther those of the other feed.
-	restart      <-chan struct{}
-	restartOther chan<- struct{}
-	// away is set while calls of this feed fail, otherAway while those of the other one do.
-	away, otherAway *atomic.Bool
+	// restart ends an open watch of this feed or the pause after a failed call.
+	restart chan struct{}
+	// away is set while calls of this feed fail.
+	away *atomic.Bool
+	// others are the other feeds.
+	others []*feed
 	// answeredAt is when the last call succeeded, in time since boot.
 	answeredAt *atomic.Int64
 	list       func(context.Context) (uint64, error)
 	// watch reports whether there was a change of the feed: the revision also grows with changes of other kinds of objects.
 	watch func(ctx context.Context, since uint64, wait time.Duration) (next uint64, changed bool, err error)
+	// wait returns how long the next watch waits.
+	wait func(afterChange bool) time.Duration
+	// awaitTurn, if it is set, waits until this instance is to make the next call, and reports whether that is not to wait for a change.
+	awaitTurn func(ctx context.Context) (checkOnly bool)
 }
 
-func (m *Cache) superviseFeed(ctx context.Context, f feed) {
+// requestRestartOfOthers requests the end of the open calls of the other feeds, or of those of them whose calls fail.
+func (f *feed) requestRestartOfOthers(onlyAway bool) {
+	for _, other := range f.others {
+		if other.away.Load() || !onlyAway {
+			requestRestart(other.restart)
+		}
+	}
+}
+
+func (m *Cache) superviseFeed(ctx context.Context, f *feed) {
 	background.Supervise(ctx, m.logger, f.name, func(ctx context.Context) { m.followFeed(ctx, f) })
 }
 
@@ -72,9 +86,12 @@
 
 // followFeed lists, then watches. After a failure it retries with a growing, random backoff; if the platform has dropped the
 // history, it lists again.
-func (m *Cache) followFeed(ctx context.Context, f feed) {
-	revision, pause, wait := uint64(0), minRetryPause, m.watchWait(f.limit, true)
+func (m *Cache) followFeed(ctx context.Context, f *feed) {
+	revision, pause, wait := uint64(0), minRetryPause, f.wait(true)
 	for ctx.Err() == nil {
+		if f.awaitTurn != nil && f.awaitTurn(ctx) {
+			wait = checkTimeout
+		}
 		next, changed, interrupted, err := uint64(0), false, false, error(nil)
 		if routing.Era(revision) < m.era.Load() {
 			revision = 0 // the store was restored, and may have assigned the revision again to another change
@@ -99,13 +116,11 @@
 				receiveRestart(f.restart)
 			}
 			if f.away.Swap(false) {
-				if f.otherAway.Load() {
-					requestRestart(f.restartOther) // the platform answers again
-				}
+				f.requestRestartOfOthers(true) // the platform answers again
 				m.logger.Info().Str("event", "platform.regained").Str("feed", f.name).Dur("away", m.sinceBoot()-time.Duration(f.answeredAt.Load())).Msg("")
 			}
 			advanced := revision != 0 && revision != next
-			revision, pause, wait = next, minRetryPause, m.watchWait(f.limit, changed)
+			revision, pause, wait = next, minRetryPause, f.wait(changed)
 			f.answeredAt.Store(int64(m.sinceBoot()))
 			m.recordFeedAnswer()
 			if advanced {
@@ -121,7 +136,7 @@
 			return
 		case !f.away.Swap(true):
 			if errors.Is(err, context.DeadlineExceeded) {
-				requestRestart(f.restartOther) // the platform may have lost the watch of the other feed, too
+				f.requestRestartOfOthers(false) // the platform may have lost the watches of the other feeds, too
 			}
 			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.name).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).
 				Dur("unanswered", m.sinceBoot()-time.Duration(f.answeredAt.Load())).Err(err).Msg("")
@@ -162,6 +177,9 @@
 		}
 		if m.era.CompareAndSwap(known, era) {
 			m.RestartWatches()
+			if m.evacuations != nil {
+				requestRestart(m.evacuations.restart)
+			}
 			return true
 		}
 	}
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,8 @@
 	Endpoints *EndpointList `json:"endpoints"`
 	// Kept holds the endpoints that the sender uses besides.
 	Kept map[string]KeptEndpoint `json:"kept,omitempty"`
+	// Evacuations is nil if the sender does not know them.
+	Evacuations *EvacuationReport `json:"evacuations,omitempty"`
 }
 
 // PropagationLimits are the times within which changes must take effect.
@@ -58,13 +61,19 @@
 	IsCollector() bool
 	// AnnounceVersions is called when the configuration or the endpoint list has a new version.
 	AnnounceVersions()
+	// AnnounceEvacuations is called when the evacuated domains have changed.
+	AnnounceEvacuations()
+	// KnowsMembers reports whether the list of instances is known, without which IsCollector is not reliable.
+	KnowsMembers() bool
 }
 
 // singleInstance is the Fleet of an instance without others.
 type singleInstance struct{}
 
-func (singleInstance) IsCollector() bool { return false }
-func (singleInstance) AnnounceVersions() {}
+func (singleInstance) IsCollector() bool    { return false }
+func (singleInstance) AnnounceVersions()    {}
+func (singleInstance) AnnounceEvacuations() {}
+func (singleInstance) KnowsMembers() bool   { return true }
 
 // Cache holds the configuration and the endpoint list. It is safe for concurrent use.
 type Cache struct {
@@ -108,6 +117,8 @@
 	restartWatch [2]chan struct{}
 	// era is the highest era of the store in a response.
 	era atomic.Uint64
+	// evacuations is nil if evacuations are not read.
+	evacuations *evacuationReader
 }
 
 // noOutage is the value of times of events that have not occurred.
@@ -182,15 +193,29 @@
 func (m *Cache) Run(ctx context.Context) {
 	ctx = routing.WithProgress(ctx, func() { m.lastReceivedAt.Store(int64(m.sinceBoot())) })
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		m.superviseFeed(ctx, feed{"config", m.limits.Config, m.restartWatch[0], m.restartWatch[1], &m.away[0], &m.away[1], &m.configAnsweredAt, m.readConfig, m.watchConfig})
-	})
-	wg.Go(func() {
-		m.superviseFeed(ctx, feed{"endpoints", m.limits.Endpoints, m.restartWatch[1], m.restartWatch[0], &m.away[1], &m.away[0], &m.endpointsAnsweredAt, m.listEndpoints, m.watchEndpoints})
-	})
+	for _, f := range m.feeds() {
+		wg.Go(func() { m.superviseFeed(ctx, f) })
+	}
 	wg.Wait()
 }
 
+// feeds returns the feeds that the cache follows.
+func (m *Cache) feeds() []*feed {
+	feeds := []*feed{
+		{name: "config", limit: m.limits.Config, restart: m.restartWatch[0], away: &m.away[0], answeredAt: &m.configAnsweredAt, list: m.readConfig, watch: m.watchConfig,
+			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Config, afterChange) }},
+		{name: "endpoints", limit: m.limits.Endpoints, restart: m.restartWatch[1], away: &m.away[1], answeredAt: &m.endpointsAnsweredAt, list: m.listEndpoints, watch: m.watchEndpoints,
+			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Endpoints, afterChange) }},
+	}
+	if m.evacuations != nil {
+		feeds = append(feeds, m.evacuationFeed())
+	}
+	for i, f := range feeds {
+		f.others = slices.Concat(feeds[:i], feeds[i+1:])
+	}
+	return feeds
+}
+
 func (m *Cache) readConfig(ctx context.Context) (uint64, error) {
 	c, revision, err := m.platform.ReadConfig(ctx)
 	return m.handleConfig(c, revision, err)
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -72,6 +72,15 @@
 	return true
 }
 
+// RefuseAll removes and refuses all requests.
+func (l *List) RefuseAll() {
+	all := l.entries
+	l.entries = nil
+	for _, e := range all {
+		e.OnDecision(nil)
+	}
+}
+
 // Requests lists the waiting requests for other instances.
 func (l *List) Requests(service string, now time.Duration) []Request {
 	out := make([]Request, len(l.entries))
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -113,7 +113,7 @@
 // Ready reports whether the instance accepts new connections.
 func (n *Node) Ready() bool {
 	p := n.components.Load()
-	return p != nil && n.stopPhase() == frontend.Serving && p.routingCache.Table() != nil && p.peers.Joined()
+	return p != nil && n.stopPhase() == frontend.Serving && p.routingCache.Table() != nil && p.peers.Joined() && p.routingCache.EvacuationsKnown()
 }
 
 // stopPhase returns the current phase of a planned stop.
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -100,6 +100,7 @@
 		return int64(version)
 	})
 	metrics.NewRegisteredFunctionalGauge("config.malformed", r, cache.MalformedConfigs)
+	metrics.NewRegisteredFunctionalGauge("evacuation.domains", r, func() int64 { return int64(cache.EvacuatedDomains()) })
 	metrics.NewRegisteredFunctionalGauge("endpoints.kept", r, func() int64 { return int64(cache.KeptEndpoints()) })
 	metrics.NewRegisteredFunctionalGauge("platform.config_answer_age_ms", r, func() int64 {
 		config, _ := cache.AnswerAges()
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -91,7 +93,7 @@
 func (s routingState) CountChanging(service string, to routing.Stage) (count int) {
 	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
-		if next, ok := s.transitions.Target(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving {
+		if next, ok := s.transitions.Target(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving && !s.Evacuated(ep) {
 			count++
 		}
 	}
@@ -138,9 +140,26 @@
 	return !known || listed.StartedMS != ep.StartedMS || listed.Leaving || s.availability.Leaving(ep)
 }
 
-// endpointsInStage returns the endpoints of a service that the platform lists in a stage, without those that are leaving or
-// changing to another stage.
+// Evacuated implements forward.RoutingState.
+func (s routingState) Evacuated(ep routing.Endpoint) bool { return s.IsEvacuated(ep.Domain) }
+
+// AllEvacuated implements dispatch.RoutingState.
+func (s routingState) AllEvacuated(service string, stage routing.Stage) bool {
+	return s.AnyEvacuated() && len(s.endpointsInStage(service, stage)) == 0 && len(s.listedInStage(service, stage)) > 0
+}
+
+// endpointsInStage returns the endpoints of a service that the platform lists in a stage, without those that are leaving, changing to
+// another stage, or in an evacuated domain.
 func (s routingState) endpointsInStage(service string, stage routing.Stage) []routing.Endpoint {
+	all := s.listedInStage(service, stage)
+	if !s.AnyEvacuated() {
+		return all
+	}
+	return slices.DeleteFunc(all, s.Evacuated)
+}
+
+// listedInStage is endpointsInStage with the endpoints in evacuated domains.
+func (s routingState) listedInStage(service string, stage routing.Stage) []routing.Endpoint {
 	var out []routing.Endpoint
 	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
@@ -176,6 +195,17 @@
 	}
 }
 
+// refuseEvacuated returns an error if an endpoint must get nothing because its domain is evacuated. Requests that were assigned to the
+// endpoint before the evacuation are refused here, whatever they wait for.
+func (n *Node) refuseEvacuated(ep routing.Endpoint) error {
+	p := n.components.Load()
+	if !p.state.Evacuated(ep) {
+		return nil
+	}
+	metrics.GetOrRegisterCounter("sends.refused_evacuated", p.metrics).Inc(1)
+	return fmt.Errorf("%w: %s", routing.ErrEvacuated, ep.Domain)
+}
+
 // recordNotice records an endpoint's notices: that it is leaving, asks for a pause, or has a request limit. It reports leaving
 // endpoints and limits to the peers.
 func (n *Node) recordNotice(ep routing.Endpoint, notice routing.Notice) {
@@ -235,10 +265,16 @@
 	endpoints.LimitMemory(answerMemory)
 	endpoints.OnNotice(n.recordNotice)
 	endpoints.OnSend(n.recordSend)
+	if s.EvacuationLimit > 0 {
+		endpoints.RefuseSends(n.refuseEvacuated)
+	}
 	do.ProvideValue(i, endpoints)
 	do.Provide(i, func(i do.Injector) (*routingcache.Cache, error) {
 		limits := routingcache.PropagationLimits{Config: s.ConfigPropagationLimit, Endpoints: s.DrainPropagationLimit, Heartbeat: s.EndpointHeartbeat}
 		cache := routingcache.New(store, limits, n.fleetSize, logger, boot)
+		if s.EvacuationLimit > 0 {
+			cache.ReadEvacuations(store, s.EvacuationLimit)
+		}
 		store.OnNewEra(func(era uint64) { cache.RecordEra(era) })
 		registerCacheGauges(do.MustInvoke[metrics.Registry](i), cache)
 		return cache, nil
@@ -278,7 +314,10 @@
 			Limits: do.MustInvoke[*endpointlimit.Limiter](i), RetryBudget: do.MustInvoke[*retrybudget.Budget](i), EndpointLoad: do.MustInvoke[*inflight.Tracker](i),
 			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain,
 			InstanceCount: n.fleetSize,
-			PeersSynced:   func() bool { return n.components.Load().peers.Joined() },
+			PeersSynced: func() bool {
+				p := n.components.Load()
+				return p.peers.Joined() && p.routingCache.EvacuationsKnown()
+			},
 			AwaitPeerSync: func(done <-chan struct{}) { n.components.Load().peers.RefreshView(done) },
 			Quarantine:    crashes, OnCrash: n.triggerReport,
 			IsLeader: func() bool { return n.components.Load().peers.IsLeader() },
--- a/router/internal/settings/node.go
+++ b/router/internal/settings/node.go
@@ -43,6 +43,8 @@
 	// within which a leaving endpoint stops receiving requests. They determine how often the platform is polled.
 	ConfigPropagationLimit time.Duration
 	DrainPropagationLimit  time.Duration
+	// EvacuationLimit is the time within which an evacuation of a domain takes effect; zero if evacuations are not read.
+	EvacuationLimit time.Duration
 	// EndpointHeartbeat is the interval at which endpoints renew their entries in the platform's list.
 	EndpointHeartbeat time.Duration
 
@@ -89,6 +91,7 @@
 	fs.DurationVar(&n.StopGrace, "stop-grace", defaultStopGrace, "`time` that a planned stop may take")
 	fs.DurationVar(&n.ConfigPropagationLimit, "config-within", defaultPropagationLimit, "`time` within which an accepted configuration is in force")
 	fs.DurationVar(&n.DrainPropagationLimit, "drain-within", defaultPropagationLimit, "`time` within which a leaving endpoint gets no more requests")
+	fs.DurationVar(&n.EvacuationLimit, "evacuate-within", 0, "`time` within which an evacuated domain gets no more requests; 0 if evacuations are not read")
 	fs.DurationVar(&n.EndpointHeartbeat, "endpoint-heartbeat", defaultHeartbeat, "`time` between renewals of an endpoint's entry; an entry is removed after three of them without one")
 	fs.Float64Var(&n.RetryRatio, "retry-ratio", defaultRetryRatio, "retries per request, as a `ratio`")
 	fs.Float64Var(&n.FixedRetries, "retry-fixed", defaultFixedRetries, "`number` of retries in a window beside the ratio, for the fleet")
@@ -144,6 +147,9 @@
 	if n.ConfigPropagationLimit < minPropagationLimit || n.DrainPropagationLimit < minPropagationLimit {
 		problems = append(problems, problem("config-within, -drain-within", "less than "+minPropagationLimit.String()+" is too short for a change to reach all instances", "give a time such as 2s"))
 	}
+	if n.EvacuationLimit != 0 && n.EvacuationLimit < minPropagationLimit {
+		problems = append(problems, problem("evacuate-within", "less than "+minPropagationLimit.String()+" is too short for a change to reach all instances", "give a time such as 5s, or 0"))
+	}
 	if n.EndpointHeartbeat <= 0 {
 		problems = append(problems, problem("endpoint-heartbeat", "it is not positive", "give a time such as 1200ms"))
 	}
