Test that a starting instance serves nothing before it knows the evacuations

The store rejects only the calls for evacuations; the instance must not become ready and must refuse requests until it is answered.

--- a/router/internal/node/evacuation_test.go
+++ b/router/internal/node/evacuation_test.go
@@ -182,22 +182,7 @@
 
 	// Guards against requests from an instance that the store rejects, and from one that starts meanwhile.
 	It("is heard of from other instances by those that the store rejects", func() {
-		var rejecting atomic.Bool
-		target, err := url.Parse("http://" + cluster.storeURL)
-		Expect(err).NotTo(HaveOccurred())
-		forward := httputil.NewSingleHostReverseProxy(target)
-		proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-			if rejecting.Load() {
-				w.WriteHeader(http.StatusTooManyRequests)
-				return
-			}
-			forward.ServeHTTP(w, req)
-		}))
-		DeferCleanup(proxy.Close)
-		behindProxy := func(s *settings.Node) {
-			withEvacuations(s)
-			s.PlatformAddress = strings.TrimPrefix(proxy.URL, "http://")
-		}
+		rejecting, behindProxy := cluster.storeProxy("/")
 		first := cluster.startWith("r-1", withEvacuations)
 		second := cluster.startWith("r-2", behindProxy)
 		rejecting.Store(true)
@@ -212,4 +197,42 @@
 		})
 		late.expectUnused(evacuated...)
 	})
+
+	// Guards against requests to an evacuated domain from an instance that starts and serves before it knows of the evacuation.
+	It("is known before an instance serves", func() {
+		rejecting, behindProxy := cluster.storeProxy("/-/objects/evacuations")
+		rejecting.Store(true)
+		cluster.store.Evacuate("klang")
+		r := cluster.launch("r-1", behindProxy)
+		Eventually(func() bool { return cluster.store.Calls() > 5 }, eventuallyTimeout).Should(BeTrue())
+		Consistently(func() bool { return r.Ready() }, evacuationLimit/2).Should(BeFalse())
+		Expect(r.send(context.Background(), "GET", "/look/x", "key").status).To(Equal(http.StatusServiceUnavailable))
+		rejecting.Store(false)
+		Eventually(r.Ready, eventuallyTimeout).Should(BeTrue())
+		r.expectUnused(evacuated...)
+	})
 })
+
+// storeProxy returns settings with which an instance calls the store through a proxy. While rejecting is set, the proxy rejects calls whose
+// paths have the prefix.
+func (c *testCluster) storeProxy(prefix string) (rejecting *atomic.Bool, behindProxy func(*settings.Node)) {
+	rejecting = &atomic.Bool{}
+	target, err := url.Parse("http://" + c.storeURL)
+	Expect(err).NotTo(HaveOccurred())
+	forward := httputil.NewSingleHostReverseProxy(target)
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if rejecting.Load() && strings.HasPrefix(req.URL.Path, prefix) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		forward.ServeHTTP(w, req)
+	}))
+	DeferCleanup(func() {
+		proxy.CloseClientConnections()
+		proxy.Close()
+	})
+	return rejecting, func(s *settings.Node) {
+		withEvacuations(s)
+		s.PlatformAddress = strings.TrimPrefix(proxy.URL, "http://")
+	}
+}
--- a/router/internal/node/node_test.go
+++ b/router/internal/node/node_test.go
@@ -121,6 +121,13 @@
 
 // startWith starts a router whose settings are changed by the function.
 func (c *testCluster) startWith(name string, change func(*settings.Node)) *router {
+	r := c.launch(name, change)
+	Eventually(r.Ready, eventuallyTimeout).Should(BeTrue())
+	return r
+}
+
+// launch is startWith for a router that need not become ready.
+func (c *testCluster) launch(name string, change func(*settings.Node)) *router {
 	free := freeAddresses(4)
 	s := &settings.Node{
 		Instance: name, Domain: "z", CallerListen: free[0], ReadyListen: free[1], MetricsListen: free[2],
@@ -134,7 +141,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { r.done <- r.Run(ctx) }()
 	DeferCleanup(cancel)
-	Eventually(r.Ready, eventuallyTimeout).Should(BeTrue())
 	return r
 }
 
