--- a/api/routing/config.go
+++ b/api/routing/config.go
@@ -45,6 +45,8 @@
 	// Public routes need no API key.
 	Public    bool `json:"public"`
 	Resumable bool `json:"resumable"`
+	// AllowedRegions are the regions in which requests must stay; empty if they may go anywhere.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // MayRepeat reports whether a request that may have been executed may be sent again.
@@ -71,6 +73,10 @@
 	Name string `json:"name"`
 	// MaxConnections is how many connections one endpoint accepts from all callers together; zero if not limited.
 	MaxConnections int `json:"maxConnections"`
+	// ColdStart is how long an endpoint is cold after its start, ColdPerSecond how many requests a second it may get from all instances
+	// while it is cold; zero if not limited.
+	ColdStart     time.Duration `json:"coldStart,omitempty"`
+	ColdPerSecond float64       `json:"coldPerSecond,omitempty"`
 	// Engine is nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
@@ -86,6 +92,8 @@
 	CountsTokens  bool    `json:"countsTokens"`
 	// DefaultTokens is the cost of a request that declares no tokens.
 	DefaultTokens int64 `json:"plainTokens"`
+	// AllowedRegions are the regions in which the customer's requests must stay; empty if they may go anywhere.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // Limits restrict what callers may send.
--- a/api/routing/endpoint.go
+++ b/api/routing/endpoint.go
@@ -23,6 +23,16 @@
 	Stage   Stage `json:"stage,omitempty"`
 	// StartedMS is the endpoint's start time in milliseconds since the Unix epoch, or zero if it is unknown.
 	StartedMS int64 `json:"born,omitempty"`
+	// ColdMS is for how many more milliseconds the endpoint was cold when its entry was written. ColdRevision is the revision of the entry,
+	// or zero if the entry does not say whether the endpoint is cold.
+	ColdMS       int64  `json:"coldMs,omitempty"`
+	ColdRevision uint64 `json:"coldRevision,omitempty"`
+}
+
+// WithoutCold returns the endpoint without what its entry says about being cold, which changes with each heartbeat.
+func (e Endpoint) WithoutCold() Endpoint {
+	e.ColdMS, e.ColdRevision = 0, 0
+	return e
 }
 
 // EndpointChange is one change in the platform's list of endpoints.
--- a/api/routing/revision.go
+++ b/api/routing/revision.go
@@ -24,6 +24,9 @@
 	Pause time.Duration
 	// Limit is what the response says about the rate of requests that the endpoint accepts.
 	Limit LimitNotice
+	// Cold is for how long the endpoint is still cold; set if StatesCold is.
+	Cold       time.Duration
+	StatesCold bool
 	// SentMS is when the request was sent that the response answers, as a Unix time in milliseconds; zero if unknown.
 	SentMS int64
 }
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
+	"tanagerwood.dev/router/internal/domain/regions"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -108,6 +109,8 @@
 	SlotDeadline time.Duration
 	// Exclude holds the ids of endpoints at which this request has failed.
 	Exclude map[string]bool
+	// Allowed is the filter of the failure domains in which the request may run.
+	Allowed regions.Filter
 	// Stop is closed when the request must not wait any longer because the instance stops. It is nil for a request that may wait until
 	// its context ends.
 	Stop <-chan struct{}
@@ -242,7 +245,7 @@
 		return nil, fault.New(fault.Overloaded, "all engines have asked for a pause; come back after Retry-After").
 			WithRetryAfter(pause + time.Duration(d.Random()*float64(retryJitter)))
 	}
-	if delay := d.limitDelay(req.Service, start); start+delay > max(start, req.SlotDeadline) {
+	if delay := d.limitDelay(req.Service, req.Allowed, start); start+delay > max(start, req.SlotDeadline) {
 		return nil, fault.New(fault.Overloaded, "all engines are at the request limits that they have announced; come back after Retry-After").
 			WithRetryAfter(delay + time.Duration(d.Random()*float64(retryJitter)))
 	}
@@ -250,8 +253,8 @@
 		if isClosed(req.Stop) {
 			return nil, plannedstop.Error()
 		}
-		if d.State.AllEvacuated(req.Service, routing.Decode) {
-			return nil, d.evacuatedError()
+		if d.hasNoEngine(req.Service, req.Allowed) {
+			return nil, d.noEngineError()
 		}
 		slot, err := d.waitForSlot(ctx, req)
 		if err != nil {
@@ -272,8 +275,9 @@
 
 // limitDelay returns the time until the limits of the engines allow a request behind those that wait; zero if an engine has no
 // limit.
-func (d *Dispatcher) limitDelay(service string, now time.Duration) time.Duration {
+func (d *Dispatcher) limitDelay(service string, allowed regions.Filter, now time.Duration) time.Duration {
 	usable := health.UsableEndpoints(d.Health, d.State.Stage(service, routing.Decode), endpointID, now)
+	usable = slices.DeleteFunc(slices.Clone(usable), func(ep routing.Endpoint) bool { return !allowed.Allows(ep.Domain) })
 	d.mu.Lock()
 	ahead := d.waitlistFor(service).Len() + len(d.peerRequestsFor(service))
 	d.mu.Unlock()
@@ -363,10 +367,7 @@
 	if list.Len()+len(peers) == 0 {
 		return
 	}
-	if d.State.AllEvacuated(service, routing.Decode) {
-		list.RefuseAll()
-		return
-	}
+	list.RefuseIf(func(e *waitlist.Entry) bool { return d.hasNoEngine(service, e.Allowed) })
 	now := d.SinceBoot()
 	capacity, _ := d.engineSize(service)
 	candidates := d.decodeCandidates(service, now)
@@ -383,11 +384,14 @@
 // candidate's load.
 func (d *Dispatcher) assignEngine(candidates []engines.Candidate, capacity engines.Capacity, tokens int64, own *waitlist.Entry) *routing.Endpoint {
 	allowed := candidates
-	if own != nil && len(own.ExcludedEngines) > 0 {
-		allowed = slices.DeleteFunc(slices.Clone(candidates), func(c engines.Candidate) bool { return own.ExcludedEngines[c.Endpoint.ID] })
+	if own != nil && (len(own.ExcludedEngines) > 0 || own.Allowed != nil) {
+		allowed = slices.DeleteFunc(slices.Clone(candidates), func(c engines.Candidate) bool {
+			return own.ExcludedEngines[c.Endpoint.ID] || !own.Allowed.Allows(c.Endpoint.Domain)
+		})
 	}
 	best := engines.SelectDecode(allowed, capacity, tokens, d.Domain, d.Random())
 	if best < 0 {
+		d.keepEngines(candidates, own)
 		return nil
 	}
 	ep := allowed[best].Endpoint
@@ -404,6 +408,16 @@
 	return &ep
 }
 
+// keepEngines keeps the engines that a request on time may use from later requests, if it may not run everywhere.
+func (d *Dispatcher) keepEngines(candidates []engines.Candidate, own *waitlist.Entry) {
+	if own == nil || own.Allowed == nil || d.SinceBoot() > own.LatestStart {
+		return
+	}
+	for i, c := range candidates {
+		candidates[i].Full = c.Full || own.Allowed(c.Endpoint.Domain)
+	}
+}
+
 func (d *Dispatcher) peerRequestsFor(service string) []waitlist.PeerRequest {
 	var out []waitlist.PeerRequest
 	for _, requests := range d.peerRequests {
--- a/router/internal/app/dispatch/wait.go
+++ b/router/internal/app/dispatch/wait.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/plannedstop"
+	"tanagerwood.dev/router/internal/domain/regions"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/fault"
 )
@@ -16,7 +18,7 @@
 func (d *Dispatcher) waitForSlot(ctx context.Context, req *SlotRequest) (*Slot, error) {
 	granted := make(chan *Slot, 1)
 	entry := &waitlist.Entry{
-		ID: req.RequestID, Tokens: d.MemoryEstimator.RequestMemory(req.Service, req.Demand, 0), LatestStart: req.SlotDeadline, ExcludedEngines: req.Exclude,
+		ID: req.RequestID, Tokens: d.MemoryEstimator.RequestMemory(req.Service, req.Demand, 0), LatestStart: req.SlotDeadline, ExcludedEngines: req.Exclude, Allowed: req.Allowed,
 	}
 	entry.OnDecision = func(engine *routing.Endpoint) {
 		if engine == nil {
@@ -52,17 +54,25 @@
 			return slot, nil
 		}
 	}
-	if d.State.AllEvacuated(req.Service, routing.Decode) {
-		return nil, d.evacuatedError()
+	if d.hasNoEngine(req.Service, req.Allowed) {
+		return nil, d.noEngineError()
 	}
 	d.Logger.Info().Str("event", "place.none").Str("request", req.RequestID).Int("waiting", waiting).
 		Dur("place_held", d.Timings.MeanHoldTime(req.Service)).Dur("past_on_time", d.SinceBoot()-req.SlotDeadline).Msg("")
 	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.retryAfter(req.Service))
 }
 
-// evacuatedError returns the error of a request to a service whose decode engines are all in evacuated domains.
-func (d *Dispatcher) evacuatedError() error {
-	return fault.New(fault.Overloaded, "all engines of the service are in evacuated domains; come back after Retry-After").
+// hasNoEngine reports whether evacuations leave a request without engines, or none is in the regions in which it must stay.
+func (d *Dispatcher) hasNoEngine(service string, allowed regions.Filter) bool {
+	if allowed == nil {
+		return d.State.AllEvacuated(service, routing.Decode)
+	}
+	return !slices.ContainsFunc(d.State.Stage(service, routing.Decode), func(ep routing.Endpoint) bool { return allowed(ep.Domain) })
+}
+
+// noEngineError returns the error of a request for which hasNoEngine is true.
+func (d *Dispatcher) noEngineError() error {
+	return fault.New(fault.Overloaded, "all engines that the request may use are in evacuated domains or missing; come back after Retry-After").
 		WithRetryAfter(minRetryAfter + time.Duration(d.Random()*float64(retryJitter)))
 }
 
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
 
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
@@ -21,6 +22,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/quarantine"
+	"tanagerwood.dev/router/internal/domain/regions"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/retrydetect"
 	"tanagerwood.dev/router/internal/domain/routetable"
@@ -87,6 +89,8 @@
 	Health       *health.Tracker
 	Timings      *latency.Estimator
 	Domain       string
+	// Regions holds the regions of the failure domains.
+	Regions regions.Table
 	// InstanceCount is the number of instances that share the endpoints' connections.
 	InstanceCount func() int
 	// PeersSynced reports whether this instance knows the state of the other instances.
@@ -170,6 +174,8 @@
 	lastEndpoint     string
 	status           int
 	withheldResponse *failedResponse
+	// allowed is the filter of the domains to which the request may go.
+	allowed regions.Filter
 	// prefilledAt is the engine of the latest prefill.
 	prefilledAt routing.Endpoint
 	durations   stepDurations
@@ -255,6 +261,7 @@
 		return fault.New(fault.NoEndpoint, "the route has no service; come back after Retry-After").WithRetryAfter(noEndpointRetryAfter)
 	}
 	r.setDeadline()
+	r.allowed = r.Regions.Filter(r.route.AllowedRegions, r.customerRegions())
 	r.call = routing.Call{
 		RequestID: r.req.Caller.RequestID, Method: r.req.Method, Target: r.req.Target, Host: r.req.Host,
 		Header: r.req.Caller.Header, Body: body,
@@ -274,6 +281,23 @@
 	return r.chargeRateLimit()
 }
 
+// customerRegions returns the regions in which the customer's requests must stay.
+func (r *requestState) customerRegions() []string {
+	if r.customer == nil {
+		return nil
+	}
+	return r.customer.AllowedRegions
+}
+
+// stage lists the usable endpoints of the service in the stage to which the request may go.
+func (r *requestState) stage(stage routing.Stage) []routing.Endpoint {
+	all := r.State.Stage(r.service.Name, stage)
+	if r.allowed == nil {
+		return all
+	}
+	return lo.Filter(all, func(ep routing.Endpoint, _ int) bool { return r.allowed(ep.Domain) })
+}
+
 // syncPeers waits, once for a request, until the state of the other instances is known.
 func (r *requestState) syncPeers(ctx context.Context) {
 	if !r.peersSynced {
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -101,6 +101,7 @@
 		Demand:       demand,
 		SlotDeadline: limit - r.Timings.FirstEventLatency(r.service.Name, demand.PromptTokens),
 		Exclude:      r.triedEndpoints,
+		Allowed:      r.allowed,
 		Stop:         stop,
 	}
 }
@@ -182,7 +183,7 @@
 
 func (r *requestState) pickPrefill(domain string, tokens int64) (routing.Endpoint, bool) {
 	now := r.SinceBoot()
-	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, routing.Prefill), endpointID, now)
+	usable := health.UsableEndpoints(r.Health, r.stage(routing.Prefill), endpointID, now)
 	candidates := make([]engines.Candidate, 0, len(usable))
 	for _, ep := range usable {
 		if r.Limits.Delay(ep) == 0 {
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -62,7 +62,7 @@
 
 // noPlainEndpoint returns the error of a request for which no endpoint is left, with the time at which one is.
 func (r *requestState) noPlainEndpoint() error {
-	all := r.State.Stage(r.service.Name, "")
+	all := r.stage("")
 	untried := slices.DeleteFunc(slices.Clone(all), func(ep routing.Endpoint) bool { return r.triedEndpoints[ep.ID] })
 	if delay := r.Limits.QueueDelay(untried, 0); delay > 0 {
 		jitter := time.Duration(r.Random() * float64(noEndpointRetryAfter))
@@ -92,7 +92,7 @@
 
 // pickPlain selects the least loaded endpoint that this request has not tried and whose request limit admits it.
 func (r *requestState) pickPlain() (routing.Endpoint, bool) {
-	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, ""), endpointID, r.SinceBoot())
+	usable := health.UsableEndpoints(r.Health, r.stage(""), endpointID, r.SinceBoot())
 	candidates := lo.Reject(usable, func(ep routing.Endpoint, _ int) bool { return r.triedEndpoints[ep.ID] || r.Limits.Delay(ep) > 0 })
 	for len(candidates) > 0 {
 		best := r.leastLoaded(candidates)
@@ -275,7 +275,7 @@
 }
 
 func (r *requestState) hasUntriedEndpoint() bool {
-	return len(r.State.Stage(r.service.Name, "")) > len(r.triedEndpoints)
+	return len(r.stage("")) > len(r.triedEndpoints)
 }
 
 // ignoreWriteError drops the error of a caller that disconnected while its complete response was written.
--- a/router/internal/app/gossip/network_test.go
+++ b/router/internal/app/gossip/network_test.go
@@ -14,6 +14,7 @@
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/coldstart"
 	"tanagerwood.dev/router/internal/domain/endpointlimit"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
@@ -80,6 +81,7 @@
 	transitions *stages.Transitions
 	health      *health.Tracker
 	notices     *availability.Tracker
+	cold        *coldstart.Tracker
 	crashes     *quarantine.Tracker
 	limits      *endpointlimit.Limiter
 }
@@ -242,23 +244,24 @@
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	boot := func() time.Duration { return time.Since(start) + 30*365*24*time.Hour }
 	notices := availability.New(func() float64 { return 0 })
+	cold := coldstart.New(func(string) *routing.Service { return &coldService })
 	limiter := sharedlimit.New(func(key string) *sharedlimit.Quota {
-		if q := endpointlimit.FindQuota(notices, key); q != nil {
+		if q := endpointlimit.FindQuotaAt(notices, cold, key, boot()); q != nil {
 			return q
 		}
 		return n.customer(key)
 	})
-	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, crashes: quarantine.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
+	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, cold: cold, crashes: quarantine.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), heard: map[string]int{}}
 	nd.mirror = routingcache.New(platform, routingcache.PropagationLimits{Config: n.propagationLimit, Endpoints: n.propagationLimit},
 		func() int { return nd.FleetSize() }, quiet, boot)
 	if n.evacuations != nil {
-		nd.mirror.ReadEvacuations(evacuationClient{n.evacuations, name}, evacuationLimit)
+		nd.mirror.ReadEvacuations(evacuationClient{n.evacuations, name}, evacuationLimit, func(string) {})
 	}
 	nd.Service = gossip.New(gossip.Deps{
 		Self: routing.Instance{Name: name, Address: name, Incarnation: incarnation}, Seeds: seeds, Transport: nd, Registry: n,
 		Mirror: nd.mirror, Limiter: nd.limiter, EndpointLoad: nd.book, Queue: queue{nd}, Transitions: nd.transitions, Health: nd.health, Availability: notices, Quarantine: nd.crashes, Boot: boot, Logger: quiet,
 	})
-	nd.limits = endpointlimit.New(endpointlimit.Deps{Notices: notices, Quotas: limiter, OnAdmit: nd.TriggerReport, SinceBoot: boot})
+	nd.limits = endpointlimit.New(endpointlimit.Deps{Notices: notices, Cold: cold, Quotas: limiter, OnAdmit: nd.TriggerReport, SinceBoot: boot})
 	n.mu.Lock()
 	n.nodes[name] = nd
 	n.mu.Unlock()
--- a/router/internal/app/routingcache/endpoints.go
+++ b/router/internal/app/routingcache/endpoints.go
@@ -52,6 +52,7 @@
 	m.departures.record(old.ByID, byID, routing.Era(revision), now)
 	m.endpoints.Store(&EndpointList{Revision: revision, ByID: byID})
 	m.logChanges(old.ByID, byID, revision)
+	m.onEndpoints(byID)
 	if revision != old.Revision {
 		m.fleet.AnnounceVersions()
 	}
@@ -60,7 +61,7 @@
 // logChanges logs the endpoints that differ between two lists.
 func (m *Cache) logChanges(before, after map[string]routing.Endpoint, revision uint64) {
 	for id, e := range after {
-		if was, known := before[id]; !known || was != e {
+		if was, known := before[id]; !known || was.WithoutCold() != e.WithoutCold() {
 			m.logger.Info().Str("event", "endpoint.listed").Str("endpoint", id).Str("service", e.Service).
 				Str("stage", string(e.Stage)).Int64("born", e.StartedMS).Bool("leaving", e.Leaving).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).Msg("")
 		}
--- a/router/internal/app/routingcache/evacuations.go
+++ b/router/internal/app/routingcache/evacuations.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,12 +54,17 @@
 	answeredAt, confirmedAt atomic.Int64
 	// heardAt is when another instance last reported the evacuations, in time since boot. Instances of earlier versions never do.
 	heardAt atomic.Int64
+	// onEnd is called for each domain whose evacuation has ended.
+	onEnd func(domain string)
+	// mu guards announced, the evacuated domains that were announced last.
+	mu        sync.Mutex
+	announced []string
 }
 
 // ReadEvacuations has the cache read the evacuated domains, which must take effect within the limit. It must be called before Run. Without
-// it, the cache makes no calls for them, and no domain is evacuated.
-func (m *Cache) ReadEvacuations(c EvacuationClient, limit time.Duration) {
-	m.evacuations = &evacuationReader{Tracker: evacuation.New(), client: c, limit: limit, startedAt: m.sinceBoot(), restart: make(chan struct{}, 1)}
+// it, the cache makes no calls for them, and no domain is evacuated. The function is called for each domain whose evacuation has ended.
+func (m *Cache) ReadEvacuations(c EvacuationClient, limit time.Duration, onEnd func(domain string)) {
+	m.evacuations = &evacuationReader{Tracker: evacuation.New(), onEnd: onEnd, client: c, limit: limit, startedAt: m.sinceBoot(), restart: make(chan struct{}, 1)}
 	m.evacuations.answeredAt.Store(int64(m.sinceBoot()))
 	m.evacuations.confirmedAt.Store(int64(noOutage))
 	m.evacuations.heardAt.Store(int64(noOutage))
@@ -120,7 +127,17 @@
 	if !changed {
 		return
 	}
-	m.logger.Warn().Str("event", "evacuations.changed").Str("from", from).Strs("domains", m.evacuations.Domains()).Msg("endpoints of these domains get no requests")
+	e := m.evacuations
+	e.mu.Lock()
+	before, domains := e.announced, e.Domains()
+	e.announced = domains
+	e.mu.Unlock()
+	for _, domain := range before {
+		if !slices.Contains(domains, domain) {
+			e.onEnd(domain)
+		}
+	}
+	m.logger.Warn().Str("event", "evacuations.changed").Str("from", from).Strs("domains", domains).Msg("endpoints of these domains get no requests")
 	m.fleet.AnnounceEvacuations()
 }
 
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -117,6 +117,8 @@
 	restartWatch [2]chan struct{}
 	// era is the highest era of the store in a response.
 	era atomic.Uint64
+	// onEndpoints is called with each new list of endpoints.
+	onEndpoints func(byID map[string]routing.Endpoint)
 	// evacuations is nil if evacuations are not read.
 	evacuations *evacuationReader
 }
@@ -127,7 +129,7 @@
 // New returns a cache without a configuration and with an empty endpoint list. The function instanceCount returns the number of
 // instances in the fleet, and boot the time since boot.
 func New(p PlatformClient, limits PropagationLimits, instanceCount func() int, logger *log.Logger, boot func() time.Duration) *Cache {
-	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, fleet: singleInstance{}, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{}, recoveredAt: noOutage, departures: newDepartureLog(),
+	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, fleet: singleInstance{}, onEndpoints: func(map[string]routing.Endpoint) {}, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{}, recoveredAt: noOutage, departures: newDepartureLog(),
 		outage: newOutageDetector(limits.Heartbeat, boot()), restoredAt: noOutage}
 	m.ownAnswer.Store(int64(noOutage))
 	m.fleetAnswer.Store(int64(noOutage))
@@ -144,6 +146,10 @@
 // Connect connects the cache with the other instances. It must be called before Run.
 func (m *Cache) Connect(f Fleet) { m.fleet = f }
 
+// OnEndpoints sets a function that is called with each new list of endpoints, which it must not change. It must be set before Run, must not
+// block and must not call methods of the cache but for Table.
+func (m *Cache) OnEndpoints(f func(byID map[string]routing.Endpoint)) { m.onEndpoints = f }
+
 // Table returns the routing table of the configuration in force, or nil if none is known yet.
 func (m *Cache) Table() *routetable.Table { return m.table.Load() }
 
--- a/router/internal/domain/endpointlimit/endpointlimit.go
+++ b/router/internal/domain/endpointlimit/endpointlimit.go
@@ -1,4 +1,4 @@
-// Package endpointlimit keeps the request limits that endpoints announce. A limit applies to the requests of all instances
+// Package endpointlimit keeps the request limits that endpoints announce, and those of cold endpoints. A limit applies to the requests of all instances
 // together, so each limited endpoint has a quota in the shared limiter, which counts what this instance admits at once and what
 // the others admit as soon as they report it.
 package endpointlimit
@@ -11,6 +11,7 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/coldstart"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 )
 
@@ -20,6 +21,9 @@
 	minRate = 0.25
 	// burstTime is the time whose requests, and one more, may be sent at once.
 	burstTime = 500 * time.Millisecond
+	// coldBurstTime is burstTime for cold endpoints, which crash at half more than their limit. The rest is left for requests that instances
+	// send before they hear of each other's.
+	coldBurstTime = 200 * time.Millisecond
 	// keyPrefix distinguishes the quotas of endpoints from those of customers, whose names are sent in HTTP headers and therefore
 	// contain no NUL byte.
 	keyPrefix = "\x00"
@@ -29,7 +33,9 @@
 type Deps struct {
 	// Notices holds the limits that endpoints have announced.
 	Notices *availability.Tracker
-	Quotas  *sharedlimit.Limiter
+	// Cold holds the cold endpoints; nil if none is limited.
+	Cold   *coldstart.Tracker
+	Quotas *sharedlimit.Limiter
 	// OnAdmit is called when a request to a limited endpoint was admitted, which the other instances must learn at once. It must not
 	// block: callers may hold locks.
 	OnAdmit   func()
@@ -47,39 +53,46 @@
 	return keyPrefix + strconv.FormatInt(ep.StartedMS, 10) + " " + ep.ID
 }
 
-// FindQuota returns the quota of the given key, or nil if the key is not that of an endpoint with a limit.
+// FindQuota returns the quota of the given key, or nil if the key is not that of an endpoint that has announced a limit.
 func FindQuota(notices *availability.Tracker, key string) *sharedlimit.Quota {
+	return FindQuotaAt(notices, nil, key, 0)
+}
+
+// FindQuotaAt returns the quota of the given key, or nil if the key is not that of an endpoint that has announced a limit or is cold.
+func FindQuotaAt(notices *availability.Tracker, cold *coldstart.Tracker, key string, now time.Duration) *sharedlimit.Quota {
 	rest, isEndpoint := strings.CutPrefix(key, keyPrefix)
 	start, id, complete := strings.Cut(rest, " ")
 	startMS, err := strconv.ParseInt(start, 10, 64)
 	if !isEndpoint || !complete || err != nil {
 		return nil
 	}
-	perSecond, limited := notices.LimitOf(routing.Endpoint{ID: id, StartedMS: startMS})
+	return newQuota(notices, cold, routing.Endpoint{ID: id, StartedMS: startMS}, now)
+}
+
+// newQuota returns the quota of an endpoint, or nil if it has no limit. The lower of two limits holds.
+func newQuota(notices *availability.Tracker, cold *coldstart.Tracker, ep routing.Endpoint, now time.Duration) *sharedlimit.Quota {
+	perSecond, limited := notices.LimitOf(ep)
+	burst := burstTime
+	if cold != nil {
+		if coldLimit, isCold := cold.Limit(ep, now); isCold && (!limited || coldLimit < perSecond) {
+			perSecond, limited, burst = coldLimit, true, coldBurstTime
+		}
+	}
 	if !limited {
 		return nil
 	}
-	return newQuota(key, perSecond)
-}
-
-func newQuota(key string, perSecond float64) *sharedlimit.Quota {
 	rate := max(minRate, perSecond)
-	return &sharedlimit.Quota{Key: key, RatePerSecond: rate, Burst: 1 + rate*burstTime.Seconds()}
+	return &sharedlimit.Quota{Key: quotaKey(ep), RatePerSecond: rate, Burst: 1 + rate*burst.Seconds()}
 }
 
 // quota returns the quota of an endpoint, or nil if it has no limit.
 func (l *Limiter) quota(ep routing.Endpoint) *sharedlimit.Quota {
-	perSecond, limited := l.Notices.LimitOf(ep)
-	if !limited {
-		return nil
-	}
-	return newQuota(quotaKey(ep), perSecond)
+	return newQuota(l.Notices, l.Cold, ep, l.SinceBoot())
 }
 
 // Limited reports whether an endpoint has a limit.
 func (l *Limiter) Limited(ep routing.Endpoint) bool {
-	_, limited := l.Notices.LimitOf(ep)
-	return limited
+	return l.quota(ep) != nil
 }
 
 // Admit reports whether a request may be sent to an endpoint now, and counts it if so.
@@ -133,6 +146,6 @@
 // Prune drops the quotas of endpoints whose limits are forgotten.
 func (l *Limiter) Prune() {
 	l.Quotas.RetainKeys(func(key string) bool {
-		return !strings.HasPrefix(key, keyPrefix) || FindQuota(l.Notices, key) != nil
+		return !strings.HasPrefix(key, keyPrefix) || FindQuotaAt(l.Notices, l.Cold, key, l.SinceBoot()) != nil
 	})
 }
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/regions"
 )
 
 // Request is a waiting request in the form in which instances exchange it.
@@ -32,6 +33,8 @@
 	LatestStart time.Duration
 	// ExcludedEngines holds the IDs of the engines that have failed the request.
 	ExcludedEngines map[string]bool
+	// Allowed is the filter of the failure domains in which the request may run; nil if it may run anywhere.
+	Allowed regions.Filter
 	// OnDecision is called once, when Dispatch removes the request from the list: with the assigned engine, or with nil if the
 	// request is refused.
 	OnDecision func(engine *routing.Endpoint)
@@ -72,20 +75,25 @@
 	return true
 }
 
-// RefuseAll removes and refuses all requests.
-func (l *List) RefuseAll() {
-	all := l.entries
-	l.entries = nil
-	for _, e := range all {
-		e.OnDecision(nil)
+// RefuseIf removes and refuses the requests for which the function returns true.
+func (l *List) RefuseIf(refuse func(e *Entry) bool) {
+	for _, e := range slices.Clone(l.entries) {
+		if refuse(e) {
+			l.Remove(e)
+			e.OnDecision(nil)
+		}
 	}
 }
 
-// Requests lists the waiting requests for other instances.
+// Requests lists the waiting requests for other instances. It leaves out those that may not run everywhere, which must not hold up requests
+// of other instances elsewhere.
 func (l *List) Requests(service string, now time.Duration) []Request {
-	out := make([]Request, len(l.entries))
-	for i, e := range l.entries {
-		out[i] = Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (e.LatestStart - now).Milliseconds()}
+	out := make([]Request, 0, len(l.entries))
+	for _, e := range l.entries {
+		if e.Allowed != nil {
+			continue
+		}
+		out = append(out, Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (e.LatestStart - now).Milliseconds()})
 	}
 	return out
 }
@@ -118,8 +126,9 @@
 	return time.Duration(slots) * t.MeanHoldTime / time.Duration(t.Running)
 }
 
-// AssignFunc selects an engine for a request and counts the request as running there; it returns nil if no engine has room. The
-// entry is nil for requests of other instances.
+// AssignFunc selects an engine for a request and counts the request as running there; it returns nil if no engine has room. If the request
+// may not run everywhere and is on time, the engines that it may use then get none of the later requests. The entry is nil for requests of
+// other instances.
 type AssignFunc func(tokens int64, own *Entry) *routing.Endpoint
 
 // contentionPeriod is how long late requests are assigned no slot after an on-time request had to wait. A slot is held for
@@ -137,14 +146,20 @@
 		if blocked == 0 && !(w.late && now < l.contendedUntil) {
 			engine = take(w.tokens, w.own)
 		}
-		if engine == nil && !w.late {
+		ahead := blocked
+		switch {
+		case engine != nil || w.late:
+		case w.own != nil && w.own.Allowed != nil:
+			ahead++ // the engines that it may use are kept for it by the function take
+		default:
 			blocked++
+			ahead++
 			l.contendedUntil = now + contentionPeriod
 		}
 		if w.own == nil {
 			continue
 		}
-		if engine != nil || w.late || !w.own.admitted && now+turnover.timeToFree(blocked) > w.own.LatestStart {
+		if engine != nil || w.late || !w.own.admitted && now+turnover.timeToFree(ahead) > w.own.LatestStart {
 			l.Remove(w.own)
 			w.own.OnDecision(engine)
 		}
--- a/router/internal/domain/waitlist/waitlist_test.go
+++ b/router/internal/domain/waitlist/waitlist_test.go
@@ -53,6 +53,26 @@
 }
 
 var _ = Describe("the list of waiting requests", func() {
+	// Guards against a request that may run in few places and holds up those that may run elsewhere, here or at other instances.
+	It("serves requests that may run anywhere while one that may not waits", func() {
+		l := &list{}
+		l.add("restricted", 100*ms).Allowed = func(string) bool { return false }
+		l.add("first", 200*ms)
+		l.add("second", 300*ms)
+		left := 1
+		l.dispatch(0, nil, func(_ int64, own *waitlist.Entry) *routing.Endpoint {
+			if own.Allowed != nil || left == 0 {
+				return nil
+			}
+			left--
+			return &routing.Endpoint{}
+		})
+		Expect(l.granted).To(Equal([]string{"first"}))
+		Expect(l.Requests("s", 0)).To(HaveLen(1))
+		l.dispatch(101*ms, nil, slots(0))
+		Expect(l.refused).To(Equal([]string{"restricted"}))
+	})
+
 	// Guards against late requests that delay requests which could still be on time.
 	It("serves those that can be on time first, the most urgent ahead", func() {
 		l := &list{}
--- a/router/internal/node/evacuation_test.go
+++ b/router/internal/node/evacuation_test.go
@@ -106,8 +106,8 @@
 
 	// Guards against a request that goes to the engine whose slot it got before the evacuation, and against the release of a reservation
 	// and of a KV cache there.
-	DescribeTable("redirects a request whose prefill takes until after its begin", func(prefillDomain string) {
-		cluster.moveTo("klang", "m", cluster.decode...)
+	DescribeTable("redirects a request whose prefill takes until after its begin", func(prefillDomain, decodeDomain string) {
+		cluster.moveTo(decodeDomain, "m", cluster.decode...)
 		cluster.moveTo(prefillDomain, "m", cluster.prefill)
 		r := cluster.startWith("r-1", withEvacuations)
 		added := standin.NewServer("d-added", "decode")
@@ -131,13 +131,22 @@
 		}
 		a := r.stream("/brief/x")
 		Expect(a.body).To(Equal(completeStreamBody(a.id)))
-		Expect(added.Runs()).To(HaveLen(1))
-		Consistently(late.Load, evacuationLimit/10).Should(BeZero())
+		leases := cluster.decode[0].OpenLeases() + cluster.decode[1].OpenLeases()
+		if decodeDomain == "klang" {
+			Expect(added.Runs()).To(HaveLen(1))
+			Consistently(late.Load, evacuationLimit/10).Should(BeZero())
+			Expect(leases).To(Equal(1), "reservations that were made and not released")
+		}
 		if prefillDomain == "klang" {
-			Expect(added.Runs()[0].Cache).To(BeEmpty())
+			for _, run := range cluster.runs() {
+				Expect(run.Cache).To(BeEmpty())
+			}
 			Expect(cluster.prefill.OpenLeases()).To(Equal(1), "KV caches that were created and not freed")
 		}
-	}, Entry("in another domain", "z"), Entry("in the same domain", "klang"))
+	},
+		Entry("to engines of the domain, at an engine of another", "z", "klang"),
+		Entry("to and at engines of the domain", "klang", "klang"),
+		Entry("at an engine of the domain", "klang", "z"))
 
 	// Guards against a second send to an engine that refuses the first one after the evacuation has begun.
 	It("sends a refused request to no engine of the domain again", func() {
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -240,16 +240,17 @@
 // pruneEndpoints discards the tracked state of endpoints that the platform no longer lists.
 func (p *components) pruneEndpoints() {
 	listed := p.routingCache.Endpoints().ByID
+	known := func(id string) bool {
+		_, ok := listed[id]
+		return ok
+	}
 	p.availability.Prune(func(id string) (routing.Endpoint, bool) {
 		ep, known := listed[id]
 		return ep, known
 	}, clock.System{}.Boot())
+	p.cold.Prune(known)
 	p.limits.Prune()
 	p.quarantine.Prune(clock.System{}.Boot())
-	known := func(id string) bool {
-		_, ok := listed[id]
-		return ok
-	}
 	p.health.RetainListed(len(listed), known)
 	p.dispatcher.PruneEndpoints(known)
 }
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -13,6 +13,7 @@
 	"tanagerwood.dev/router/internal/app/background"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/coldstart"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 )
@@ -67,7 +68,7 @@
 
 // newRegistry returns a metrics registry with gauges for dropped log lines, invalid latency samples and notices, leaving, paused
 // and limited endpoints, quarantined parts of prompts, and the era of the platform's store.
-func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, crashes *quarantine.Tracker, storeEra func() uint64) metrics.Registry {
+func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, crashes *quarantine.Tracker, cold *coldstart.Tracker, storeEra func() uint64) metrics.Registry {
 	r := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("pace.ignored", r, invalidSamples)
 	metrics.NewRegisteredFunctionalGauge("notices.ignored", r, tracker.InvalidNotices)
@@ -80,6 +81,7 @@
 		return int64(paused)
 	})
 	metrics.NewRegisteredFunctionalGauge("endpoints.limited", r, func() int64 { return int64(tracker.LimitedCount()) })
+	metrics.NewRegisteredFunctionalGauge("endpoints.cold", r, func() int64 { return int64(cold.Count(clock.System{}.Boot())) })
 	metrics.NewRegisteredFunctionalGauge("limit.requests_sent", r, tracker.TotalSentUnderLimit)
 	metrics.NewRegisteredFunctionalGauge("quarantine.prompts", r, func() int64 {
 		return int64(len(crashes.Quarantined(clock.System{}.Boot())))
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -21,12 +21,14 @@
 	"tanagerwood.dev/router/internal/app/rebalance"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/coldstart"
 	"tanagerwood.dev/router/internal/domain/endpointlimit"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
 	"tanagerwood.dev/router/internal/domain/quarantine"
+	"tanagerwood.dev/router/internal/domain/regions"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/stages"
@@ -44,6 +46,7 @@
 	endpoints    *platform.Endpoints
 	health       *health.Tracker
 	availability *availability.Tracker
+	cold         *coldstart.Tracker
 	limits       *endpointlimit.Limiter
 	budget       *retrybudget.Budget
 	quarantine   *quarantine.Tracker
@@ -62,6 +65,7 @@
 		endpoints:    do.MustInvoke[*platform.Endpoints](n.injector),
 		health:       do.MustInvoke[*health.Tracker](n.injector),
 		availability: do.MustInvoke[*availability.Tracker](n.injector),
+		cold:         do.MustInvoke[*coldstart.Tracker](n.injector),
 		limits:       do.MustInvoke[*endpointlimit.Limiter](n.injector),
 		budget:       do.MustInvoke[*retrybudget.Budget](n.injector),
 		quarantine:   do.MustInvoke[*quarantine.Tracker](n.injector),
@@ -206,10 +210,28 @@
 	return fmt.Errorf("%w: %s", routing.ErrEvacuated, ep.Domain)
 }
 
+// findService returns the configuration of a service, or nil. Like fleetSize, it is called only while the node runs.
+func (n *Node) findService(name string) *routing.Service {
+	return n.components.Load().state.Service(name)
+}
+
+// recordColdEndpoints records which endpoints are cold according to the platform's list.
+func (n *Node) recordColdEndpoints(byID map[string]routing.Endpoint) {
+	n.components.Load().cold.RecordList(byID, clock.System{}.Boot(), time.Now().UnixMilli())
+}
+
+// recordReturn records that the evacuation of a domain has ended.
+func (n *Node) recordReturn(cache *routingcache.Cache, domain string) {
+	n.components.Load().cold.RecordReturn(domain, cache.Endpoints().ByID, clock.System{}.Boot())
+}
+
 // recordNotice records an endpoint's notices: that it is leaving, asks for a pause, or has a request limit. It reports leaving
 // endpoints and limits to the peers.
 func (n *Node) recordNotice(ep routing.Endpoint, notice routing.Notice) {
 	p := n.components.Load()
+	if notice.StatesCold {
+		p.cold.RecordAnswer(ep, notice.Cold, clock.System{}.Boot())
+	}
 	if p.availability.RecordLimit(ep, notice, clock.System{}.Boot()) {
 		n.options.Logger.Info().Str("event", "endpoint.limit").Str("endpoint", ep.ID).Bool("ended", notice.Limit.State == routing.LimitNone).
 			Float64("per_second", notice.Limit.PerSecond).Int64("sent", p.availability.SentUnderLimit(ep)).Msg("")
@@ -231,18 +253,20 @@
 	latencyEstimator := latency.New()
 	availabilityTracker := availability.New(rand.Float64)
 	do.ProvideValue(i, availabilityTracker)
+	cold := coldstart.New(n.findService)
+	do.ProvideValue(i, cold)
 	crashes := quarantine.New()
 	do.ProvideValue(i, crashes)
 	store := platform.NewStore(s.PlatformAddress, deadConnectionTimeout)
 	store.LimitMemory(n.controlMemory)
 	do.ProvideValue(i, store)
-	do.ProvideValue(i, newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era))
+	do.ProvideValue(i, newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, cold, store.Era))
 	do.ProvideValue(i, inflight.NewTracker())
 	do.ProvideValue(i, latencyEstimator)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
 		cache := do.MustInvoke[*routingcache.Cache](i)
 		return sharedlimit.New(func(key string) *sharedlimit.Quota {
-			if q := endpointlimit.FindQuota(availabilityTracker, key); q != nil {
+			if q := endpointlimit.FindQuotaAt(availabilityTracker, cold, key, boot()); q != nil {
 				return q
 			}
 			if t := cache.Table(); t != nil {
@@ -255,7 +279,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*endpointlimit.Limiter, error) {
 		return endpointlimit.New(endpointlimit.Deps{
-			Notices: availabilityTracker, Quotas: do.MustInvoke[*sharedlimit.Limiter](i), OnAdmit: n.triggerReport, SinceBoot: boot,
+			Notices: availabilityTracker, Cold: cold, Quotas: do.MustInvoke[*sharedlimit.Limiter](i), OnAdmit: n.triggerReport, SinceBoot: boot,
 		}), nil
 	})
 	do.ProvideValue(i, health.NewTracker(n.fleetSize))
@@ -273,8 +297,9 @@
 		limits := routingcache.PropagationLimits{Config: s.ConfigPropagationLimit, Endpoints: s.DrainPropagationLimit, Heartbeat: s.EndpointHeartbeat}
 		cache := routingcache.New(store, limits, n.fleetSize, logger, boot)
 		if s.EvacuationLimit > 0 {
-			cache.ReadEvacuations(store, s.EvacuationLimit)
+			cache.ReadEvacuations(store, s.EvacuationLimit, func(domain string) { n.recordReturn(cache, domain) })
 		}
+		cache.OnEndpoints(func(byID map[string]routing.Endpoint) { n.recordColdEndpoints(byID) })
 		store.OnNewEra(func(era uint64) { cache.RecordEra(era) })
 		registerCacheGauges(do.MustInvoke[metrics.Registry](i), cache)
 		return cache, nil
@@ -312,7 +337,7 @@
 			State: do.MustInvoke[routingState](i), Client: do.MustInvoke[*platform.Endpoints](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), RateLimiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Limits: do.MustInvoke[*endpointlimit.Limiter](i), RetryBudget: do.MustInvoke[*retrybudget.Budget](i), EndpointLoad: do.MustInvoke[*inflight.Tracker](i),
-			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain,
+			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain, Regions: regions.Table(s.Regions),
 			InstanceCount: n.fleetSize,
 			PeersSynced: func() bool {
 				p := n.components.Load()
--- a/router/internal/settings/node.go
+++ b/router/internal/settings/node.go
@@ -45,6 +45,8 @@
 	DrainPropagationLimit  time.Duration
 	// EvacuationLimit is the time within which an evacuation of a domain takes effect; zero if evacuations are not read.
 	EvacuationLimit time.Duration
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// EndpointHeartbeat is the interval at which endpoints renew their entries in the platform's list.
 	EndpointHeartbeat time.Duration
 
@@ -92,6 +94,7 @@
 	fs.DurationVar(&n.ConfigPropagationLimit, "config-within", defaultPropagationLimit, "`time` within which an accepted configuration is in force")
 	fs.DurationVar(&n.DrainPropagationLimit, "drain-within", defaultPropagationLimit, "`time` within which a leaving endpoint gets no more requests")
 	fs.DurationVar(&n.EvacuationLimit, "evacuate-within", 0, "`time` within which an evacuated domain gets no more requests; 0 if evacuations are not read")
+	fs.Var((*stringTable)(&n.Regions), "regions", "`table` from failure domain to region: a JSON object; needed for routes and customers with allowed regions")
 	fs.DurationVar(&n.EndpointHeartbeat, "endpoint-heartbeat", defaultHeartbeat, "`time` between renewals of an endpoint's entry; an entry is removed after three of them without one")
 	fs.Float64Var(&n.RetryRatio, "retry-ratio", defaultRetryRatio, "retries per request, as a `ratio`")
 	fs.Float64Var(&n.FixedRetries, "retry-fixed", defaultFixedRetries, "`number` of retries in a window beside the ratio, for the fleet")
@@ -103,7 +106,7 @@
 // ParseNode parses flags, environment variables and the settings file, in this order of precedence.
 func ParseNode(fs *flag.FlagSet, arguments []string) error {
 	return ff.Parse(fs, arguments, ff.WithEnvVarPrefix(EnvPrefix), ff.WithConfigFileFlag("settings"),
-		ff.WithConfigFileParser(ff.JSONParser), ff.WithAllowMissingConfigFile(false))
+		ff.WithConfigFileParser(parseSettingsFile), ff.WithAllowMissingConfigFile(false))
 }
 
 // Reload rereads the settings file and returns the new settings, or an error if the file cannot be read or is invalid.
