--- a/router/internal/app/routingcache/evacuations.go
+++ b/router/internal/app/routingcache/evacuations.go
@@ -26,6 +26,8 @@
 	staleFraction = 0.6
 	// staleReaders is the mean number of instances that ask the platform at each check if the evacuations are stale for all of them.
 	staleReaders = 2
+	// maxReportAge is the age from which an answer of the platform to another instance tells nothing.
+	maxReportAge = time.Hour
 )
 
 // EvacuationClient reads the evacuated domains from the platform.
@@ -105,7 +107,7 @@
 		return
 	}
 	changed := e.Merge(r.Snapshot)
-	if now := m.sinceBoot(); r.Revision > 0 && r.AgeMS >= 0 {
+	if now := m.sinceBoot(); r.Revision > 0 && r.AgeMS >= 0 && r.AgeMS < maxReportAge.Milliseconds() {
 		e.heardAt.Store(int64(now))
 		e.confirm(now - time.Duration(r.AgeMS)*time.Millisecond)
 	}
@@ -146,8 +148,12 @@
 	if err != nil {
 		return 0, err
 	}
+	first := !m.evacuations.Known()
 	m.evacuations.confirm(m.sinceBoot())
 	m.announceEvacuations(m.evacuations.ApplyList(list, revision), "platform")
+	if first {
+		m.fleet.AnnounceEvacuations() // starting instances wait to hear that there are none
+	}
 	return revision, nil
 }
 
--- a/router/internal/domain/evacuation/evacuation.go
+++ b/router/internal/domain/evacuation/evacuation.go
@@ -255,10 +255,16 @@
 	}
 }
 
-// Snapshot returns the state for another instance. It holds at most maxSharedRecords records: those in force first, and of these the latest.
+// Snapshot returns the state for another instance. It leaves out evacuations that ended in the current era, since a complete state says so by
+// lacking them, and holds at most maxSharedRecords records: those that have not ended first, and of these the latest.
 func (t *Tracker) Snapshot() Snapshot {
 	s := t.state.Load()
-	out := Snapshot{Revision: s.revision, EraStart: s.eraStart, Records: slices.Collect(maps.Values(s.records))}
+	out := Snapshot{Revision: s.revision, EraStart: s.eraStart}
+	for _, r := range s.records {
+		if !r.Ended || !sameEra(r.Revision, s.revision) {
+			out.Records = append(out.Records, r)
+		}
+	}
 	slices.SortFunc(out.Records, func(a, b Record) int {
 		if a.Ended != b.Ended {
 			if b.Ended {
--- a/router/internal/node/node_test.go
+++ b/router/internal/node/node_test.go
@@ -37,11 +37,13 @@
 	store    *standin.Store
 	storeURL string
 	// urls holds the URLs of the servers by id.
-	urls    map[string]string
-	plain   []*standin.Server
-	prefill *standin.Server
-	decode  []*standin.Server
-	version int
+	urls map[string]string
+	// listeners holds what serves the servers, by id.
+	listeners map[string]*httptest.Server
+	plain     []*standin.Server
+	prefill   *standin.Server
+	decode    []*standin.Server
+	version   int
 }
 
 const configurationJSON = `{"version":%d,"routes":[
@@ -55,7 +57,7 @@
   {"name":"small","api_keys":["small-key"],"unit":"token_stream","plain_tokens":200,"rate_per_s":100,"burst":1000}]}`
 
 func newTestCluster() *testCluster {
-	cluster := &testCluster{store: standin.NewStore(), urls: map[string]string{}, prefill: standin.NewServer("p-1", "prefill")}
+	cluster := &testCluster{store: standin.NewStore(), urls: map[string]string{}, listeners: map[string]*httptest.Server{}, prefill: standin.NewServer("p-1", "prefill")}
 	server := httptest.NewServer(cluster.store)
 	DeferCleanup(server.Close)
 	cluster.storeURL = strings.TrimPrefix(server.URL, "http://")
@@ -85,7 +87,7 @@
 		h.Close()
 	})
 	c.store.Put("servers", s.ID, serverEntry(s, service, h.URL, "ready"))
-	c.urls[s.ID] = h.URL
+	c.urls[s.ID], c.listeners[s.ID] = h.URL, h
 }
 
 func serverEntry(s *standin.Server, service, url, state string) string {
@@ -103,6 +105,8 @@
 	*node.Node
 	settings *settings.Node
 	done     chan error
+	// cut ends the router without a planned stop.
+	cut context.CancelFunc
 }
 
 // freeAddresses returns n distinct unused addresses.
@@ -139,6 +143,7 @@
 	r := &router{settings: s, done: make(chan error, 1)}
 	r.Node = node.New(node.Options{Settings: s, Logger: &log.Logger{Writer: &log.IOWriter{Writer: GinkgoWriter}}})
 	ctx, cancel := context.WithCancel(context.Background())
+	r.cut = cancel
 	go func() { r.done <- r.Run(ctx) }()
 	DeferCleanup(cancel)
 	return r
