--- a/lab/soak/bounds.go
+++ b/lab/soak/bounds.go
@@ -15,6 +15,8 @@
 	Rollback time.Duration
 	// Drain is how long a server may still receive requests after it has announced that it is leaving.
 	Drain time.Duration
+	// Evacuate is how long a server may still receive requests after the evacuation of its domain has begun.
+	Evacuate time.Duration
 	// LimitSettle is how long after its first announcement a server's request limit is binding, LimitNotice how long an instance
 	// may take to apply what a server has announced to it. In each LimitWindow a server receives at most what the limit allows,
 	// times LimitTolerance, plus LimitSlack requests.
@@ -44,7 +46,7 @@
 // DefaultBounds returns the bounds of the users' two deployments of 7 and 8 instances.
 func DefaultBounds() Bounds {
 	return Bounds{
-		Stable: 3 * time.Second, ApplyDelay: 2 * time.Second, Rollback: 250 * time.Millisecond, Drain: 2 * time.Second,
+		Stable: 3 * time.Second, ApplyDelay: 2 * time.Second, Rollback: 250 * time.Millisecond, Drain: 2 * time.Second, Evacuate: 2 * time.Second,
 		LimitSettle: 3 * time.Second, LimitNotice: 500 * time.Millisecond, LimitWindow: 4 * time.Second, LimitTolerance: 1.5, LimitSlack: 5,
 		LearningCrashes: 5, PoisonRequests: 3, LearningTime: 3 * time.Second, SoundTime: 6 * time.Second, SoundShare: 0.5, DeadlyCrashes: 3,
 		CancelDelay: 500 * time.Millisecond, Grace: 8 * time.Second, Recovery: 12 * time.Second,
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -16,6 +16,8 @@
 	sent     []*sentRequest
 	faults   *timeline
 	versions []version
+	// evacuations holds the times in which domains were evacuated.
+	evacuations []evacuationPeriod
 	// runs holds the runs of each request in order of time; servers holds all servers that ever ran.
 	runs    map[string][]standin.Run
 	servers map[string]*serverBoot
@@ -46,6 +48,7 @@
 		e.checkLeaving(s)
 	}
 	e.checkNotices()
+	e.checkEvacuations()
 	e.checkUnrequested()
 	e.checkOrders()
 	e.checkLimits()
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -55,6 +55,12 @@
 	return s
 }
 
+// evacuated has the domain of server c1 be evacuated for a time.
+func (e *execution) evacuated(from, to float64) {
+	e.servers["c1"].domain = "north"
+	e.evacuations = append(e.evacuations, evacuationPeriod{domain: "north", from: at(from), to: at(to)})
+}
+
 // announced has server c1 say from one time on that it leaves, which router-1 passes on at 10 s, and run a request at another time.
 func (e *execution) announced(from, ranAt float64) *sentRequest {
 	e.servers["c1"].announcedAt = at(from)
@@ -169,6 +175,7 @@
 			e.refused(newestRouteRequest, "newest-2", http.StatusNotFound, 20.6).version = 2
 		}),
 		Entry("a leaving server that gets requests", "leaving servers", func(e *execution, _ *sentRequest) { e.servers["c1"].leaving = at(7) }),
+		Entry("a server of an evacuated domain that gets requests", "evacuations", func(e *execution, _ *sentRequest) { e.evacuated(7, 12) }),
 		Entry("a leaving server that gets requests of an instance that the store has rejected", "leaving servers", func(e *execution, _ *sentRequest) {
 			e.servers["c1"].leaving = at(7)
 			e.disturbed("router-1", false, 6, 7.5)
@@ -227,6 +234,12 @@
 		Expect(e.check()).To(BeEmpty())
 	},
 		Entry("an old route within the time that a version may take", func(e *execution, _ *sentRequest) { e.served(movedRouteRequest, "moved-1", "c1", 21.5) }),
+		Entry("a request to a server of an evacuated domain before that must be in force", func(e *execution, _ *sentRequest) { e.evacuated(8.5, 12) }),
+		Entry("a request to a server of a domain after its evacuation", func(e *execution, _ *sentRequest) { e.evacuated(5, 9) }),
+		Entry("a request to an evacuated domain from an instance that was frozen", func(e *execution, _ *sentRequest) {
+			e.evacuated(7, 12)
+			e.disturbed("router-1", false, 7, 9)
+		}),
 		Entry("an old route on an instance that was cut off", func(e *execution, _ *sentRequest) {
 			e.disturbed("router-1", false, 19, 28)
 			e.served(movedRouteRequest, "moved-1", "c1", 30)
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -29,6 +29,8 @@
 		t.limitServers(a)
 	case ServersLeave:
 		return t.leave(a, i)
+	case Evacuation:
+		t.evacuate(a, i)
 	case PoisonPart:
 		t.poison.play(a)
 	case DeadlyRequest:
@@ -158,6 +160,7 @@
 		time.Sleep(a.Duration)
 		t.store.Restore(copied)
 		t.operator.rewrite()
+		t.evacuator.rewrite()
 		for _, m := range t.machines {
 			m.rewrite()
 		}
--- a/lab/soak/instance.go
+++ b/lab/soak/instance.go
@@ -17,6 +17,8 @@
 type instance struct {
 	name, domain string
 	binary, dir  string
+	// evacuateWithin is the time within which an evacuation must be in force.
+	evacuateWithin time.Duration
 	// callers, ready and peer are its listen addresses; store is the proxy between it and the store.
 	callers, ready, peer string
 	store                *Proxy
@@ -44,7 +46,7 @@
 	return []string{
 		"node", "-instance", i.name, "-domain", i.domain, "-caller-listen", i.callers, "-ready-listen", i.ready,
 		"-peer-listen", i.peer, "-platform-address", i.store.Address(), "-memory-mb", "134", "-stop-grace", "8s",
-		"-retry-ratio", "0.2", "-retry-fixed", "54", "-retry-window", "10s",
+		"-retry-ratio", "0.2", "-retry-fixed", "54", "-retry-window", "10s", "-evacuate-within", i.evacuateWithin.String(),
 	}
 }
 
--- a/lab/soak/parts_test.go
+++ b/lab/soak/parts_test.go
@@ -33,7 +33,7 @@
 			}
 			Expect(len(kinds)).To(BeNumerically("<", len(faultWeights)), "a plan leaves some faults out")
 		}
-		for _, apart := range []Fault{ServerLimit, PoisonPart, StoreSilent, DeadlyRequest, ServersLeave} {
+		for _, apart := range []Fault{ServerLimit, PoisonPart, StoreSilent, DeadlyRequest, ServersLeave, Evacuation} {
 			Expect(seen).To(HaveKey(apart))
 		}
 		for _, w := range faultWeights {
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -37,6 +37,7 @@
 	ServerPathSlow      Fault = "server-path-slow"
 	ServersLeave        Fault = "servers-leave"
 	ServerLimit         Fault = "server-limit"
+	Evacuation          Fault = "evacuation"
 	PoisonPart          Fault = "poison-part"
 	DeadlyRequest       Fault = "deadly-request"
 	ConfigurationChange Fault = "configuration"
@@ -136,6 +137,7 @@
 	p.Actions = append(p.Actions, repeatedActions(seed, silentStream, StoreSilent, silentShare, meanSilentPause, length)...)
 	p.Actions = append(p.Actions, lastingActions(seed, deadlyStream, DeadlyRequest, deadlyPlanShare, length)...)
 	p.Actions = append(p.Actions, repeatedActions(seed, leavingStream, ServersLeave, leavingShare, meanLeavingPause, length)...)
+	p.Actions = append(p.Actions, repeatedActions(seed, evacuationStream, Evacuation, evacuationShare, meanEvacuationPause, length)...)
 	slices.SortFunc(p.Actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
@@ -147,7 +149,8 @@
 	silentStream = 4
 	deadlyStream = 5
 	// Stream 6 is that of the sends of deadly requests.
-	leavingStream = 7
+	leavingStream    = 7
+	evacuationStream = 8
 )
 
 // repeatedActions draws whether a plan has a fault, and when; meanPause is the mean time between two of them.
--- a/lab/soak/poison.go
+++ b/lab/soak/poison.go
@@ -93,7 +93,7 @@
 	known := crashes[min(len(crashes), e.bounds.LearningCrashes)-1].Add(e.bounds.SoundTime)
 	var before, after struct{ sent, begun float64 }
 	for _, s := range e.sent {
-		otherFault := func(v interval) bool { return !v.planned && v.scope != poisonScope }
+		otherFault := func(v interval) bool { return !v.planned && v.scope != poisonScope || v.scope == evacuationScope }
 		if !s.kind.stream() || s.poison || !s.canceledAt.IsZero() || e.faults.overlaps(s.began.Add(-e.bounds.Stable), s.done, otherFault) {
 			continue
 		}
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -48,9 +48,10 @@
 	server  *standin.Server
 	service string
 	// stage is the stage that the server announces.
-	stage string
-	http  *http.Server
-	path  *Proxy
+	stage  string
+	domain string
+	http   *http.Server
+	path   *Proxy
 	// leaving is when the store acknowledged that the server is leaving; zero if the server did not announce it.
 	leaving time.Time
 	// announcedAt is when the server began to say so in its answers; zero if it did not.
@@ -85,7 +86,7 @@
 	if err != nil {
 		return errors.Join(err, l.Close())
 	}
-	b := &serverBoot{server: server, service: m.service, stage: m.stage, http: &http.Server{Handler: server}, path: path}
+	b := &serverBoot{server: server, service: m.service, stage: m.stage, domain: m.domain, http: &http.Server{Handler: server}, path: path}
 	m.current, m.boots = b, append(m.boots, b)
 	server.CrashOn(crashesServers, func(header http.Header) {
 		if standin.IsDeadly(header) {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -58,6 +58,7 @@
 	options   Options
 	store     *standin.Store
 	operator  *operator
+	evacuator *evacuator
 	machines  []*machine
 	instances []*instance
 	balancer  *balancer
@@ -126,6 +127,7 @@
 		server.Config.Close() //nolint:errcheck // nothing is left to be done with it
 	}
 	t.operator = &operator{store: t.store}
+	t.evacuator = &evacuator{store: t.store, open: map[string]int{}}
 	t.operator.change(0)
 	t.addMachines()
 	if err := t.addInstances(strings.TrimPrefix(server.URL, "http://")); err != nil {
@@ -164,7 +166,7 @@
 			return err
 		}
 		i := &instance{
-			name: fmt.Sprint("router-", n+1), domain: domains[n%len(domains)], binary: t.options.Binary, dir: t.options.Dir, store: path,
+			name: fmt.Sprint("router-", n+1), domain: domains[n%len(domains)], evacuateWithin: t.options.Bounds.Evacuate, binary: t.options.Binary, dir: t.options.Dir, store: path,
 		}
 		for _, address := range []*string{&i.callers, &i.ready, &i.peer} {
 			if *address, err = freeAddress(); err != nil {
@@ -313,7 +315,7 @@
 // execution collects what callers, servers and the operator observed.
 func (t *testbed) execution() *execution {
 	e := &execution{
-		bounds: t.options.Bounds, sent: t.load.sent, faults: &t.faults, versions: t.operator.all(), lateStops: t.lateStops,
+		bounds: t.options.Bounds, sent: t.load.sent, faults: &t.faults, versions: t.operator.all(), evacuations: t.evacuator.all(), lateStops: t.lateStops,
 		runs: map[string][]standin.Run{}, servers: map[string]*serverBoot{}, limited: map[string]serverLimits{},
 		poison: t.poison.observations(), deadly: t.deadly.observations(),
 	}
--- a/router/internal/app/routingcache/evacuations.go
+++ b/router/internal/app/routingcache/evacuations.go
@@ -16,11 +16,10 @@
 const (
 	// turnChecksPerLimit is how often, within the limit for evacuations, an instance checks whether it is to ask the platform for them.
 	turnChecksPerLimit = 20
-	// startCheckInterval is the interval of these checks until an instance knows the evacuations, membersTimeout how long it waits for the
-	// list of instances, and messageTimeout how long it then waits for a message from a collector.
+	// startCheckInterval is the interval of these checks until an instance knows the evacuations, startTimeout how long it waits for the list
+	// of instances, which tells whether it is a collector, and for a message from one.
 	startCheckInterval = 20 * time.Millisecond
-	membersTimeout     = 800 * time.Millisecond
-	messageTimeout     = time.Second
+	startTimeout       = 1800 * time.Millisecond
 	// staleFraction is the fraction of the limit after which the evacuations that are known count as stale. The platform then does not
 	// answer the collectors, or they do not reach this instance.
 	staleFraction = 0.6
@@ -175,9 +174,9 @@
 		now, interval := m.sinceBoot(), e.limit/turnChecksPerLimit
 		age := now - e.startedAt
 		switch {
-		case m.fleet.IsCollector() && (m.fleet.KnowsMembers() || age >= membersTimeout):
+		case m.fleet.IsCollector() && m.fleet.KnowsMembers():
 			return false
-		case !e.Known() && age >= membersTimeout+messageTimeout:
+		case !e.Known() && age >= startTimeout:
 			return true
 		case !e.Known():
 			interval = startCheckInterval
