Merge branch 'evacuation': evacuation of domains, cold endpoints, home regions

Cause: 2,627 requests reached endpoints of an evacuated domain on the shifted deployment; nothing knew evacuations, cold endpoints or regions.

--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
 
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
@@ -22,6 +23,7 @@
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/priority"
 	"tanagerwood.dev/router/internal/domain/quarantine"
+	"tanagerwood.dev/router/internal/domain/regions"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/retrydetect"
 	"tanagerwood.dev/router/internal/domain/routetable"
@@ -61,6 +63,8 @@
 	PauseRemaining(service string, stage routing.Stage) time.Duration
 	// Paused reports whether an endpoint has asked for a pause that is not over.
 	Paused(ep routing.Endpoint) bool
+	// Evacuated reports whether an endpoint must get nothing because its domain is evacuated.
+	Evacuated(ep routing.Endpoint) bool
 	// Leaving reports whether an endpoint is known to leave or to be gone.
 	Leaving(ep routing.Endpoint) bool
 	// Left reports whether an endpoint that was chosen at the given time since boot may have been leaving for so long since then
@@ -91,6 +95,8 @@
 	Speeds  *speed.Tracker
 	LoadAge func() time.Duration
 	Domain  string
+	// Regions holds the regions of the failure domains.
+	Regions regions.Table
 	// InstanceCount is the number of instances that share the endpoints' connections.
 	InstanceCount func() int
 	// PeersSynced reports whether this instance knows the endpoints and the state of the other instances.
@@ -180,6 +186,10 @@
 	lastEndpoint     string
 	status           int
 	withheldResponse *failedResponse
+	// allowed is the filter of the domains to which the request may go.
+	allowed regions.Filter
+	// prefilledAt is the engine of the latest prefill.
+	prefilledAt routing.Endpoint
 	// withheldMemory is what the withheld response takes.
 	withheldMemory membudget.Holding
 	durations      stepDurations
@@ -266,6 +276,7 @@
 		return fault.New(fault.NoEndpoint, "the route has no service; come back after Retry-After").WithRetryAfter(noEndpointRetryAfter)
 	}
 	r.setDeadline()
+	r.allowed = r.Regions.Filter(r.route.AllowedRegions, r.customerRegions())
 	r.call = routing.Call{
 		RequestID: r.req.Caller.RequestID, Method: r.req.Method, Target: r.req.Target, Host: r.req.Host,
 		Header: r.req.Caller.Header, Body: body,
@@ -286,6 +297,23 @@
 	return r.chargeRateLimit()
 }
 
+// customerRegions returns the regions in which the customer's requests must stay.
+func (r *requestState) customerRegions() []string {
+	if r.customer == nil {
+		return nil
+	}
+	return r.customer.AllowedRegions
+}
+
+// stage lists the usable endpoints of the service in the stage to which the request may go.
+func (r *requestState) stage(stage routing.Stage) []routing.Endpoint {
+	all := r.State.Stage(r.service.Name, stage)
+	if r.allowed == nil {
+		return all
+	}
+	return lo.Filter(all, func(ep routing.Endpoint, _ int) bool { return r.allowed(ep.Domain) })
+}
+
 // syncPeers waits, once for a request, until the state of the other instances is known.
 func (r *requestState) syncPeers(ctx context.Context) {
 	if !r.peersSynced {
@@ -359,6 +387,9 @@
 	if r.timeLeft() <= 0 || r.ctx.Err() != nil {
 		return false
 	}
+	if errors.Is(err, routing.ErrEvacuated) {
+		return true // nothing was sent
+	}
 	if errors.Is(err, routing.ErrNotRun) {
 		return r.sends < maxSends && r.RetryBudget.TryRetry(r.service.Name, r.SinceBoot())
 	}
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -66,7 +66,7 @@
 
 // noPlainEndpoint returns the error of a request for which no endpoint is left, with the time at which one is.
 func (r *requestState) noPlainEndpoint() error {
-	all := r.State.Stage(r.service.Name, "")
+	all := r.stage("")
 	untried := slices.DeleteFunc(slices.Clone(all), func(ep routing.Endpoint) bool { return r.triedEndpoints[ep.ID] })
 	if delay := r.Limits.QueueDelay(untried, 0); delay > 0 {
 		jitter := time.Duration(r.Random() * float64(noEndpointRetryAfter))
@@ -96,7 +96,7 @@
 
 // pickPlain selects the least loaded endpoint that this request has not tried and whose request limit admits it.
 func (r *requestState) pickPlain() (routing.Endpoint, bool) {
-	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, ""), endpointID, r.SinceBoot())
+	usable := health.UsableEndpoints(r.Health, r.stage(""), endpointID, r.SinceBoot())
 	candidates := lo.Reject(usable, func(ep routing.Endpoint, _ int) bool { return r.triedEndpoints[ep.ID] || r.Limits.Delay(ep) > 0 })
 	for len(candidates) > 0 {
 		best := r.leastLoaded(candidates)
@@ -150,6 +150,7 @@
 	start := r.SinceBoot()
 	r.expectAnswer(start)
 	answer, err := r.Client.Send(ctx, ep, r.maxConns(), &call)
+	r.uncountUnsent(err)
 	if err == nil {
 		r.attempts++
 		r.mayHaveRun = true
@@ -212,12 +213,21 @@
 	r.triedEndpoints[ep.ID] = true
 }
 
+// uncountUnsent takes back the count of a send that an evacuation has prevented, so that it does not use up the sends of the request.
+func (r *requestState) uncountUnsent(err error) {
+	if errors.Is(err, routing.ErrEvacuated) {
+		r.sends--
+	}
+}
+
 // recordOutcome updates the endpoint's health with the outcome of a send.
 func (r *requestState) recordOutcome(ep routing.Endpoint, err error, start time.Duration) {
 	now := r.SinceBoot()
 	switch {
 	case err == nil:
 		r.Health.RecordSuccess(ep.ID, now)
+	case errors.Is(err, routing.ErrEvacuated):
+		// Nothing was sent, which says nothing about the endpoint.
 	case r.ctx.Err() != nil && now < r.deadline:
 		// The caller has disconnected, which says nothing about the endpoint.
 	default:
@@ -283,7 +293,7 @@
 }
 
 func (r *requestState) hasUntriedEndpoint() bool {
-	return len(r.State.Stage(r.service.Name, "")) > len(r.triedEndpoints)
+	return len(r.stage("")) > len(r.triedEndpoints)
 }
 
 // ignoreWriteError drops the error of a caller that disconnected while its complete response was written.
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,8 @@
 	Endpoints *EndpointList `json:"endpoints"`
 	// Kept holds the endpoints that the sender uses besides.
 	Kept map[string]KeptEndpoint `json:"kept,omitempty"`
+	// Evacuations is nil if the sender does not know them.
+	Evacuations *EvacuationReport `json:"evacuations,omitempty"`
 }
 
 // PropagationLimits are the times within which changes must take effect.
@@ -58,13 +61,19 @@
 	IsCollector() bool
 	// AnnounceVersions is called when the configuration or the endpoint list has a new version.
 	AnnounceVersions()
+	// AnnounceEvacuations is called when the evacuated domains have changed.
+	AnnounceEvacuations()
+	// KnowsMembers reports whether the list of instances is known, without which IsCollector is not reliable.
+	KnowsMembers() bool
 }
 
 // singleInstance is the Fleet of an instance without others.
 type singleInstance struct{}
 
-func (singleInstance) IsCollector() bool { return false }
-func (singleInstance) AnnounceVersions() {}
+func (singleInstance) IsCollector() bool    { return false }
+func (singleInstance) AnnounceVersions()    {}
+func (singleInstance) AnnounceEvacuations() {}
+func (singleInstance) KnowsMembers() bool   { return true }
 
 // Cache holds the configuration and the endpoint list. It is safe for concurrent use.
 type Cache struct {
@@ -108,6 +117,10 @@
 	restartWatch [2]chan struct{}
 	// era is the highest era of the store in a response.
 	era atomic.Uint64
+	// onEndpoints is called with each new list of endpoints.
+	onEndpoints func(byID map[string]routing.Endpoint)
+	// evacuations is nil if evacuations are not read.
+	evacuations *evacuationReader
 }
 
 // noOutage is the value of times of events that have not occurred.
@@ -116,7 +129,7 @@
 // New returns a cache without a configuration and with an empty endpoint list. The function instanceCount returns the number of
 // instances in the fleet, and boot the time since boot.
 func New(p PlatformClient, limits PropagationLimits, instanceCount func() int, logger *log.Logger, boot func() time.Duration) *Cache {
-	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, fleet: singleInstance{}, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{}, recoveredAt: noOutage, departures: newDepartureLog(),
+	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, fleet: singleInstance{}, onEndpoints: func(map[string]routing.Endpoint) {}, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{}, recoveredAt: noOutage, departures: newDepartureLog(),
 		outage: newOutageDetector(limits.Heartbeat, boot()), restoredAt: noOutage}
 	m.ownAnswer.Store(int64(noOutage))
 	m.fleetAnswer.Store(int64(noOutage))
@@ -133,15 +146,21 @@
 // Connect connects the cache with the other instances. It must be called before Run.
 func (m *Cache) Connect(f Fleet) { m.fleet = f }
 
+// OnEndpoints sets a function that is called with each new list of endpoints, which it must not change. It must be set before Run, must not
+// block and must not call methods of the cache but for Table.
+func (m *Cache) OnEndpoints(f func(byID map[string]routing.Endpoint)) { m.onEndpoints = f }
+
 // Table returns the routing table of the configuration in force, or nil if none is known yet.
 func (m *Cache) Table() *routetable.Table { return m.table.Load() }
 
 // Endpoints returns the current endpoint list.
 func (m *Cache) Endpoints() *EndpointList { return m.endpoints.Load() }
 
-// IsComplete reports whether both the configuration and the endpoint list are known. Without the list, requests would be refused
-// although endpoints exist.
-func (m *Cache) IsComplete() bool { return m.Table() != nil && m.Endpoints().Revision > 0 }
+// IsComplete reports whether the configuration, the endpoint list and, if they are followed, the evacuations are known. Without the list,
+// requests would be refused although endpoints exist.
+func (m *Cache) IsComplete() bool {
+	return m.Table() != nil && m.Endpoints().Revision > 0 && m.EvacuationsKnown()
+}
 
 // AnswerAges returns how long ago the platform last answered a call for the configuration and one for the endpoint list. They
 // grow while a watch waits for a change; a lost watch shows as an age beyond its wait.
@@ -186,15 +205,29 @@
 func (m *Cache) Run(ctx context.Context) {
 	ctx = routing.WithProgress(ctx, func() { m.lastReceivedAt.Store(int64(m.sinceBoot())) })
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		m.superviseFeed(ctx, feed{"config", m.limits.Config, m.restartWatch[0], m.restartWatch[1], &m.away[0], &m.away[1], &m.configAnsweredAt, m.readConfig, m.watchConfig})
-	})
-	wg.Go(func() {
-		m.superviseFeed(ctx, feed{"endpoints", m.limits.Endpoints, m.restartWatch[1], m.restartWatch[0], &m.away[1], &m.away[0], &m.endpointsAnsweredAt, m.listEndpoints, m.watchEndpoints})
-	})
+	for _, f := range m.feeds() {
+		wg.Go(func() { m.superviseFeed(ctx, f) })
+	}
 	wg.Wait()
 }
 
+// feeds returns the feeds that the cache follows.
+func (m *Cache) feeds() []*feed {
+	feeds := []*feed{
+		{name: "config", limit: m.limits.Config, restart: m.restartWatch[0], away: &m.away[0], answeredAt: &m.configAnsweredAt, list: m.readConfig, watch: m.watchConfig,
+			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Config, afterChange) }},
+		{name: "endpoints", limit: m.limits.Endpoints, restart: m.restartWatch[1], away: &m.away[1], answeredAt: &m.endpointsAnsweredAt, list: m.listEndpoints, watch: m.watchEndpoints,
+			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Endpoints, afterChange) }},
+	}
+	if m.evacuations != nil {
+		feeds = append(feeds, m.evacuationFeed())
+	}
+	for i, f := range feeds {
+		f.others = slices.Concat(feeds[:i], feeds[i+1:])
+	}
+	return feeds
+}
+
 func (m *Cache) readConfig(ctx context.Context) (uint64, error) {
 	c, revision, err := m.platform.ReadConfig(ctx)
 	return m.handleConfig(c, revision, err)
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -12,6 +12,7 @@
 
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/domain/priority"
+	"tanagerwood.dev/router/internal/domain/regions"
 )
 
 // Request is a waiting request in the form in which instances exchange it.
@@ -38,6 +39,8 @@
 	Reserved *Place
 	// ExcludedEngines holds the IDs of the engines that have failed the request.
 	ExcludedEngines map[string]bool
+	// Allowed is the filter of the failure domains in which the request may run; nil if it may run anywhere.
+	Allowed regions.Filter
 	// OnDecision is called once, when Dispatch removes the request from the list: with the assigned engine, or with nil if the
 	// request is refused.
 	OnDecision func(engine *routing.Endpoint)
@@ -97,12 +100,26 @@
 	return true
 }
 
-// Requests lists the waiting requests for other instances.
+// RefuseIf removes and refuses the requests for which the function returns true.
+func (l *List) RefuseIf(refuse func(e *Entry) bool) {
+	for _, e := range slices.Clone(l.entries) {
+		if refuse(e) {
+			l.Remove(e)
+			e.OnDecision(nil)
+		}
+	}
+}
+
+// Requests lists the waiting requests for other instances. It leaves out those that may not run everywhere, which must not hold up requests
+// of other instances elsewhere.
 func (l *List) Requests(service string, now time.Duration) []Request {
-	out := make([]Request, len(l.entries))
-	for i, e := range l.entries {
+	out := make([]Request, 0, len(l.entries))
+	for _, e := range l.entries {
+		if e.Allowed != nil {
+			continue
+		}
 		place := e.place()
-		out[i] = Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (place.LatestStart - now).Milliseconds(), Class: place.Class}
+		out = append(out, Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (place.LatestStart - now).Milliseconds(), Class: place.Class})
 	}
 	return out
 }
@@ -136,8 +153,9 @@
 	return time.Duration(slots) * t.MeanHoldTime / time.Duration(t.Running)
 }
 
-// AssignFunc selects an engine for a request and counts the request as running there; it returns nil if no engine has room. The
-// entry is nil for requests of other instances.
+// AssignFunc selects an engine for a request and counts the request as running there; it returns nil if no engine has room. If the request
+// may not run everywhere and is on time, the engines that it may use then get none of the later requests. The entry is nil for requests of
+// other instances.
 type AssignFunc func(tokens int64, own *Entry) *routing.Endpoint
 
 // contentionPeriod is how long late requests are assigned no slot after an on-time request, of the same class or a more urgent one,
@@ -156,14 +174,20 @@
 		if blocked == 0 && !(w.late && l.contended(w.class, now)) {
 			engine = take(w.tokens, w.own)
 		}
-		if engine == nil && !w.late {
+		ahead := blocked
+		switch {
+		case engine != nil || w.late:
+		case w.own != nil && w.own.Allowed != nil:
+			ahead++ // the engines that it may use are kept for it by the function take
+		default:
 			blocked++
+			ahead++
 			l.contend(w.class, now)
 		}
 		if w.own == nil {
 			continue
 		}
-		refused := engine == nil && (w.late || !w.own.admitted && now+turnover.timeToFree(blocked) > w.own.place().LatestStart)
+		refused := engine == nil && (w.late || !w.own.admitted && now+turnover.timeToFree(ahead) > w.own.place().LatestStart)
 		if refused && w.own.Reserved != nil {
 			l.leaveReservedPlace(w.own)
 			continue
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,12 +21,14 @@
 	"tanagerwood.dev/router/internal/app/rebalance"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/coldstart"
 	"tanagerwood.dev/router/internal/domain/endpointlimit"
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
 	"tanagerwood.dev/router/internal/domain/quarantine"
+	"tanagerwood.dev/router/internal/domain/regions"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 	"tanagerwood.dev/router/internal/domain/slowreader"
@@ -44,6 +48,7 @@
 	endpoints    *platform.Endpoints
 	health       *health.Tracker
 	availability *availability.Tracker
+	cold         *coldstart.Tracker
 	limits       *endpointlimit.Limiter
 	budget       *retrybudget.Budget
 	quarantine   *quarantine.Tracker
@@ -64,6 +69,7 @@
 		endpoints:    do.MustInvoke[*platform.Endpoints](n.injector),
 		health:       do.MustInvoke[*health.Tracker](n.injector),
 		availability: do.MustInvoke[*availability.Tracker](n.injector),
+		cold:         do.MustInvoke[*coldstart.Tracker](n.injector),
 		limits:       do.MustInvoke[*endpointlimit.Limiter](n.injector),
 		budget:       do.MustInvoke[*retrybudget.Budget](n.injector),
 		quarantine:   do.MustInvoke[*quarantine.Tracker](n.injector),
@@ -97,7 +103,7 @@
 func (s routingState) CountChanging(service string, to routing.Stage) (count int) {
 	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
-		if next, ok := s.transitions.Target(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving {
+		if next, ok := s.transitions.Target(ep.ID, ep.Stage, now); ok && next == to && ep.Service == service && !ep.Leaving && !s.Evacuated(ep) {
 			count++
 		}
 	}
@@ -144,9 +150,26 @@
 	return !known || listed.StartedMS != ep.StartedMS || listed.Leaving || s.availability.Leaving(ep)
 }
 
-// endpointsInStage returns the endpoints of a service that the platform lists in a stage, without those that are leaving or
-// changing to another stage.
+// Evacuated implements forward.RoutingState.
+func (s routingState) Evacuated(ep routing.Endpoint) bool { return s.IsEvacuated(ep.Domain) }
+
+// AllEvacuated implements dispatch.RoutingState.
+func (s routingState) AllEvacuated(service string, stage routing.Stage) bool {
+	return s.AnyEvacuated() && len(s.endpointsInStage(service, stage)) == 0 && len(s.listedInStage(service, stage)) > 0
+}
+
+// endpointsInStage returns the endpoints of a service that the platform lists in a stage, without those that are leaving, changing to
+// another stage, or in an evacuated domain.
 func (s routingState) endpointsInStage(service string, stage routing.Stage) []routing.Endpoint {
+	all := s.listedInStage(service, stage)
+	if !s.AnyEvacuated() {
+		return all
+	}
+	return slices.DeleteFunc(all, s.Evacuated)
+}
+
+// listedInStage is endpointsInStage with the endpoints in evacuated domains.
+func (s routingState) listedInStage(service string, stage routing.Stage) []routing.Endpoint {
 	var out []routing.Endpoint
 	now := s.boot()
 	for _, ep := range s.Endpoints().ByID {
@@ -191,12 +214,47 @@
 }
 
 // usesSpeed reports whether the settings or the configuration ask for estimates of the speed of a service's endpoints.
-func (n *Node) usesSpeed(string) bool { return n.settings.Load().EndpointPacing }
+func (n *Node) usesSpeed(service string) bool {
+	if n.settings.Load().EndpointPacing {
+		return true
+	}
+	s := n.findService(service)
+	return s != nil && s.ColdPerSecond > 0
+}
+
+// refuseEvacuated returns an error if an endpoint must get nothing because its domain is evacuated. Requests that were assigned to the
+// endpoint before the evacuation are refused here, whatever they wait for.
+func (n *Node) refuseEvacuated(ep routing.Endpoint) error {
+	p := n.components.Load()
+	if !p.state.Evacuated(ep) {
+		return nil
+	}
+	metrics.GetOrRegisterCounter("sends.refused_evacuated", p.metrics).Inc(1)
+	return fmt.Errorf("%w: %s", routing.ErrEvacuated, ep.Domain)
+}
+
+// findService returns the configuration of a service, or nil. Like fleetSize, it is called only while the node runs.
+func (n *Node) findService(name string) *routing.Service {
+	return n.components.Load().state.Service(name)
+}
+
+// recordColdEndpoints records which endpoints are cold according to the platform's list.
+func (n *Node) recordColdEndpoints(byID map[string]routing.Endpoint) {
+	n.components.Load().cold.RecordList(byID, clock.System{}.Boot(), time.Now().UnixMilli())
+}
+
+// recordReturn records that the evacuation of a domain has ended.
+func (n *Node) recordReturn(cache *routingcache.Cache, domain string) {
+	n.components.Load().cold.RecordReturn(domain, cache.Endpoints().ByID, clock.System{}.Boot())
+}
 
 // recordNotice records an endpoint's notices: that it is leaving, asks for a pause, or has a request limit. It reports leaving
 // endpoints and limits to the peers.
 func (n *Node) recordNotice(ep routing.Endpoint, notice routing.Notice) {
 	p := n.components.Load()
+	if notice.StatesCold {
+		p.cold.RecordAnswer(ep, notice.Cold, clock.System{}.Boot())
+	}
 	if p.availability.RecordLimit(ep, notice, clock.System{}.Boot()) {
 		n.options.Logger.Info().Str("event", "endpoint.limit").Str("endpoint", ep.ID).Bool("ended", notice.Limit.State == routing.LimitNone).
 			Float64("per_second", notice.Limit.PerSecond).Int64("sent", p.availability.SentUnderLimit(ep)).Msg("")
@@ -218,19 +276,21 @@
 	latencyEstimator := latency.New()
 	availabilityTracker := availability.New(rand.Float64)
 	do.ProvideValue(i, availabilityTracker)
+	cold := coldstart.New(n.findService)
+	do.ProvideValue(i, cold)
 	crashes := quarantine.New()
 	do.ProvideValue(i, crashes)
 	store := platform.NewStore(s.PlatformAddress, deadConnectionTimeout)
 	store.LimitMemory(n.controlMemory)
 	do.ProvideValue(i, store)
-	registry := newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era)
+	registry := newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, cold, store.Era)
 	do.ProvideValue(i, registry)
 	do.ProvideValue(i, inflight.NewTracker())
 	do.ProvideValue(i, latencyEstimator)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
 		cache := do.MustInvoke[*routingcache.Cache](i)
 		return sharedlimit.New(func(key string) *sharedlimit.Quota {
-			if q := endpointlimit.FindQuota(availabilityTracker, key); q != nil {
+			if q := endpointlimit.FindQuotaAt(availabilityTracker, cold, key, boot()); q != nil {
 				return q
 			}
 			if t := cache.Table(); t != nil {
@@ -243,7 +303,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*endpointlimit.Limiter, error) {
 		return endpointlimit.New(endpointlimit.Deps{
-			Notices: availabilityTracker, Quotas: do.MustInvoke[*sharedlimit.Limiter](i), OnAdmit: n.triggerReport, SinceBoot: boot,
+			Notices: availabilityTracker, Cold: cold, Quotas: do.MustInvoke[*sharedlimit.Limiter](i), OnAdmit: n.triggerReport, SinceBoot: boot,
 		}), nil
 	})
 	do.ProvideValue(i, health.NewTracker(n.fleetSize))
@@ -257,10 +317,17 @@
 	endpoints.OnNotice(n.recordNotice)
 	endpoints.OnSend(n.recordSend)
 	endpoints.OnLoad(n.recordLoad)
+	if s.EvacuationLimit > 0 {
+		endpoints.RefuseSends(n.refuseEvacuated)
+	}
 	do.ProvideValue(i, endpoints)
 	do.Provide(i, func(i do.Injector) (*routingcache.Cache, error) {
 		limits := routingcache.PropagationLimits{Config: s.ConfigPropagationLimit, Endpoints: s.DrainPropagationLimit, Heartbeat: s.EndpointHeartbeat}
 		cache := routingcache.New(store, limits, n.fleetSize, logger, boot)
+		if s.EvacuationLimit > 0 {
+			cache.ReadEvacuations(store, s.EvacuationLimit, func(domain string) { n.recordReturn(cache, domain) })
+		}
+		cache.OnEndpoints(func(byID map[string]routing.Endpoint) { n.recordColdEndpoints(byID) })
 		store.OnNewEra(func(era uint64) { cache.RecordEra(era) })
 		registerCacheGauges(do.MustInvoke[metrics.Registry](i), cache)
 		return cache, nil
@@ -298,7 +365,7 @@
 			State: do.MustInvoke[routingState](i), Client: do.MustInvoke[*platform.Endpoints](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), RateLimiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Limits: do.MustInvoke[*endpointlimit.Limiter](i), RetryBudget: do.MustInvoke[*retrybudget.Budget](i), EndpointLoad: do.MustInvoke[*inflight.Tracker](i),
-			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain,
+			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain, Regions: regions.Table(s.Regions),
 			Speeds: speeds, LoadAge: func() time.Duration { return n.components.Load().peers.LoadAge() },
 			InstanceCount: n.fleetSize,
 			PeersSynced: func() bool {
