--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -26,6 +26,7 @@
 	"tanagerwood.dev/router/internal/app/background"
 	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/plannedstop"
+	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/settings"
 )
 
@@ -113,7 +114,7 @@
 // Ready reports whether the instance accepts new connections.
 func (n *Node) Ready() bool {
 	p := n.components.Load()
-	return p != nil && n.stopPhase() == frontend.Serving && p.routingCache.Table() != nil && p.peers.Joined()
+	return p != nil && n.stopPhase() == frontend.Serving && p.routingCache.IsComplete() && p.peers.Joined()
 }
 
 // stopPhase returns the current phase of a planned stop.
@@ -252,6 +253,10 @@
 	}
 	p.health.RetainListed(len(listed), known)
 	p.dispatcher.PruneEndpoints(known)
+	p.speeds.Prune(func(start speed.Start) bool {
+		ep, ok := listed[start.ID]
+		return ok && ep.StartedMS == start.StartedMS
+	}, clock.System{}.Boot())
 }
 
 type listener struct {
