--- a/router/internal/domain/sharedlimit/bucket.go
+++ b/router/internal/domain/sharedlimit/bucket.go
@@ -6,12 +6,8 @@
 	// initialLevelFraction is the part of the burst that a new bucket holds of a quota that has not been in force since the start of the
 	// instance. What was admitted before is not known.
 	initialLevelFraction = 0.5
-	// In any ruleWindow, (1 + ruleExcess) times the rate and the burst and ruleSlackTokens may be admitted. The burst may have been used
-	// just before all instances restarted, so that a new bucket holds initialExcessFraction of what exceeds the rate and the burst; the
-	// rest is for what instances admit before they hear from each other.
-	ruleWindow            = 8 * time.Second
-	ruleExcess            = 0.1
-	ruleSlackTokens       = 73_000
+	// initialExcessFraction is the part of what a tolerance allows beyond the rate and the burst that a new bucket holds. The burst may
+	// have been used just before all instances restarted; the rest is for what instances admit before they hear from each other.
 	initialExcessFraction = 0.5
 	// sufficientFraction is the part of the burst at which a request of any size is admitted. A bucket never holds more
 	// than its burst, so larger requests would never be admitted otherwise.
@@ -48,10 +44,24 @@
 	return max(0, time.Duration((required-b.level)/q.RatePerSecond*float64(time.Second)))
 }
 
+// Tolerance is what may be admitted under a quota in tokens: in any Window, Overage times the rate and the burst, and Slack tokens.
+type Tolerance struct {
+	// Window is zero if the tolerance is unknown.
+	Window time.Duration
+	// Overage is a factor; less than 1 counts as 1.
+	Overage float64
+	Slack   float64
+}
+
+// excess returns the tokens beyond the rate and the burst that a window may hold.
+func (t Tolerance) excess(q *Quota) float64 {
+	return max(0, t.Overage-1)*(q.RatePerSecond*t.Window.Seconds()+q.Burst) + t.Slack
+}
+
 // initialLevel returns the level of a new bucket.
-func (q *Quota) initialLevel() float64 {
-	if !q.Standing || !q.CountsTokens {
+func (q *Quota) initialLevel(t Tolerance) float64 {
+	if !q.Standing || !q.CountsTokens || t.Window <= 0 {
 		return initialLevelFraction * q.Burst
 	}
-	return min(q.Burst, initialExcessFraction*(ruleExcess*(q.RatePerSecond*ruleWindow.Seconds()+q.Burst)+ruleSlackTokens))
+	return min(q.Burst, initialExcessFraction*t.excess(q))
 }
--- a/router/internal/domain/sharedlimit/restart_test.go
+++ b/router/internal/domain/sharedlimit/restart_test.go
@@ -9,12 +9,13 @@
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
 )
 
+// tolerance and the quotas define the most that a customer may be admitted in any window.
+var tolerance = sharedlimit.Tolerance{Window: 8 * time.Second, Overage: 1.1, Slack: 73_000}
+
 const (
 	// requestCost is the cost of each request of the load tests in tokens.
 	requestCost = 5270
 	simStep     = 5 * time.Millisecond
-	// quotaWindow, quotaExcess and quotaSlack define the most that a customer may be admitted in any window.
-	quotaWindow, quotaExcess, quotaSlack = 8 * time.Second, 1.1, 73_000
 	// simCollectors is the number of collectors in a fleet of more than simMeshSize instances. The others read views.
 	simCollectors, simMeshSize = 5, 10
 	simPeriod                  = 500 * time.Millisecond
@@ -64,6 +65,7 @@
 	f.instances = nil
 	for i := range count {
 		in := &simInstance{Limiter: sharedlimit.New(f.find), name: fmt.Sprint("i", i), incarnation: f.started}
+		in.SetTolerance(tolerance)
 		in.Begin(f.now)
 		in.SetSilenceTimeout(3 * simPeriod)
 		f.instances = append(f.instances, in)
@@ -160,10 +162,10 @@
 
 // excess returns how much more than the rule allows was admitted in the worst window.
 func (c *simCustomer) excess(end time.Duration) int64 {
-	allowed := int64((c.RatePerSecond*quotaWindow.Seconds()+c.Burst)*quotaExcess) + quotaSlack
+	allowed := int64((c.RatePerSecond*tolerance.Window.Seconds()+c.Burst)*tolerance.Overage + tolerance.Slack)
 	worst, sum := int64(0), int64(0)
 	for at := time.Duration(0); at <= end; at += simStep {
-		sum += c.admitted[at] - c.admitted[at-quotaWindow]
+		sum += c.admitted[at] - c.admitted[at-tolerance.Window]
 		worst = max(worst, sum)
 	}
 	return worst - allowed
@@ -197,6 +199,19 @@
 	}
 }
 
+// Guards against a new bucket with more than half of the burst where the tolerance is unknown.
+func TestInitialLevelWithoutATolerance(t *testing.T) {
+	q := newSimCustomer("c", 60_000, 100_000, 1).Quota
+	l := sharedlimit.New(func(string) *sharedlimit.Quota { return q })
+	l.Begin(time.Second)
+	if ok, _ := l.Take(q, 50_000, time.Second); !ok {
+		t.Error("half of the burst was refused")
+	}
+	if ok, _ := l.Take(q, 1, time.Second); ok {
+		t.Error("more than half of the burst was admitted")
+	}
+}
+
 // idle lets time pass without requests but with reports.
 func (f *simFleet) idle(length time.Duration) {
 	for end := f.now + length; f.now < end; {
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -54,6 +54,8 @@
 	silenceTimeout time.Duration
 	// countedSince is the time since boot from which on all that is admitted is counted; neverCounted until Begin.
 	countedSince time.Duration
+	// tolerance determines the levels of new buckets.
+	tolerance Tolerance
 }
 
 type peer struct {
@@ -88,6 +90,13 @@
 	}
 }
 
+// SetTolerance sets what may be admitted beyond the quotas. It applies to buckets that are created later.
+func (l *Limiter) SetTolerance(t Tolerance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tolerance = t
+}
+
 // neverCounted is the countedSince of a limiter before Begin.
 const neverCounted = time.Duration(math.MaxInt64)
 
@@ -440,7 +449,7 @@
 
 // newBucket returns the bucket of a quota under which nothing has been admitted since all is counted. l.mu is held.
 func (l *Limiter) newBucket(q *Quota, now time.Duration) *bucket {
-	b := &bucket{level: q.initialLevel(), updated: now}
+	b := &bucket{level: q.initialLevel(l.tolerance), updated: now}
 	if q.Standing {
 		b.updated = min(now, l.countedSince)
 	}
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -228,7 +228,7 @@
 	do.ProvideValue(i, latencyEstimator)
 	do.Provide(i, func(i do.Injector) (*sharedlimit.Limiter, error) {
 		cache := do.MustInvoke[*routingcache.Cache](i)
-		return sharedlimit.New(func(key string) *sharedlimit.Quota {
+		limiter := sharedlimit.New(func(key string) *sharedlimit.Quota {
 			if q := endpointlimit.FindQuota(availabilityTracker, key); q != nil {
 				return q
 			}
@@ -238,7 +238,9 @@
 				}
 			}
 			return nil
-		}), nil
+		})
+		limiter.SetTolerance(sharedlimit.Tolerance{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack})
+		return limiter, nil
 	})
 	do.Provide(i, func(i do.Injector) (*endpointlimit.Limiter, error) {
 		return endpointlimit.New(endpointlimit.Deps{
--- a/router/internal/settings/node.go
+++ b/router/internal/settings/node.go
@@ -46,6 +46,12 @@
 	// EndpointHeartbeat is the interval at which endpoints renew their entries in the platform's list.
 	EndpointHeartbeat time.Duration
 
+	// In any QuotaWindow, QuotaOverage times the rate and the burst of a customer's quota and QuotaSlack tokens may be admitted.
+	// QuotaWindow is zero if that is unknown.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+
 	RetryRatio   float64
 	FixedRetries float64
 	RetryWindow  time.Duration
@@ -93,6 +99,9 @@
 	fs.DurationVar(&n.ConfigPropagationLimit, "config-within", defaultPropagationLimit, "`time` within which an accepted configuration is in force")
 	fs.DurationVar(&n.DrainPropagationLimit, "drain-within", defaultPropagationLimit, "`time` within which a leaving endpoint gets no more requests")
 	fs.DurationVar(&n.EndpointHeartbeat, "endpoint-heartbeat", defaultHeartbeat, "`time` between renewals of an endpoint's entry; an entry is removed after three of them without one")
+	fs.DurationVar(&n.QuotaWindow, "quota-window", 0, "`time` over which quotas in tokens are measured; 0 if unknown")
+	fs.Float64Var(&n.QuotaOverage, "quota-overage", 0, "`factor` on the rate and the burst of a quota: what may be admitted in a window; less than 1 counts as 1")
+	fs.Float64Var(&n.QuotaSlack, "quota-slack", 0, "`tokens` that may be admitted in a window beside that")
 	fs.Float64Var(&n.RetryRatio, "retry-ratio", defaultRetryRatio, "retries per request, as a `ratio`")
 	fs.Float64Var(&n.FixedRetries, "retry-fixed", defaultFixedRetries, "`number` of retries in a window beside the ratio, for the fleet")
 	fs.DurationVar(&n.RetryWindow, "retry-window", defaultRetryWindow, "`time` over which retries are counted")
@@ -151,6 +160,9 @@
 	if n.EndpointHeartbeat <= 0 {
 		problems = append(problems, problem("endpoint-heartbeat", "it is not positive", "give a time such as 1200ms"))
 	}
+	if n.QuotaWindow < 0 || n.QuotaOverage < 0 || n.QuotaSlack < 0 {
+		problems = append(problems, problem("quota-window, -quota-overage, -quota-slack", "a number is negative", "give 0 or more"))
+	}
 	if n.RetryRatio < 0 || n.FixedRetries < 0 {
 		problems = append(problems, problem("retry-ratio, -retry-fixed", "a number is negative", "give 0 or more"))
 	}
