--- a/router/internal/domain/sharedlimit/bucket.go
+++ b/router/internal/domain/sharedlimit/bucket.go
@@ -64,7 +64,7 @@
 
 // lateReportExcess returns what late reports may leave in a bucket beyond its burst.
 func (q *Quota) lateReportExcess(t Tolerance) float64 {
-	if !q.CountsTokens || t.Window <= 0 {
+	if t.Window <= 0 || !q.CountsTokens {
 		return 0
 	}
 	return lateReportFraction * t.excess(q)
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -234,7 +234,7 @@
 		if q != nil && q.RatePerSecond > 0 && l.buckets[key] == nil && n != p.spent[key] {
 			l.refill(q, now)
 		}
-		if b := l.buckets[key]; b != nil && q != nil {
+		if b := l.buckets[key]; b != nil && q != nil && q.Standing {
 			b.discardExcess(p.confirmedAt, q.lateReportExcess(l.tolerance))
 		}
 		l.charge(p, key, float64(n)-float64(p.spent[key])-p.assumed[key])
