Spare idle connections from silent clients, and log few refused messages

At the maximum of connections, many new silent clients within a second closed the idle connections of ordinary callers, which then meet a closed connection when they use it again. Now the oldest connection without a request gives way if more than a quarter of the maximum have sent none.

--- a/router/internal/adapter/clientlimit/clientlimit.go
+++ b/router/internal/adapter/clientlimit/clientlimit.go
@@ -19,8 +19,10 @@
 	MaxHeadBytes = 1 << 20
 	// targetBytes is added to the limit of a head, so that header lines of the full legal size leave room for the request line.
 	targetBytes = 1 << 10
-	// newConnectionGrace is how long a connection without a request is spared while others are idle.
+	// newConnectionGrace is how long a connection without a request is spared while others are idle, unless more than the maximum divided by
+	// unusedDivisor have had none: many silent clients at once must not close the idle connections of ordinary callers.
 	newConnectionGrace = time.Second
+	unusedDivisor      = 4
 	// logInterval is the shortest time between two log lines of a listener.
 	logInterval = 10 * time.Second
 	// writeTimeout limits a write for which the handler sets no deadline.
@@ -129,11 +131,12 @@
 	return !full || victim != nil
 }
 
-// longestWaiting returns the connection that is closed first: one that has had no request for longer than newConnectionGrace, else the
-// longest idle one, else the oldest without a request. It returns nil if all connections are being served.
+// longestWaiting returns the connection that is closed first: the oldest without a request if it is older than newConnectionGrace or there
+// are many of them, else the longest idle one, else the oldest without a request. It returns nil if all connections are being served.
 func (l *Listener) longestWaiting() *conn {
 	unused, idle := front(&l.unused), front(&l.idle)
-	if unused != nil && (idle == nil || time.Since(unused.waitingSince) > newConnectionGrace) {
+	many := l.unused.Len() > l.options.MaxConnections/unusedDivisor
+	if unused != nil && (idle == nil || many || time.Since(unused.waitingSince) > newConnectionGrace) {
 		return unused
 	}
 	return idle
--- a/router/internal/adapter/clientlimit/clientlimit_test.go
+++ b/router/internal/adapter/clientlimit/clientlimit_test.go
@@ -208,6 +208,23 @@
 	fifth.expect("afterwards", 200)
 }
 
+// Guards against silent clients that close the idle connections of ordinary callers.
+func TestKeepsIdleConnectionsWhileManyAreSilent(t *testing.T) {
+	f := start(t, Options{MaxConnections: 8}, echo)
+	idle := f.dial()
+	idle.send(get)
+	idle.expect("first request", 200)
+	f.awaitIdle(1)
+	for range 20 {
+		f.dial()
+	}
+	last := f.dial()
+	last.send(get)
+	last.expect("new connection", 200)
+	idle.send(get)
+	idle.expect("idle connection", 200)
+}
+
 // Guards against slow heads and silent connections that are never closed.
 func TestClosesSlowAndSilentConnections(t *testing.T) {
 	f := start(t, Options{}, echo)
--- a/router/internal/adapter/peerudp/peerudp.go
+++ b/router/internal/adapter/peerudp/peerudp.go
@@ -44,6 +44,7 @@
 	memory   *membudget.Budget
 	clients  *clientlimit.Options
 	signer   signer
+	refusals sparseLog
 	logger   *log.Logger
 }
 
@@ -166,7 +167,9 @@
 			err = json.Unmarshal(content, &m)
 		}
 		if err != nil {
-			t.logger.Warn().Str("event", "message.refused").Str("from", from.String()).Err(err).Msg("")
+			if skipped, ok := t.refusals.due(); ok {
+				t.logger.Warn().Str("event", "message.refused").Str("from", from.String()).Int64("skipped", skipped).Err(err).Msg("")
+			}
 			continue
 		}
 		t.deliver(m, onMessage)
--- a/router/internal/adapter/peerudp/state.go
+++ b/router/internal/adapter/peerudp/state.go
@@ -17,6 +17,7 @@
 	signer    *signer
 	logger    *log.Logger
 	semaphore chan struct{}
+	refusals  sparseLog
 
 	mu        sync.Mutex
 	encoded   []byte
@@ -26,7 +27,9 @@
 // ServeHTTP implements http.Handler.
 func (h *stateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !h.signer.verifyHex(r.Header.Get(signatureHeader), []byte(statePath)) {
-		h.logger.Warn().Str("event", "state.refused").Str("from", r.RemoteAddr).Err(errSignature).Msg("")
+		if skipped, ok := h.refusals.due(); ok {
+			h.logger.Warn().Str("event", "state.refused").Str("from", r.RemoteAddr).Int64("skipped", skipped).Err(errSignature).Msg("")
+		}
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
