Add untrusted clients to the soak test

Ordinary callers were played alone, so that no run showed whether the guarantees hold beside clients that keep to no limit.

--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -94,12 +94,15 @@
 	sent []*sentRequest
 }
 
-// run sends requests from concurrent callers until ctx ends, and returns when all have completed.
+// run sends requests from concurrent callers, and what untrusted clients send, until ctx ends, and returns when all have completed.
 func (l *load) run(ctx context.Context, callers int) {
 	var group sync.WaitGroup
 	for n := range callers {
 		group.Go(func() { l.runCaller(ctx, rand.New(rand.NewPCG(l.seed, uint64(n)+2))) })
 	}
+	for n := range untrustedClients {
+		group.Go(func() { l.runUntrusted(ctx, rand.New(rand.NewPCG(l.seed, uint64(callers+n)+2))) })
+	}
 	group.Wait()
 }
 
