Pace endpoints that start or come back

Endpoints that had just come were sent requests by all instances at once. Their requests in flight are now limited over all instances, and the limit grows in rounds while they answer as fast as their service.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/speed"
 	"tanagerwood.dev/router/internal/domain/waitlist"
 	"tanagerwood.dev/router/internal/fault"
@@ -89,6 +90,8 @@
 	MemoryEstimator *memestimate.Estimator
 	// Speeds estimates the speed of engines; nil if that is not used.
 	Speeds *speed.Tracker
+	// Pace limits the requests at engines that have started or come back; nil if there are no limits.
+	Pace   *pace.Limiter
 	Domain string
 	// InstanceCount is the number of instances that share the engines.
 	InstanceCount func() int
@@ -299,6 +302,7 @@
 		})
 		if usesSpeed {
 			out[len(out)-1].SpeedFactor = d.Speeds.Factor(ep, now)
+			out[len(out)-1].Withheld = d.withheld(ep, out[len(out)-1].Load.Requests, now)
 		}
 	}
 	return out
@@ -306,6 +310,15 @@
 
 func endpointID(ep routing.Endpoint) string { return ep.ID }
 
+// withheld reports whether the pace of an engine at which all instances have the given number of requests allows no further one.
+func (d *Dispatcher) withheld(ep routing.Endpoint, requests int, now time.Duration) bool {
+	if !d.Pace.InForce(ep.Service) {
+		return false
+	}
+	usual := d.Speeds.Usual(speed.Work{Service: ep.Service, Step: speed.FirstEvent})
+	return d.Pace.Withheld(ep, pace.Load{Local: d.EndpointLoad.LocalAt(ep.ID).Requests, Total: requests}, usual, now)
+}
+
 func (d *Dispatcher) engineSize(service string) (engines.Capacity, *routing.Engine) {
 	s := d.State.Service(service)
 	if s == nil || s.Engine == nil {
@@ -348,6 +361,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	d.Pace.RecordRefusal(slot.Endpoint, now)
 	if !errors.Is(err, routing.ErrNotRun) || health.IsUnreachable(err) {
 		d.Health.RecordFailure(slot.Endpoint.ID, true, now)
 		d.OnChange()
@@ -399,6 +413,7 @@
 	}
 	candidates[chosen].Load.Requests++
 	candidates[chosen].Load.Tokens += tokens
+	candidates[chosen].Withheld = d.withheld(ep, candidates[chosen].Load.Requests, d.SinceBoot())
 	return &ep
 }
 
--- a/router/internal/app/dispatch/slot.go
+++ b/router/internal/app/dispatch/slot.go
@@ -81,6 +81,7 @@
 func (s *Slot) RecordFirstEvent(delay time.Duration) {
 	work := speed.Work{Service: s.service, Step: speed.FirstEvent}
 	s.dispatcher.Speeds.Record(s.Endpoint, work, 1, delay, s.dispatcher.SinceBoot())
+	s.dispatcher.Pace.RecordAnswer(s.Endpoint, s.dispatcher.SinceBoot())
 	if delay > memoryWaitThreshold {
 		s.dispatcher.MemoryEstimator.RecordShortage(s.service)
 		return
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -20,6 +20,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/retrydetect"
@@ -89,7 +90,9 @@
 	// endpoints.
 	Speeds  *speed.Tracker
 	LoadAge func() time.Duration
-	Domain  string
+	// Pace limits the requests at endpoints that have started or come back; nil if there are no limits.
+	Pace   *pace.Limiter
+	Domain string
 	// InstanceCount is the number of instances that share the endpoints' connections.
 	InstanceCount func() int
 	// PeersSynced reports whether this instance knows the endpoints and the state of the other instances.
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/samber/lo"
+
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/dispatch"
@@ -182,10 +184,12 @@
 	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, routing.Prefill), endpointID, now)
 	candidates := make([]engines.Candidate, 0, len(usable))
 	usesSpeed := r.Speeds.InForce(r.service.Name)
+	usable = lo.Reject(usable, func(ep routing.Endpoint, _ int) bool { return r.Limits.Delay(ep) > 0 })
+	if r.Pace.InForce(r.service.Name) {
+		allowed := r.allowedByPace(usable, r.Timings.PrefillLatency(r.service.Name, tokens))
+		usable = lo.Filter(usable, func(_ routing.Endpoint, i int) bool { return allowed[i] })
+	}
 	for _, ep := range usable {
-		if r.Limits.Delay(ep) > 0 {
-			continue
-		}
 		c := engines.Candidate{Endpoint: ep, Load: r.EndpointLoad.TotalAt(ep.ID), FailureRate: r.Health.FailureRate(ep.ID, now)}
 		if usesSpeed {
 			c.SpeedFactor = r.Speeds.Factor(ep, now)
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -95,7 +95,7 @@
 	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, ""), endpointID, r.SinceBoot())
 	candidates := lo.Reject(usable, func(ep routing.Endpoint, _ int) bool { return r.triedEndpoints[ep.ID] || r.Limits.Delay(ep) > 0 })
 	for len(candidates) > 0 {
-		best := r.leastLoaded(candidates)
+		best := r.choosePlain(candidates)
 		if r.Limits.Limited(candidates[best]) {
 			r.syncPeers(r.ctx)
 		}
@@ -107,6 +107,24 @@
 	return routing.Endpoint{}, false
 }
 
+// choosePlain returns the index of the endpoint to use: among those whose pace allows a further request, if one of these has a free slot.
+func (r *requestState) choosePlain(candidates []routing.Endpoint) int {
+	if !r.Pace.InForce(r.service.Name) {
+		return r.leastLoaded(candidates)
+	}
+	allowed := r.allowedByPace(candidates, r.Speeds.Usual(r.plainWork()))
+	best := r.leastLoaded(lo.Filter(candidates, func(_ routing.Endpoint, i int) bool { return allowed[i] }))
+	for i := range candidates {
+		if allowed[i] {
+			best--
+		}
+		if best < 0 {
+			return i
+		}
+	}
+	return len(candidates) - 1
+}
+
 // leastLoaded returns the index of the endpoint with the least load, or of that which is expected to answer first if the speed of the
 // endpoints is known.
 func (r *requestState) leastLoaded(candidates []routing.Endpoint) int {
@@ -217,6 +235,7 @@
 	case r.ctx.Err() != nil && now < r.deadline:
 		// The caller has disconnected, which says nothing about the endpoint.
 	default:
+		r.Pace.RecordRefusal(ep, now)
 		if r.recordHealthFailure(ep, err, start, now) {
 			r.Logger.Warn().Str("event", "endpoint.ejected").Str("endpoint", ep.ID).Err(err).Msg("")
 			r.OnChange()
--- a/router/internal/app/forward/speed.go
+++ b/router/internal/app/forward/speed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerwood.dev/api/routing"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/speed"
 )
 
@@ -34,12 +35,24 @@
 	if status/100 == http.StatusOK/100 {
 		now := r.SinceBoot()
 		r.Speeds.Record(ep, r.plainWork(), 1, now-start, now)
+		r.Pace.RecordAnswer(ep, now)
 	}
 }
 
 // recordPrefillSpeed records how long a prefill engine took for a prompt and those queued before it, in tokens.
 func (r *requestState) recordPrefillSpeed(ep routing.Endpoint, queued int64, took time.Duration) {
 	r.Speeds.Record(ep, speed.Work{Service: r.service.Name, Step: speed.Prefill}, queued, took, r.SinceBoot())
+	r.Pace.RecordAnswer(ep, r.SinceBoot())
+}
+
+// allowedByPace reports for each endpoint whether the request may go there by its pace. usual is the usual duration of an answer.
+func (r *requestState) allowedByPace(candidates []routing.Endpoint, usual time.Duration) []bool {
+	options := make([]pace.Option, len(candidates))
+	for i, ep := range candidates {
+		load := pace.Load{Local: r.EndpointLoad.LocalAt(ep.ID).Requests, Total: r.EndpointLoad.TotalAt(ep.ID).Requests}
+		options[i] = pace.Option{Endpoint: ep, Load: load}
+	}
+	return r.Pace.Allowed(options, usual, r.SinceBoot())
 }
 
 // scaled returns how long work takes at an endpoint that usually takes the given time at its service.
--- a/router/internal/app/forward/speed_test.go
+++ b/router/internal/app/forward/speed_test.go
@@ -10,6 +10,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/routetable"
 	"tanagerwood.dev/router/internal/domain/speed"
 )
@@ -34,6 +35,8 @@
 		seed := random.Uint64()
 		load := inflight.NewTracker()
 		r := newRequestState(elsewhere, load, rand.New(rand.NewPCG(seed, 0)))
+		r.Pace = pace.New(pace.Deps{Self: "r", InstanceCount: func() int { return 2 }, Speeds: elsewhere})
+		r.Pace.Observe("s", nil, time.Second)
 		candidates := make([]routing.Endpoint, 1+random.IntN(8))
 		for i := range candidates {
 			ep := routing.Endpoint{ID: fmt.Sprint(i), Service: "s", Domain: string(rune('a' + random.IntN(3))), Slots: random.IntN(9)}
@@ -56,7 +59,7 @@
 				want, wantLoad = i, load
 			}
 		}
-		if got := r.leastLoaded(candidates); got != want {
+		if got := r.choosePlain(candidates); got != want {
 			t.Fatalf("round %d: chose %d, and by load %d", round, got, want)
 		}
 	}
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tanagerwood.dev/api/routing"
@@ -30,6 +31,8 @@
 	Load     inflight.Load
 	// Full is set if the engine has recently refused a reservation.
 	Full bool
+	// Withheld is set if the engine is to be used only if no other one has room.
+	Withheld bool
 	// FailureRate is the fraction of recent calls that failed, from 0 to 1.
 	FailureRate float64
 	// SpeedFactor is the expected duration of work at the engine in relation to its service; zero if it is not to be used.
@@ -78,9 +81,10 @@
 func SelectDecode(candidates []Candidate, capacity Capacity, tokens int64, domain string, random float64) int {
 	utilizations := make([]float64, len(candidates))
 	least := math.Inf(1)
+	useWithheld := !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Withheld && c.hasRoom(capacity, tokens) })
 	for i, c := range candidates {
 		utilizations[i] = math.Inf(1)
-		if c.hasRoom(capacity, tokens) {
+		if (useWithheld || !c.Withheld) && c.hasRoom(capacity, tokens) {
 			utilizations[i] = c.decodeCost(capacity) + failurePenalty*c.FailureRate
 			least = min(least, utilizations[i])
 		}
--- a/router/internal/domain/engines/speed_test.go
+++ b/router/internal/domain/engines/speed_test.go
@@ -85,3 +85,11 @@
 	Expect(engines.SelectPrefill([]engines.Candidate{withFactor(candidate("a", 1, 4000), 1.7), withFactor(candidate("a", 2, 8000), 0.7)}, 5000, "a")).To(Equal(1))
 	Expect(engines.SelectPrefill([]engines.Candidate{withFactor(candidate("a", 0, 0), 1.7), withFactor(candidate("a", 2, 18_000), 0.7)}, 5000, "a")).To(Equal(0))
 })
+
+// Guards against requests at an engine that is to get none yet, and against requests that wait because of that.
+var _ = It("uses withheld engines only if the others have no room", func() {
+	withheld := candidate("a", 0, 0)
+	withheld.Withheld = true
+	Expect(engines.SelectDecode([]engines.Candidate{withheld, candidate("b", 3, 0)}, capacity, 1000, "a", 0)).To(Equal(1))
+	Expect(engines.SelectDecode([]engines.Candidate{withheld, candidate("b", capacity.Slots, 0)}, capacity, 1000, "a", 0)).To(Equal(0))
+})
--- a/router/internal/domain/speed/choice.go
+++ b/router/internal/domain/speed/choice.go
@@ -25,7 +25,7 @@
 // SelectSoonest returns the index of the endpoint that is expected to answer first, or -1 if there is none. peersAge is the age of what
 // is known of the requests of other instances; random returns a number in [0, 1).
 func (t *Tracker) SelectSoonest(options []Option, work Work, peersAge time.Duration, random func() float64, now time.Duration) int {
-	usual := t.usual(work)
+	usual := t.Usual(work)
 	backlogs := t.backlogs(options, peersAge, usual, now)
 	longest := 0.0
 	for _, o := range options {
@@ -47,8 +47,11 @@
 	return time.Duration((1 + backlog) * float64(usual))
 }
 
-// usual returns how long work usually takes at an endpoint of the service.
-func (t *Tracker) usual(work Work) time.Duration {
+// Usual returns how long work usually takes at an endpoint of the service.
+func (t *Tracker) Usual(work Work) time.Duration {
+	if t == nil {
+		return defaultUsual
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if reference := t.references[work]; reference != nil {
--- a/router/internal/domain/speed/speed_test.go
+++ b/router/internal/domain/speed/speed_test.go
@@ -139,14 +139,10 @@
 		}
 		tracker.RecordLoad(ep, routing.Load{SpeedPercent: float64(50 + i)}, 0, now)
 	}
-	for name, limit := range map[string]int{"report": 8, "view": 16} {
-		report := tracker.LocalReport(now)
-		if name == "view" {
-			report = tracker.ReportExcluding("x", now)
-		}
+	for limit, report := range map[int]map[string]speed.Report{8: tracker.LocalReport(now), 16: tracker.ReportExcluding("x", now)} {
 		encoded, err := json.Marshal(report)
 		if err != nil || len(report) == 0 || len(report) > limit || len(encoded) > 100*limit {
-			t.Errorf("%s: %d endpoints, %d bytes, %v", name, len(report), len(encoded), err)
+			t.Errorf("%d endpoints of at most %d, %d bytes, %v", len(report), limit, len(encoded), err)
 		}
 	}
 	if report := tracker.LocalReport(now + 100*time.Millisecond); report != nil {
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -227,6 +227,9 @@
 	for name, loop := range map[string]func(context.Context){
 		"mirror": p.routingCache.Run, "peers": p.peers.Run, "dispatcher": p.dispatcher.Run, "rebalancer": p.rebalancer.Run, "settings": n.watchSettings,
 		"quarantine": p.crashStore.Run,
+		"pace": func(ctx context.Context) {
+			background.RunEvery(ctx, paceInterval, func(context.Context) { p.observeEndpoints() })
+		},
 		"connections": func(ctx context.Context) {
 			background.RunEvery(ctx, idleCheckInterval, func(context.Context) {
 				p.endpoints.CloseIdle()
@@ -253,10 +256,12 @@
 	}
 	p.health.RetainListed(len(listed), known)
 	p.dispatcher.PruneEndpoints(known)
-	p.speeds.Prune(func(start speed.Start) bool {
+	listedStart := func(start speed.Start) bool {
 		ep, ok := listed[start.ID]
 		return ok && ep.StartedMS == start.StartedMS
-	}, clock.System{}.Boot())
+	}
+	p.speeds.Prune(listedStart, clock.System{}.Boot())
+	p.paces.Prune(listedStart)
 }
 
 type listener struct {
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -13,6 +13,7 @@
 	"tanagerwood.dev/router/internal/app/background"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/speed"
@@ -105,6 +106,18 @@
 	})
 }
 
+// registerPaceGauges adds the number of endpoints with a limit of their pace, and how often one withheld a request.
+func registerPaceGauges(r metrics.Registry, paces *pace.Limiter) {
+	metrics.NewRegisteredFunctionalGauge("endpoints.paced", r, func() int64 {
+		paced, _ := paces.Counts()
+		return int64(paced)
+	})
+	metrics.NewRegisteredFunctionalGauge("pace.withheld", r, func() int64 {
+		_, withheld := paces.Counts()
+		return withheld
+	})
+}
+
 // registerCacheGauges adds the version of the configuration in force and the time since the platform last answered each feed. Together
 // they tell a watch that was lost from one whose changes cannot be applied.
 func registerCacheGauges(r metrics.Registry, cache *routingcache.Cache) {
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -24,6 +24,7 @@
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
 	"tanagerwood.dev/router/internal/domain/memestimate"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/retrybudget"
 	"tanagerwood.dev/router/internal/domain/sharedlimit"
@@ -48,6 +49,7 @@
 	quarantine   *quarantine.Tracker
 	crashStore   *crashstore.Keeper
 	speeds       *speed.Tracker
+	paces        *pace.Limiter
 	load         *inflight.Tracker
 	metrics      metrics.Registry
 }
@@ -68,6 +70,7 @@
 		quarantine:   do.MustInvoke[*quarantine.Tracker](n.injector),
 		crashStore:   do.MustInvoke[*crashstore.Keeper](n.injector),
 		speeds:       do.MustInvoke[*speed.Tracker](n.injector),
+		paces:        do.MustInvoke[*pace.Limiter](n.injector),
 		load:         do.MustInvoke[*inflight.Tracker](n.injector),
 		metrics:      do.MustInvoke[metrics.Registry](n.injector),
 	}
@@ -249,6 +252,9 @@
 	speeds := speed.New(n.usesSpeed)
 	do.ProvideValue(i, speeds)
 	registerSpeedGauges(registry, speeds)
+	paces := pace.New(pace.Deps{Self: s.Instance, InstanceCount: n.fleetSize, Speeds: speeds, OnEvent: n.recordPace})
+	do.ProvideValue(i, paces)
+	registerPaceGauges(registry, paces)
 	do.ProvideValue(i, stages.NewTransitions())
 	answerMemory := membudget.New(answerAllowanceBytes, memoryShare(s, answerMemoryFraction))
 	endpoints := platform.NewEndpoints(endpointDialTimeout, deadConnectionTimeout, maxIdleConnections)
@@ -288,7 +294,7 @@
 		return dispatch.New(dispatch.Deps{
 			Engines: do.MustInvoke[*platform.Endpoints](i), State: do.MustInvoke[routingState](i),
 			EndpointLoad: do.MustInvoke[*inflight.Tracker](i), Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i),
-			Limits: do.MustInvoke[*endpointlimit.Limiter](i), MemoryEstimator: memestimate.New(), Speeds: speeds, Domain: s.Domain, InstanceCount: n.fleetSize,
+			Limits: do.MustInvoke[*endpointlimit.Limiter](i), MemoryEstimator: memestimate.New(), Speeds: speeds, Pace: paces, Domain: s.Domain, InstanceCount: n.fleetSize,
 			Random: rand.Float64, OnChange: n.triggerReport, SinceBoot: boot, Logger: logger,
 		}), nil
 	})
@@ -298,7 +304,7 @@
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i), RateLimiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			Limits: do.MustInvoke[*endpointlimit.Limiter](i), RetryBudget: do.MustInvoke[*retrybudget.Budget](i), EndpointLoad: do.MustInvoke[*inflight.Tracker](i),
 			Health: do.MustInvoke[*health.Tracker](i), Timings: do.MustInvoke[*latency.Estimator](i), Domain: s.Domain,
-			Speeds: speeds, LoadAge: func() time.Duration { return n.components.Load().peers.LoadAge() },
+			Speeds: speeds, Pace: paces, LoadAge: func() time.Duration { return n.components.Load().peers.LoadAge() },
 			InstanceCount: n.fleetSize,
 			PeersSynced: func() bool {
 				p := n.components.Load()
