--- a/router/internal/node/speed_test.go
+++ b/router/internal/node/speed_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"tanagerwood.dev/platform/standin"
+	"tanagerwood.dev/router/internal/settings"
 )
 
 var _ = Describe("endpoints that state their speed", func() {
@@ -32,4 +37,21 @@
 			}
 		}
 	})
+
+	// Guards against an endpoint that starts without a limit of its pace, and against one whose limit does not end.
+	It("are paced when they start", func() {
+		cluster := newTestCluster()
+		r := cluster.startWith("r-1", func(s *settings.Node) { s.EndpointPacing = true })
+		started := 0
+		Eventually(func() string { // a server that is there at the first observation is not paced
+			started++
+			cluster.registerServer(standin.NewServer(fmt.Sprint("s-new-", started), ""), "s")
+			resp, err := http.Get("http://" + r.settings.MetricsListen + "/metrics")
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return string(body)
+		}, eventuallyTimeout, "500ms").Should(MatchRegexp("tanagerwood_pace_milliseconds[^ ]*count[^ ]* [1-9]"))
+	})
 })
