Bound the log of flapping endpoints and allow unknown slots

An endpoint that returned while it was limited wrote a line each time, and one whose number of slots is unknown was held to a single request. Such a return is no longer reported, and unknown slots are no bound. The tests of the package pass with -race in 93 s.

--- a/router/internal/domain/pace/pace.go
+++ b/router/internal/domain/pace/pace.go
@@ -150,13 +150,17 @@
 	return r
 }
 
-// begin gives an endpoint the first limit; l.mu is held.
+// begin gives an endpoint the first limit; l.mu is held. A return during a limit is not reported, so that a flapping endpoint does not
+// fill the log.
 func (l *Limiter) begin(r *record, reason Reason, now time.Duration) {
+	known := r.limit > 0
 	r.limit, r.reason, r.since, r.roundStart = initialLimit, reason, now, now
 	r.answered, r.refused, r.refusals = false, false, 0
 	weight := rendezvous.Weight(r.endpoint.ID+strconv.FormatInt(r.endpoint.StartedMS, 10), l.Self)
 	r.position = float64(weight) / math.MaxUint64
-	l.report(Event{Endpoint: r.endpoint, Reason: reason})
+	if !known {
+		l.report(Event{Endpoint: r.endpoint, Reason: reason})
+	}
 }
 
 func (l *Limiter) report(e Event) {
@@ -267,7 +271,7 @@
 // overLimit reports whether the requests of this instance exceed its share of the limit, or those of all instances the limit.
 func (l *Limiter) overLimit(r *record, load Load) bool {
 	instances := float64(max(1, l.InstanceCount()))
-	limit := min(r.limit, float64(max(1, r.endpoint.Slots)))
+	limit := min(r.limit, slots(r.endpoint))
 	share := math.Ceil(limit / min(r.limit, instances))
 	return r.position >= r.limit/instances || float64(load.Local) >= share || float64(load.Total) >= limit
 }
@@ -275,7 +279,15 @@
 // slowAndBusy reports whether a slow endpoint has the part of its slots in use with which it answers as fast as its service.
 func (l *Limiter) slowAndBusy(ep routing.Endpoint, load Load, now time.Duration) bool {
 	factor := l.Speeds.Factor(ep, now)
-	return factor >= slowFactor && float64(load.Total) >= max(1, float64(ep.Slots)/factor)
+	return factor >= slowFactor && float64(load.Total) >= max(1, slots(ep)/factor)
+}
+
+// slots returns the number of slots of an endpoint, without a bound if it is unknown.
+func slots(ep routing.Endpoint) float64 {
+	if ep.Slots <= 0 {
+		return math.Inf(1)
+	}
+	return float64(ep.Slots)
 }
 
 // Option is an endpoint that may get a request.
@@ -290,7 +302,7 @@
 	free := false
 	for i, o := range options {
 		out[i] = !l.Withheld(o.Endpoint, o.Load, usual, now)
-		free = free || out[i] && o.Load.Total < max(1, o.Endpoint.Slots)
+		free = free || out[i] && float64(o.Load.Total) < slots(o.Endpoint)
 	}
 	if !free {
 		for i := range out {
--- a/router/internal/domain/pace/pace_test.go
+++ b/router/internal/domain/pace/pace_test.go
@@ -76,6 +76,9 @@
 	}
 	check("slow", 1, 3, 6*time.Second, false)
 	check("slow, others full", 2, 3, 6*time.Second, true)
+	if l.Withheld(routing.Endpoint{ID: "unknown slots", Service: "s"}, pace.Load{Local: 1, Total: 1}, 20*time.Millisecond, 6*time.Second) {
+		t.Error("an endpoint whose number of slots is unknown has a limit of one")
+	}
 	var none *pace.Limiter
 	none.Observe("s", nil, time.Second)
 	none.RecordRefusal(fresh, time.Second)
