--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -21,6 +21,7 @@
 	"tanagerwood.dev/router/internal/domain/health"
 	"tanagerwood.dev/router/internal/domain/inflight"
 	"tanagerwood.dev/router/internal/domain/latency"
+	"tanagerwood.dev/router/internal/domain/pace"
 	"tanagerwood.dev/router/internal/domain/priority"
 	"tanagerwood.dev/router/internal/domain/quarantine"
 	"tanagerwood.dev/router/internal/domain/regions"
@@ -94,7 +95,9 @@
 	// endpoints.
 	Speeds  *speed.Tracker
 	LoadAge func() time.Duration
-	Domain  string
+	// Pace limits the requests at endpoints that have started or come back; nil if there are no limits.
+	Pace   *pace.Limiter
+	Domain string
 	// Regions holds the regions of the failure domains.
 	Regions regions.Table
 	// InstanceCount is the number of instances that share the endpoints' connections.
