--- a/router/internal/app/dispatch/dispatch_test.go
+++ b/router/internal/app/dispatch/dispatch_test.go
@@ -43,8 +43,7 @@
 	// reserveCalls counts the reservation calls by endpoint.
 	reserveCalls map[string]int
 	released     int
-	// evacuated is set if all engines are in evacuated domains.
-	evacuated atomic.Bool
+	evacuated    atomic.Bool // all engines are in evacuated domains
 }
 
 type instance struct {
@@ -113,8 +112,6 @@
 
 func (f *fleet) Paused(routing.Endpoint) bool { return false }
 
-func (f *fleet) AllEvacuated(string, routing.Stage) bool { return f.evacuated.Load() }
-
 func (f *fleet) PauseRemaining(string, routing.Stage) time.Duration { return f.pause }
 
 func (f *fleet) Reserve(_ context.Context, ep routing.Endpoint, _ int64, _ time.Duration) (routing.Reservation, error) {
--- a/router/internal/app/dispatch/evacuation_test.go
+++ b/router/internal/app/dispatch/evacuation_test.go
@@ -10,6 +10,8 @@
 	"tanagerwood.dev/router/internal/fault"
 )
 
+func (f *fleet) AllEvacuated(string, routing.Stage) bool { return f.evacuated.Load() }
+
 // Guards against requests that wait until they are late for engines that are all evacuated: those that wait already and those that arrive.
 func TestRefusesAtOnceWhenAllEnginesAreEvacuated(t *testing.T) {
 	runWithFakeClock(t, 1, 1, func(t *testing.T, f *fleet) {
