Let readers fetch new versions from collectors instead of watching the store

Each change of the configuration or the list ended a watch of every instance, and during outages each one checked for itself. Readers in contact with a collector now fetch what is newer from it, and call the store at long intervals or when the contact or a fetch fails. TestFleetLearnsChangesAfterTheWatchesWereLost counts the lost watches of collectors, since readers hold none.

--- a/router/internal/adapter/peerudp/peerudp.go
+++ b/router/internal/adapter/peerudp/peerudp.go
@@ -18,6 +18,7 @@
 	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/router/internal/app/gossip"
+	"tanagerwood.dev/router/internal/app/routingcache"
 )
 
 const (
@@ -31,6 +32,9 @@
 	// maxConcurrentStateResponses limits the state responses in progress. Each may take 1 MB, and many instances may ask at the
 	// same time when they start without the platform; further requests get 503 and have to be repeated.
 	maxConcurrentStateResponses = 4
+	// maxConcurrentNewerResponses limits the responses to instances that name what they have. Most hold a few changes, and larger
+	// ones share an encoding.
+	maxConcurrentNewerResponses = 64
 	// stateCacheTTL is how long an encoded state is reused for further requests.
 	stateCacheTTL = 200 * time.Millisecond
 )
@@ -100,8 +104,17 @@
 
 // Fetch implements gossip.Transport.
 func (t *Transport) Fetch(ctx context.Context, address string) (gossip.State, error) {
+	return t.fetch(ctx, address, statePath)
+}
+
+// FetchNewer implements gossip.Transport. Instances of earlier versions ignore the query.
+func (t *Transport) FetchNewer(ctx context.Context, address string, known routingcache.Known) (gossip.State, error) {
+	return t.fetch(ctx, address, statePath+"?"+encodeKnown(known))
+}
+
+func (t *Transport) fetch(ctx context.Context, address, target string) (gossip.State, error) {
 	header := http.Header{signatureHeader: {t.signer.signHex([]byte(statePath))}}
-	resp, err := t.client.Do(ctx, address, 0, &h1.Request{Method: http.MethodGet, Target: statePath, Host: address, Header: header})
+	resp, err := t.client.Do(ctx, address, 0, &h1.Request{Method: http.MethodGet, Target: target, Host: address, Header: header})
 	if err != nil {
 		return gossip.State{}, err
 	}
@@ -125,10 +138,14 @@
 	return state, nil
 }
 
-// Serve passes received messages to onMessage and answers state requests with the result of state. It returns after Close.
-func (t *Transport) Serve(onMessage func(gossip.Message), state func() gossip.State) {
+// Serve passes received messages to onMessage and answers state requests with the result of state, or with that of newer if they name what
+// the other instance has. It returns after Close.
+func (t *Transport) Serve(onMessage func(gossip.Message), state func() gossip.State, newer func(routingcache.Known) gossip.State) {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+statePath, &stateHandler{state: state, signer: &t.signer, logger: t.logger, semaphore: make(chan struct{}, maxConcurrentStateResponses)})
+	mux.Handle("GET "+statePath, &stateHandler{
+		state: state, newer: newer, signer: &t.signer, logger: t.logger, semaphore: make(chan struct{}, maxConcurrentStateResponses),
+		newerSemaphore: make(chan struct{}, maxConcurrentNewerResponses), recent: map[recentKey]recentState{},
+	})
 	server := &http.Server{Handler: mux, ReadTimeout: stateRequestTimeout, WriteTimeout: stateRequestTimeout, IdleTimeout: stateRequestTimeout}
 	go func() {
 		if err := server.Serve(t.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
--- a/router/internal/adapter/peerudp/state.go
+++ b/router/internal/adapter/peerudp/state.go
@@ -9,16 +9,20 @@
 	"github.com/phuslu/log"
 
 	"tanagerwood.dev/router/internal/app/gossip"
+	"tanagerwood.dev/router/internal/app/routingcache"
 )
 
 // stateHandler serves the state over HTTP with bounded memory: it limits the concurrent responses, which share a cached encoding.
 type stateHandler struct {
-	state     func() gossip.State
-	signer    *signer
-	logger    *log.Logger
-	semaphore chan struct{}
+	state  func() gossip.State
+	newer  func(routingcache.Known) gossip.State
+	signer *signer
+	logger *log.Logger
+	// semaphore limits the responses with the whole state, newerSemaphore the others.
+	semaphore, newerSemaphore chan struct{}
 
 	mu        sync.Mutex
+	recent    map[recentKey]recentState
 	encoded   []byte
 	encodedAt time.Time
 }
@@ -30,14 +34,18 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
+	semaphore, encode := h.semaphore, h.encodedState
+	if known, named := decodeKnown(r.URL.Query()); named {
+		semaphore, encode = h.newerSemaphore, func() ([]byte, error) { return h.encodedNewer(known) }
+	}
 	select {
-	case h.semaphore <- struct{}{}:
-		defer func() { <-h.semaphore }()
+	case semaphore <- struct{}{}:
+		defer func() { <-semaphore }()
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	raw, err := h.encodedState()
+	raw, err := encode()
 	if err != nil {
 		h.logger.Error().Str("event", "state.not_encoded").Err(err).Msg("")
 		w.WriteHeader(http.StatusInternalServerError)
--- a/router/internal/app/gossip/collectors.go
+++ b/router/internal/app/gossip/collectors.go
@@ -176,6 +176,7 @@
 // report, and only the other collectors as alive; s.mu is held.
 func (s *Service) startCollecting() {
 	s.collectors.reading.Store(false)
+	s.Mirror.RestartWatches() // others rely on this instance now
 	s.collectors.primary, s.collectors.collectingSince = "", s.Boot()
 	s.dropPeerState(aggregateName)
 	for name, p := range s.peers {
--- a/router/internal/app/gossip/gossip.go
+++ b/router/internal/app/gossip/gossip.go
@@ -96,6 +96,8 @@
 	Send(addresses []string, m Message) error
 	// Fetch gets the state of another instance.
 	Fetch(ctx context.Context, address string) (State, error)
+	// FetchNewer gets what is newer at another instance than the known state. An instance of an earlier version returns its whole state.
+	FetchNewer(ctx context.Context, address string, known routingcache.Known) (State, error)
 }
 
 // Registry is the platform's list of instances.
@@ -195,6 +197,8 @@
 	// announced.
 	statusTriggered, versionsTriggered atomic.Bool
 	collectors                         collectorState
+	follow                             followState
+	fetchCounts                        [fetchOutcomes]atomic.Int64
 	// era is the platform's era in which this instance has registered. reregisterAt is when it registers again; zero if it need
 	// not.
 	era          uint64
@@ -250,12 +254,13 @@
 	wg.Wait()
 }
 
-// waitForPeriod waits for the next period. A reader without a view requests one repeatedly meanwhile.
+// waitForPeriod waits for the next period. A reader requests a view repeatedly until it has one since the last report: views and
+// requests for them may get lost.
 func (s *Service) waitForPeriod(ctx context.Context) {
-	left := s.reportPeriod()
+	left, reportedAt := s.reportPeriod(), s.Boot()-batchDelay
 	for ; left > 0 && ctx.Err() == nil; left -= minReportPeriod {
 		background.SleepContext(ctx, min(left, minReportPeriod))
-		if s.collectors.reading.Load() && !s.collectors.hasView.Load() {
+		if s.collectors.reading.Load() && !s.hasViewSince(reportedAt) {
 			s.requestView()
 		} else if left > minReportPeriod {
 			background.SleepContext(ctx, left-minReportPeriod)
@@ -264,6 +269,13 @@
 	}
 }
 
+// hasViewSince reports whether a view of the current collector has arrived since the given time.
+func (s *Service) hasViewSince(at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.collectors.hasView.Load() && s.collectors.lastView >= at
+}
+
 func (s *Service) reportPeriod() time.Duration {
 	return min(max(minReportPeriod, time.Duration(s.FleetSize())*reportPeriodPerPeer), maxReportPeriod)
 }
--- a/router/internal/app/gossip/message.go
+++ b/router/internal/app/gossip/message.go
@@ -80,6 +80,8 @@
 type State struct {
 	Copy      routingcache.Snapshot `json:"copy"`
 	Instances []routing.Instance    `json:"instances"`
+	// PlatformAnswerAgeMS is how many milliseconds ago the platform last answered any instance, in answers to FetchNewer.
+	PlatformAnswerAgeMS int64 `json:"answered,omitempty"`
 }
 
 // runChangeReports sends a partial report after each trigger. Triggers within batchDelay share a report.
--- a/router/internal/app/gossip/versions.go
+++ b/router/internal/app/gossip/versions.go
@@ -38,6 +38,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.peers[m.Sender.Name]; p != nil && p.instance.Incarnation == m.Sender.Incarnation {
+		if s.collectors.hasView.Load() && containsInstance(s.collectors.members, m.Sender.Name) {
+			s.recordContact(s.Boot())
+		}
 		s.compareVersions(p, m, s.Boot())
 	}
 }
@@ -60,6 +63,9 @@
 		p.behindSince = now
 	}
 	s.scheduleCatchUp()
+	if s.fetchFromCollector(p, now) {
+		return
+	}
 	behind := now - p.behindSince
 	hasConfig, receiving := config > 0, s.Mirror.IsReceiving()
 	delay, interval := s.refreshTimes()
--- a/router/internal/app/gossip/views.go
+++ b/router/internal/app/gossip/views.go
@@ -177,6 +177,7 @@
 	delete(c.failedUntil, m.Sender.Name)
 	c.hasView.Store(true)
 	s.peerCount.Store(int64(max(0, m.InstanceCount-1)))
+	s.recordContact(now)
 	s.compareVersions(p, m, now)
 	arrival := c.viewArrived
 	c.viewArrived = make(chan struct{})
--- a/router/internal/app/routingcache/endpoints.go
+++ b/router/internal/app/routingcache/endpoints.go
@@ -27,6 +27,7 @@
 	if era := routing.Era(revision); old.Revision != 0 && era > routing.Era(old.Revision) {
 		m.handleStoreRestore(era)
 	}
+	m.history.record(old.Revision, revision, m.listed, listed)
 	m.listed = listed
 	for id, e := range old.ByID {
 		if _, found := listed[id]; !found {
--- a/router/internal/app/routingcache/feed.go
+++ b/router/internal/app/routingcache/feed.go
@@ -58,10 +58,10 @@
 // watchWait returns how long the next watch of a feed waits for a change. A watch that the platform has lost looks like one without a
 // change until its wait is over. The waits are therefore random, and short enough that some instance of the fleet soon makes a
 // new call and, through its version, ends the watches of the others. The calls of the whole fleet do not grow with it until maxWatchWait
-// binds. After a change all instances watch again at the same time, and an outage at that moment loses the watches of all; some of
+// binds; in a fleet with readers, only the collectors count. After a change all instances watch again at the same time, and an outage at that moment loses the watches of all; some of
 // them therefore check soon, and with them the collectors, from which the others hear.
 func (m *Cache) watchWait(limit time.Duration, afterChange bool) time.Duration {
-	instances := max(1, m.instanceCount())
+	instances := max(1, min(m.instanceCount(), m.fleet.WatchingInstances()))
 	shortest := min(limit/minWaitDivisor, maxWatchWait/2)
 	if afterChange && (m.fleet.IsCollector() || rand.IntN(instances) < earlyChecks) {
 		return shortest + rand.N(max(1, shortest))
@@ -74,6 +74,7 @@
 // history, it lists again.
 func (m *Cache) followFeed(ctx context.Context, f feed) {
 	revision, pause, wait := uint64(0), minRetryPause, m.watchWait(f.limit, true)
+	reason := CallWatch
 	for ctx.Err() == nil {
 		next, changed, interrupted, err := uint64(0), false, false, error(nil)
 		if routing.Era(revision) < m.era.Load() {
@@ -81,18 +82,26 @@
 			background.SleepContext(ctx, randomPause(pause))
 		}
 		if revision == 0 {
+			m.calls.add(Call{f.name, CallList})
 			next, err = f.list(ctx)
 			receiveRestart(f.restart)
 		} else {
+			if reason != CallRequested {
+				if check := m.awaitOwnCheck(ctx, f); check != "" {
+					adopted, _ := m.adoptedRevision(f.name)
+					revision, wait, reason = max(revision, adopted), checkTimeout, check
+				}
+			}
 			if receiveRestart(f.restart) { // requested during the pause
-				wait = checkTimeout
+				wait, reason = checkTimeout, CallRequested
 			}
+			m.calls.add(Call{f.name, reason})
 			next, interrupted, err = callInterruptible(ctx, f.restart, func(ctx context.Context) (next uint64, err error) {
 				next, changed, err = f.watch(ctx, revision, wait)
 				return next, err
 			})
 		}
-		wait = checkTimeout
+		wait, reason = checkTimeout, CallRetry
 		switch {
 		case err == nil:
 			if m.RecordEra(routing.Era(next)) {
@@ -105,7 +114,7 @@
 				m.logger.Info().Str("event", "platform.regained").Str("feed", f.name).Dur("away", m.sinceBoot()-time.Duration(f.answeredAt.Load())).Msg("")
 			}
 			advanced := revision != 0 && revision != next
-			revision, pause, wait = next, minRetryPause, m.watchWait(f.limit, changed)
+			revision, pause, wait, reason = next, minRetryPause, m.watchWait(f.limit, changed), CallWatch
 			f.answeredAt.Store(int64(m.sinceBoot()))
 			m.recordFeedAnswer()
 			if advanced {
@@ -113,6 +122,7 @@
 			}
 			continue
 		case interrupted:
+			reason = CallRequested
 			continue
 		case errors.Is(err, routing.ErrHistoryGone):
 			revision = 0
@@ -126,20 +136,24 @@
 			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.name).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).
 				Dur("unanswered", m.sinceBoot()-time.Duration(f.answeredAt.Load())).Err(err).Msg("")
 		}
-		sleepUntilRestart(ctx, f.restart, randomPause(pause))
+		if sleepUntilRestart(ctx, f.restart, randomPause(pause)) {
+			reason = CallRequested
+		}
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
-// sleepUntilRestart sleeps until the time has passed, a restart is requested or ctx ends.
-func sleepUntilRestart(ctx context.Context, restart <-chan struct{}, d time.Duration) {
+// sleepUntilRestart sleeps until the time has passed, a restart is requested or ctx ends, and reports whether one was requested.
+func sleepUntilRestart(ctx context.Context, restart <-chan struct{}, d time.Duration) (requested bool) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-restart:
+		return true
 	case <-timer.C:
 	}
+	return false
 }
 
 // recordFeedAnswer records that the platform answered a call of a feed.
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -42,6 +42,8 @@
 	Endpoints *EndpointList `json:"endpoints"`
 	// Kept holds the endpoints that the sender uses besides.
 	Kept map[string]KeptEndpoint `json:"kept,omitempty"`
+	// Changes replaces Endpoints in answers to instances that have named what they have.
+	Changes *EndpointChanges `json:"changes,omitempty"`
 }
 
 // PropagationLimits are the times within which changes must take effect.
@@ -58,13 +60,29 @@
 	IsCollector() bool
 	// AnnounceVersions is called when the configuration or the endpoint list has a new version.
 	AnnounceVersions()
+	// CollectorContact returns how long this instance may rely on a collector for new versions unless it hears of it again; zero or less if
+	// it must watch the platform itself.
+	CollectorContact() time.Duration
+	// WatchingInstances returns the number of instances that watch the platform if this one does.
+	WatchingInstances() int
 }
 
 // singleInstance is the Fleet of an instance without others.
 type singleInstance struct{}
 
-func (singleInstance) IsCollector() bool { return false }
-func (singleInstance) AnnounceVersions() {}
+func (singleInstance) IsCollector() bool               { return false }
+func (singleInstance) AnnounceVersions()               {}
+func (singleInstance) CollectorContact() time.Duration { return 0 }
+func (singleInstance) WatchingInstances() int          { return math.MaxInt }
+
+// configFeed and endpointsFeed are the names of the feeds.
+const (
+	configFeed    = "config"
+	endpointsFeed = "endpoints"
+)
+
+// Feeds lists the feeds whose calls are counted.
+var Feeds = []string{configFeed, endpointsFeed}
 
 // Cache holds the configuration and the endpoint list. It is safe for concurrent use.
 type Cache struct {
@@ -105,6 +123,8 @@
 	failedSince, recoveredAt time.Duration
 	// departures holds what must survive a restore of the store from a backup.
 	departures   departureLog
+	history      listHistory
+	calls        callCounter
 	restartWatch [2]chan struct{}
 	// era is the highest era of the store in a response.
 	era atomic.Uint64
@@ -187,10 +207,10 @@
 	ctx = routing.WithProgress(ctx, func() { m.lastReceivedAt.Store(int64(m.sinceBoot())) })
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		m.superviseFeed(ctx, feed{"config", m.limits.Config, m.restartWatch[0], m.restartWatch[1], &m.away[0], &m.away[1], &m.configAnsweredAt, m.readConfig, m.watchConfig})
+		m.superviseFeed(ctx, feed{configFeed, m.limits.Config, m.restartWatch[0], m.restartWatch[1], &m.away[0], &m.away[1], &m.configAnsweredAt, m.readConfig, m.watchConfig})
 	})
 	wg.Go(func() {
-		m.superviseFeed(ctx, feed{"endpoints", m.limits.Endpoints, m.restartWatch[1], m.restartWatch[0], &m.away[1], &m.away[0], &m.endpointsAnsweredAt, m.listEndpoints, m.watchEndpoints})
+		m.superviseFeed(ctx, feed{endpointsFeed, m.limits.Endpoints, m.restartWatch[1], m.restartWatch[0], &m.away[1], &m.away[0], &m.endpointsAnsweredAt, m.listEndpoints, m.watchEndpoints})
 	})
 	wg.Wait()
 }
@@ -228,8 +248,7 @@
 func (m *Cache) applyConfig(c *routing.Config, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// Versions only increase, also when the store was restored from a backup that holds an older one.
-	if t := m.Table(); t != nil && (c.Version < t.Config.Version || c.Version == t.Config.Version && c.Revision <= t.Config.Revision) {
+	if t := m.Table(); t != nil && !isNewer(c, t.Config.Version, t.Config.Revision) {
 		return
 	}
 	m.table.Store(routetable.New(c))
@@ -273,15 +292,18 @@
 		return next, true, nil // another instance's list is newer
 	}
 	listed := maps.Clone(m.listed)
+	var written []string
 	for _, c := range changes {
 		if c.Endpoint == nil {
 			delete(listed, c.ID)
 			continue
 		}
 		delete(m.departures.byID, c.ID) // it was written again
+		written = append(written, c.ID)
 		listed[c.ID] = *c.Endpoint
 	}
 	m.replaceList(listed, next)
+	m.history.addWritten(written)
 	return next, true, nil
 }
 
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -166,7 +166,7 @@
 		}
 		servers = append(servers, server)
 	}
-	go transport.Serve(p.peers.HandleMessage, p.peers.State)
+	go transport.Serve(p.peers.HandleMessage, p.peers.State, p.peers.StateSince)
 	n.startLoops(ctx, p)
 	select {
 	case <-ctx.Done():
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"runtime/debug"
 	"time"
@@ -11,6 +12,7 @@
 
 	"tanagerwood.dev/router/internal/adapter/clock"
 	"tanagerwood.dev/router/internal/app/background"
+	"tanagerwood.dev/router/internal/app/gossip"
 	"tanagerwood.dev/router/internal/app/routingcache"
 	"tanagerwood.dev/router/internal/domain/availability"
 	"tanagerwood.dev/router/internal/domain/quarantine"
@@ -112,6 +114,13 @@
 		version, _ := cache.Versions()
 		return int64(version)
 	})
+	for _, feed := range routingcache.Feeds {
+		for _, reason := range routingcache.CallReasons {
+			metrics.NewRegisteredFunctionalGauge(fmt.Sprintf("platform.calls.%s.%s", feed, reason), r, func() int64 {
+				return cache.Calls()[routingcache.Call{Feed: feed, Reason: reason}]
+			})
+		}
+	}
 	metrics.NewRegisteredFunctionalGauge("config.malformed", r, cache.MalformedConfigs)
 	metrics.NewRegisteredFunctionalGauge("endpoints.kept", r, func() int64 { return int64(cache.KeptEndpoints()) })
 	metrics.NewRegisteredFunctionalGauge("platform.config_answer_age_ms", r, func() int64 {
@@ -123,3 +132,10 @@
 		return endpoints.Milliseconds()
 	})
 }
+
+// registerFetchGauges adds the numbers of states that were fetched from collectors, by outcome.
+func registerFetchGauges(r metrics.Registry, peers *gossip.Service) {
+	for _, outcome := range gossip.FetchOutcomes() {
+		metrics.NewRegisteredFunctionalGauge("state.fetches."+outcome.String(), r, func() int64 { return peers.Fetches(outcome) })
+	}
+}
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -271,7 +271,7 @@
 			leavingGrace: s.DrainPropagationLimit / leavingGraceDivisor, boot: boot}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*gossip.Service, error) {
-		return gossip.New(gossip.Deps{
+		peers := gossip.New(gossip.Deps{
 			Self: routing.Instance{
 				Name: s.Instance, Address: s.PeerListen, Domain: s.Domain, Incarnation: uint64(time.Now().UnixNano()),
 				Capacity: int(100 * s.CPUShare),
@@ -280,7 +280,9 @@
 			Mirror: do.MustInvoke[*routingcache.Cache](i), Limiter: do.MustInvoke[*sharedlimit.Limiter](i),
 			EndpointLoad: do.MustInvoke[*inflight.Tracker](i), Queue: do.MustInvoke[*dispatch.Dispatcher](i), Transitions: do.MustInvoke[*stages.Transitions](i),
 			Health: do.MustInvoke[*health.Tracker](i), Speeds: speeds, Availability: availabilityTracker, Quarantine: crashes, Boot: boot, Logger: logger,
-		}), nil
+		})
+		registerFetchGauges(registry, peers)
+		return peers, nil
 	})
 	do.Provide(i, func(i do.Injector) (*retrybudget.Budget, error) {
 		return retrybudget.New(retrybudget.Settings{Ratio: s.RetryRatio, FixedRetries: s.FixedRetries, Window: s.RetryWindow},
