--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -45,6 +45,8 @@
 	Kept map[string]KeptEndpoint `json:"kept,omitempty"`
 	// Evacuations is nil if the sender does not know them.
 	Evacuations *EvacuationReport `json:"evacuations,omitempty"`
+	// Changes replaces Endpoints in answers to instances that have named what they have.
+	Changes *EndpointChanges `json:"changes,omitempty"`
 }
 
 // PropagationLimits are the times within which changes must take effect.
@@ -65,15 +67,31 @@
 	AnnounceEvacuations()
 	// KnowsMembers reports whether the list of instances is known, without which IsCollector is not reliable.
 	KnowsMembers() bool
+	// CollectorContact returns how long this instance may rely on a collector for new versions unless it hears of it again; zero or less if
+	// it must watch the platform itself.
+	CollectorContact() time.Duration
+	// WatchingInstances returns the number of instances that watch the platform if this one does.
+	WatchingInstances() int
 }
 
 // singleInstance is the Fleet of an instance without others.
 type singleInstance struct{}
 
-func (singleInstance) IsCollector() bool    { return false }
-func (singleInstance) AnnounceVersions()    {}
-func (singleInstance) AnnounceEvacuations() {}
-func (singleInstance) KnowsMembers() bool   { return true }
+func (singleInstance) IsCollector() bool               { return false }
+func (singleInstance) AnnounceVersions()               {}
+func (singleInstance) AnnounceEvacuations()            {}
+func (singleInstance) KnowsMembers() bool              { return true }
+func (singleInstance) CollectorContact() time.Duration { return 0 }
+func (singleInstance) WatchingInstances() int          { return math.MaxInt }
+
+// configFeed and endpointsFeed are the names of the feeds.
+const (
+	configFeed    = "config"
+	endpointsFeed = "endpoints"
+)
+
+// Feeds lists the feeds whose calls are counted.
+var Feeds = []string{configFeed, endpointsFeed}
 
 // Cache holds the configuration and the endpoint list. It is safe for concurrent use.
 type Cache struct {
@@ -114,6 +132,8 @@
 	failedSince, recoveredAt time.Duration
 	// departures holds what must survive a restore of the store from a backup.
 	departures   departureLog
+	history      listHistory
+	calls        callCounter
 	restartWatch [2]chan struct{}
 	// era is the highest era of the store in a response.
 	era atomic.Uint64
@@ -214,9 +234,9 @@
 // feeds returns the feeds that the cache follows.
 func (m *Cache) feeds() []*feed {
 	feeds := []*feed{
-		{name: "config", limit: m.limits.Config, restart: m.restartWatch[0], away: &m.away[0], answeredAt: &m.configAnsweredAt, list: m.readConfig, watch: m.watchConfig,
+		{name: configFeed, limit: m.limits.Config, restart: m.restartWatch[0], away: &m.away[0], answeredAt: &m.configAnsweredAt, list: m.readConfig, watch: m.watchConfig,
 			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Config, afterChange) }},
-		{name: "endpoints", limit: m.limits.Endpoints, restart: m.restartWatch[1], away: &m.away[1], answeredAt: &m.endpointsAnsweredAt, list: m.listEndpoints, watch: m.watchEndpoints,
+		{name: endpointsFeed, limit: m.limits.Endpoints, restart: m.restartWatch[1], away: &m.away[1], answeredAt: &m.endpointsAnsweredAt, list: m.listEndpoints, watch: m.watchEndpoints,
 			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Endpoints, afterChange) }},
 	}
 	if m.evacuations != nil {
@@ -261,8 +281,7 @@
 func (m *Cache) applyConfig(c *routing.Config, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// Versions only increase, also when the store was restored from a backup that holds an older one.
-	if t := m.Table(); t != nil && (c.Version < t.Config.Version || c.Version == t.Config.Version && c.Revision <= t.Config.Revision) {
+	if t := m.Table(); t != nil && !isNewer(c, t.Config.Version, t.Config.Revision) {
 		return
 	}
 	m.table.Store(routetable.New(c))
@@ -306,15 +325,18 @@
 		return next, true, nil // another instance's list is newer
 	}
 	listed := maps.Clone(m.listed)
+	var written []string
 	for _, c := range changes {
 		if c.Endpoint == nil {
 			delete(listed, c.ID)
 			continue
 		}
 		delete(m.departures.byID, c.ID) // it was written again
+		written = append(written, c.ID)
 		listed[c.ID] = *c.Endpoint
 	}
 	m.replaceList(listed, next)
+	m.history.addWritten(written)
 	return next, true, nil
 }
 
