--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -71,8 +71,8 @@
 	ID string
 	// NewConnection has the request sent over a new connection, on which no earlier response can arrive.
 	NewConnection bool
-	// BeforeSend, if it is set, is called when a connection is ready. If it returns an error, nothing is sent, and the request fails with an
-	// error that wraps ErrNotSent and that one.
+	// BeforeSend, if it is set, is called when a connection is ready. If it returns an error, nothing is sent, and the request fails with
+	// an error that wraps ErrNotSent and that one.
 	BeforeSend func() error
 	// Match reports whether a response belongs to the request. kept is set if the connection has carried other requests before, whose
 	// responses a faulty peer may send again. If Match is nil, the first response is used.
--- a/api/routing/config.go
+++ b/api/routing/config.go
@@ -73,16 +73,16 @@
 	Name string `json:"name"`
 	// MaxConnections is how many connections one endpoint accepts from all callers together; zero if not limited.
 	MaxConnections int `json:"maxConnections"`
-	// ColdStart is how long an endpoint is cold after its start, ColdPerSecond how many requests a second it may get from all instances
-	// while it is cold; zero if not limited.
+	// ColdStart is how long an endpoint is cold after its start. ColdPerSecond is how many requests a second it may get from all
+	// instances together while it is cold; zero if not limited.
 	ColdStart     time.Duration `json:"coldStart,omitempty"`
 	ColdPerSecond float64       `json:"coldPerSecond,omitempty"`
 	// Engine is nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
 
-// UsualPriority is the priority of requests for which none is given. Endpoints use the same one.
-const UsualPriority = 5
+// DefaultPriority is the priority of requests for which none is given. Endpoints assume the same value.
+const DefaultPriority = 5
 
 // Customer is a tenant of the installation.
 type Customer struct {
--- a/api/routing/endpoint.go
+++ b/api/routing/endpoint.go
@@ -29,7 +29,7 @@
 	ColdRevision uint64 `json:"coldRevision,omitempty"`
 }
 
-// WithoutCold returns the endpoint without what its entry says about being cold, which changes with each heartbeat.
+// WithoutCold returns the endpoint without ColdMS and ColdRevision, which change with each heartbeat, for comparisons.
 func (e Endpoint) WithoutCold() Endpoint {
 	e.ColdMS, e.ColdRevision = 0, 0
 	return e
@@ -45,7 +45,7 @@
 // Evacuation is an entry of the platform's list of evacuated domains.
 type Evacuation struct {
 	Domain string
-	// Revision is that of the entry.
+	// Revision is the revision of the entry.
 	Revision uint64
 }
 
--- a/lab/soak/evacuation.go
+++ b/lab/soak/evacuation.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// evacuationShare is the share of the plans in which domains are evacuated, and meanEvacuationPause the mean time between the begins of
-	// evacuations, which last longer than the time within which they must be in force.
+	// evacuationShare is the share of the plans in which domains are evacuated. meanEvacuationPause is the mean time between the beginnings
+	// of evacuations, which last longer than the time within which they must be in force.
 	evacuationShare     = 0.4
 	meanEvacuationPause = 7 * time.Second
 	// evacuationScope marks the times in which a domain is evacuated.
@@ -22,7 +22,7 @@
 	from, to time.Time
 }
 
-// evacuator evacuates domains and ends that.
+// evacuator begins and ends evacuations of domains.
 type evacuator struct {
 	store *standin.Store
 
@@ -47,7 +47,7 @@
 	v.write(domain)
 }
 
-// write writes the entry of a domain as it should be.
+// write creates or removes the entry of a domain, depending on whether an evacuation is open; v.mu is held.
 func (v *evacuator) write(domain string) {
 	if v.open[domain] > 0 {
 		v.store.Evacuate(domain)
@@ -71,7 +71,8 @@
 	return append([]evacuationPeriod{}, v.periods...)
 }
 
-// evacuate evacuates a domain, or in a fifth of the variants all. In two thirds of them, the store rejects an instance at its begin.
+// evacuate evacuates one domain, or all domains in a fifth of the variants. In two thirds of the variants, the store rejects an instance at
+// the beginning.
 func (t *testbed) evacuate(a Action, i *instance) {
 	defer t.faults.begin(evacuationScope, true)()
 	var group sync.WaitGroup
@@ -86,14 +87,17 @@
 	group.Wait()
 }
 
-// checkEvacuations checks that instances without a fault send no requests to servers of an evacuated domain once that must be in force.
-// That the store rejects an instance does not excuse it: the others have the change.
+// checkEvacuations checks that instances without a fault send no requests to servers of an evacuated domain once the evacuation must be in
+// force. Rejection by the store is not excused, because an instance learns of the change from others.
 func (e *execution) checkEvacuations() {
 	for _, s := range e.sent {
 		for _, r := range e.runs[s.id] {
 			for _, p := range e.evacuations {
 				late := r.Began.After(p.from.Add(e.bounds.Evacuate)) && r.Began.Before(p.to)
-				if late && e.servers[r.Server].domain == p.domain && e.faults.undisturbedExceptRejection(s.instance, e.bounds.Stable, p.from, r.Began) {
+				if !late || e.servers[r.Server].domain != p.domain {
+					continue
+				}
+				if e.faults.undisturbedExceptRejection(s.instance, e.bounds.Stable, p.from, r.Began) {
 					e.add("evacuations", s.id, "%s sent it to %s, %v after the evacuation of %s", s.instance, r.Server, r.Began.Sub(p.from), p.domain)
 				}
 			}
--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -90,7 +90,7 @@
 	// Timings estimates for how long slots are held, MemoryEstimator how much memory requests use.
 	Timings         *latency.Estimator
 	MemoryEstimator *memestimate.Estimator
-	// Speeds estimates the speed of engines; nil if that is not used.
+	// Speeds estimates the speed of engines; nil if their speed is not used.
 	Speeds *speed.Tracker
 	Domain string
 	// InstanceCount is the number of instances that share the engines.
@@ -111,9 +111,9 @@
 	// SlotDeadline is the latest time at which the slot must be acquired for the response to be on time.
 	SlotDeadline time.Duration
 	Class        priority.Class
-	// Reserved is the place that the request takes first if it belongs to the share of the less urgent requests that is reserved for
-	// them; nil otherwise.
-	Reserved *waitlist.Place
+	// Reserved is the position in which the request is queued first if it belongs to the reserved share of the less urgent requests; nil
+	// otherwise.
+	Reserved *waitlist.Position
 	// Exclude holds the ids of endpoints at which this request has failed.
 	Exclude map[string]bool
 	// Allowed is the filter of the failure domains in which the request may run.
@@ -216,7 +216,9 @@
 			continue
 		}
 		for _, r := range requests {
-			out = append(out, waitlist.Request{ID: r.ID, Service: r.service, Tokens: r.Tokens, SlackMS: (r.LatestStart - now).Milliseconds(), Class: r.Class})
+			out = append(out, waitlist.Request{
+				ID: r.ID, Service: r.service, Tokens: r.Tokens, SlackMS: (r.LatestStart - now).Milliseconds(), Class: r.Class,
+			})
 		}
 	}
 	waitlist.SortForPeers(out)
@@ -235,7 +237,8 @@
 	known := make([]peerRequest, len(requests))
 	for i, r := range requests {
 		known[i] = peerRequest{service: r.Service, PeerRequest: waitlist.PeerRequest{
-			ID: r.ID, Tokens: r.Tokens, LatestStart: now - peerMessageDelay + time.Duration(r.SlackMS)*time.Millisecond, Class: r.Class.Valid(),
+			ID: r.ID, Tokens: r.Tokens, Class: r.Class.Valid(),
+			LatestStart: now - peerMessageDelay + time.Duration(r.SlackMS)*time.Millisecond,
 		}}
 	}
 	d.peerRequests[instance] = known
@@ -324,7 +327,9 @@
 	if s == nil || s.Engine == nil {
 		return engines.Capacity{}, nil
 	}
-	return engines.Capacity{Slots: s.Engine.Slots, Tokens: d.MemoryEstimator.UsableMemory(s.Name, s.Engine.MemoryTokens), Total: s.Engine.MemoryTokens}, s.Engine
+	return engines.Capacity{
+		Slots: s.Engine.Slots, Tokens: d.MemoryEstimator.UsableMemory(s.Name, s.Engine.MemoryTokens), Total: s.Engine.MemoryTokens,
+	}, s.Engine
 }
 
 func (d *Dispatcher) reserve(ctx context.Context, slot *Slot) error {
@@ -419,7 +424,8 @@
 	return &ep
 }
 
-// keepEngines keeps the engines that a request on time may use from later requests, if it may not run everywhere.
+// keepEngines marks the engines that an on-time request may use as full, so that later requests do not get them, if the request may not
+// run everywhere.
 func (d *Dispatcher) keepEngines(candidates []engines.Candidate, own *waitlist.Entry) {
 	if own == nil || own.Allowed == nil || d.SinceBoot() > own.LatestStart {
 		return
--- a/router/internal/app/dispatch/priority_test.go
+++ b/router/internal/app/dispatch/priority_test.go
@@ -118,7 +118,7 @@
 	priorities := priority.Service{Differ: true, MostUrgent: 0, Objective: kinds[0].objective}
 	r.Class = priorities.Class(k.priority, beyond)
 	if priorities.Reserves(r.Class, id) {
-		r.Reserved = &waitlist.Place{Class: priorities.Class(0, false), LatestStart: latestStart - (k.objective - kinds[0].objective)}
+		r.Reserved = &waitlist.Position{Class: priorities.Class(0, false), LatestStart: latestStart - (k.objective - kinds[0].objective)}
 	}
 	return r
 }
--- a/router/internal/app/dispatch/wait.go
+++ b/router/internal/app/dispatch/wait.go
@@ -18,8 +18,8 @@
 func (d *Dispatcher) waitForSlot(ctx context.Context, req *SlotRequest) (*Slot, error) {
 	granted := make(chan *Slot, 1)
 	entry := &waitlist.Entry{
-		ID: req.RequestID, Tokens: d.MemoryEstimator.RequestMemory(req.Service, req.Demand, 0), LatestStart: req.SlotDeadline, ExcludedEngines: req.Exclude, Allowed: req.Allowed,
-		Class: req.Class, Reserved: req.Reserved,
+		ID: req.RequestID, Tokens: d.MemoryEstimator.RequestMemory(req.Service, req.Demand, 0), LatestStart: req.SlotDeadline,
+		ExcludedEngines: req.Exclude, Allowed: req.Allowed, Class: req.Class, Reserved: req.Reserved,
 	}
 	entry.OnDecision = func(engine *routing.Endpoint) {
 		if engine == nil {
@@ -63,7 +63,8 @@
 	return nil, fault.New(fault.Overloaded, "all engines are busy; come back after Retry-After").WithRetryAfter(d.retryAfter(req.Service))
 }
 
-// hasNoEngine reports whether evacuations leave a request without engines, or none is in the regions in which it must stay.
+// hasNoEngine reports whether a request has no engine, because all domains with engines are evacuated or no engine is in a region that it
+// allows.
 func (d *Dispatcher) hasNoEngine(service string, allowed regions.Filter) bool {
 	if allowed == nil {
 		return d.State.AllEvacuated(service, routing.Decode)
--- a/router/internal/app/forward/forward.go
+++ b/router/internal/app/forward/forward.go
@@ -90,7 +90,7 @@
 	EndpointLoad *inflight.Tracker
 	Health       *health.Tracker
 	Timings      *latency.Estimator
-	// Speeds estimates the speed of endpoints. LoadAge returns the age of what is known of the requests of other instances at plain
+	// Speeds estimates the speed of endpoints. LoadAge returns the mean age of the reported requests of other instances at plain
 	// endpoints.
 	Speeds  *speed.Tracker
 	LoadAge func() time.Duration
@@ -120,8 +120,9 @@
 type Forwarder struct {
 	Deps
 	retryDetector *retrydetect.Detector
-	refusals      refusalTimes
-	metrics       *requestMetrics
+	// refusals holds when endpoints of plain services last refused a request.
+	refusals refusalTimes
+	metrics  *requestMetrics
 }
 
 // New returns a Forwarder.
@@ -169,7 +170,7 @@
 	cost     int64
 	// rateRefusal describes the refusal by the customer's rate limit; nil if there was none.
 	rateRefusal *rateRefusal
-	// priorities describes the priorities of the service's requests, class is that of this request.
+	// priorities describes the priorities of the service's requests. class is the class of this request.
 	priorities priority.Service
 	class      priority.Class
 
@@ -186,13 +187,13 @@
 	lastEndpoint     string
 	status           int
 	withheldResponse *failedResponse
+	// withheldMemory is the memory that the withheld response takes.
+	withheldMemory membudget.Holding
 	// allowed is the filter of the domains to which the request may go.
 	allowed regions.Filter
-	// prefilledAt is the engine of the latest prefill.
-	prefilledAt routing.Endpoint
-	// withheldMemory is what the withheld response takes.
-	withheldMemory membudget.Holding
-	durations      stepDurations
+	// prefillEngine is the engine of the latest prefill.
+	prefillEngine routing.Endpoint
+	durations     stepDurations
 	// eventCount is the number of events passed on to the caller, priorWait the time that the caller spent on refused attempts
 	// before this request.
 	eventCount int
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -103,7 +103,7 @@
 		Demand:       demand,
 		SlotDeadline: latestStart,
 		Class:        r.class,
-		Reserved:     r.reservedPlace(latestStart),
+		Reserved:     r.reservedPosition(latestStart),
 		Exclude:      r.triedEndpoints,
 		Allowed:      r.allowed,
 		Stop:         stop,
@@ -138,7 +138,7 @@
 	r.durations.prefill += took
 	r.recordOutcome(ep, err, start)
 	if err == nil {
-		r.prefilledAt = ep
+		r.prefillEngine = ep
 		r.Timings.RecordPrefill(r.service.Name, demand.PromptTokens, took)
 		r.recordPrefillSpeed(ep, queued, took)
 		if alreadyRunning == 0 && r.EndpointLoad.TotalAt(ep.ID).Requests == load.Requests {
@@ -220,7 +220,7 @@
 		}
 		return err
 	}
-	if handle != nil && r.State.Evacuated(r.prefilledAt) {
+	if handle != nil && r.State.Evacuated(r.prefillEngine) {
 		handle = nil // the engine would fetch the KV cache from the evacuated domain; it expires there
 	}
 	ctx, progress, stop := r.withStallTimeout(ep, handle == nil)
@@ -252,7 +252,10 @@
 // mayResend reports whether a request may be sent once more to an engine that refused it. The request may have waited there for seconds,
 // and the engine may have announced since then that it leaves or wants no requests.
 func (r *requestState) mayResend(ep routing.Endpoint, err error) bool {
-	if !errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrMisdirected) || r.State.Evacuated(ep) || r.State.Leaving(ep) || r.State.Paused(ep) {
+	if !errors.Is(err, routing.ErrNotRun) || errors.Is(err, routing.ErrMisdirected) {
+		return false
+	}
+	if r.State.Evacuated(ep) || r.State.Leaving(ep) || r.State.Paused(ep) {
 		return false
 	}
 	return r.checkQuarantine() == nil && r.mayRetry(err) && r.Limits.Admit(ep)
--- a/router/internal/app/forward/priority.go
+++ b/router/internal/app/forward/priority.go
@@ -20,8 +20,8 @@
 const (
 	// yieldInterval is the mean interval at which a request that yields to more urgent ones looks for room.
 	yieldInterval = 20 * time.Millisecond
-	// refusalMemory is how long endpoints count as refusing after one has refused a request.
-	refusalMemory = time.Second
+	// refusalPeriod is how long the endpoints of a service count as refusing after one of them has refused a request.
+	refusalPeriod = time.Second
 	// minCountedWait is the wait for a slot from which a request counts as having waited.
 	minCountedWait = 5 * time.Millisecond
 )
@@ -45,16 +45,16 @@
 	return r.RateLimiter.Delay(sharedlimit.CustomerQuota(r.customer), priority.Allowance(r.customer), r.SinceBoot()) > 0
 }
 
-// reservedPlace returns the place in the wait list that the request takes first if it belongs to the reserved share of the less
-// urgent ones, and nil otherwise. It is the place of a most urgent request that arrives now, so that it is served as often as those.
-func (r *requestState) reservedPlace(latestStart time.Duration) *waitlist.Place {
+// reservedPosition returns the position in which the request is queued first if it belongs to the reserved share of the less urgent
+// ones, and nil otherwise. It is the position of a most urgent request that arrives now, so that it is served as often as those.
+func (r *requestState) reservedPosition(latestStart time.Duration) *waitlist.Position {
 	if !r.priorities.Reserves(r.class, r.call.RequestID) {
 		return nil
 	}
 	if own, urgent := r.route.Objective, r.priorities.Objective; own > urgent && urgent > 0 {
 		latestStart -= own - urgent
 	}
-	return &waitlist.Place{Class: r.priorities.Class(r.priorities.MostUrgent, false), LatestStart: latestStart}
+	return &waitlist.Position{Class: r.priorities.Class(r.priorities.MostUrgent, false), LatestStart: latestStart}
 }
 
 // priorityResult is what became of a request of a service whose requests differ in priority.
@@ -138,7 +138,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at, known := t.latest[service]
-	return known && now-at < refusalMemory
+	return known && now-at < refusalPeriod
 }
 
 // record records the failure of a request if it is the refusal of an endpoint that was reached.
--- a/router/internal/app/forward/record.go
+++ b/router/internal/app/forward/record.go
@@ -51,8 +51,8 @@
 	cost    int64
 }
 
-// recordRateRefusal records a refusal by the customer's rate limit for the line of the request. It counts those of requests that would
-// have been admitted without what silent instances are assumed to have admitted.
+// recordRateRefusal records a refusal by the customer's rate limit for the log line of the request. It counts the refusals of requests that
+// would have been admitted without the assumed shares of silent instances.
 func (r *requestState) recordRateRefusal(q *sharedlimit.Quota) {
 	r.rateRefusal = &rateRefusal{quota: q, balance: r.RateLimiter.Balance(q.Key), cost: r.cost}
 	if balance := r.rateRefusal.balance; balance.Left+balance.Assumed >= float64(r.cost) {
--- a/router/internal/app/forward/speed.go
+++ b/router/internal/app/forward/speed.go
@@ -24,7 +24,7 @@
 	return r.Speeds.SelectSoonest(options, r.plainWork(), r.LoadAge(), r.Random, now)
 }
 
-// plainWork is the work of a plain request. Requests of different routes differ in their work.
+// plainWork returns the kind of work of a plain request, whose duration depends on the route.
 func (r *requestState) plainWork() speed.Work {
 	return speed.Work{Service: r.service.Name, Route: r.route.Name, Step: speed.Plain}
 }
@@ -42,7 +42,7 @@
 	r.Speeds.Record(ep, speed.Work{Service: r.service.Name, Step: speed.Prefill}, queued, took, r.SinceBoot())
 }
 
-// scaled returns how long work takes at an endpoint that usually takes the given time at its service.
+// scaled returns the expected duration at an endpoint of work that takes the given time at its service on average.
 func (r *requestState) scaled(ep routing.Endpoint, usual time.Duration) time.Duration {
 	if !r.Speeds.InForce(ep.Service) {
 		return usual
@@ -50,7 +50,7 @@
 	return time.Duration(r.Speeds.Factor(ep, r.SinceBoot()) * float64(usual))
 }
 
-// extended returns a time limit, longer if the endpoint is slow. It is not shorter if the endpoint is fast, which it may cease to be.
+// extended returns a time limit, extended if the endpoint is slow. It is never shortened, because a fast endpoint may become slower.
 func (r *requestState) extended(ep routing.Endpoint, limit time.Duration) time.Duration {
 	return max(limit, r.scaled(ep, limit))
 }
--- a/router/internal/domain/coldstart/coldstart.go
+++ b/router/internal/domain/coldstart/coldstart.go
@@ -14,18 +14,19 @@
 const (
 	// maxRemaining bounds the time for which an endpoint says that it is cold. Longer times are treated as errors and shortened.
 	maxRemaining = 10 * time.Minute
-	// returnCaution is for how long the endpoints of a domain count as cold after its evacuation, unless they say otherwise. Their entries
-	// tell with the next heartbeat, every 1.2 s, whether they have become cold meanwhile, and reach the instances some time later.
-	returnCaution = 2500 * time.Millisecond
+	// returnColdTime is for how long the endpoints of a domain count as cold after its evacuation, unless they say otherwise. Their entries
+	// say with the next heartbeat, every 1.2 s by default, whether they have become cold meanwhile, and reach the instances some time later.
+	returnColdTime = 2500 * time.Millisecond
 )
 
-// period is the time for which one start of an endpoint is cold.
+// period is the time during which an endpoint is cold after one start.
 type period struct {
 	service string
 	startMS int64
 	// stated is the revision of the entry that states it; zero if the entry states nothing.
 	stated uint64
-	until  time.Duration
+	// until is its end in time since boot.
+	until time.Duration
 }
 
 // Tracker holds the cold endpoints. It is safe for concurrent use. Times are since boot.
@@ -101,7 +102,7 @@
 			if p.startMS != ep.StartedMS {
 				p = period{}
 			}
-			until := max(p.until, now+min(returnCaution, startup))
+			until := max(p.until, now+min(returnColdTime, startup))
 			next[id] = period{service: ep.Service, startMS: ep.StartedMS, stated: max(p.stated, ep.ColdRevision), until: until}
 			changed = true
 		}
@@ -109,6 +110,7 @@
 	})
 }
 
+// clamp limits a stated remaining time to the valid range.
 func clamp(d time.Duration) time.Duration { return max(0, min(d, maxRemaining)) }
 
 // update replaces the periods by a changed copy, if the function changes it.
--- a/router/internal/domain/coldstart/coldstart_test.go
+++ b/router/internal/domain/coldstart/coldstart_test.go
@@ -29,8 +29,8 @@
 	return out
 }
 
-// Guards against endpoints that are limited without a reason, and cold ones that are not: by entries that state the time, or by the start of
-// those that do not.
+// Guards against endpoints that are limited without a reason, and cold ones that are not: by entries that state the time, or by the start
+// of those that do not.
 func TestEntriesTellWhichEndpointsAreCold(t *testing.T) {
 	for name, c := range map[string]struct {
 		ep   routing.Endpoint
--- a/router/internal/domain/endpointlimit/endpointlimit.go
+++ b/router/internal/domain/endpointlimit/endpointlimit.go
@@ -1,6 +1,6 @@
-// Package endpointlimit keeps the request limits that endpoints announce, and those of cold endpoints. A limit applies to the requests of all instances
-// together, so each limited endpoint has a quota in the shared limiter, which counts what this instance admits at once and what
-// the others admit as soon as they report it.
+// Package endpointlimit keeps the request limits that endpoints announce, and those of cold endpoints. A limit applies to the requests of
+// all instances together, so each limited endpoint has a quota in the shared limiter, which counts what this instance admits at once and
+// what the others admit as soon as they report it.
 package endpointlimit
 
 import (
@@ -21,8 +21,8 @@
 	minRate = 0.25
 	// burstTime is the time whose requests, and one more, may be sent at once.
 	burstTime = 500 * time.Millisecond
-	// coldBurstTime is burstTime for cold endpoints, which crash at half more than their limit. The rest is left for requests that instances
-	// send before they hear of each other's.
+	// coldBurstTime is burstTime for cold endpoints, which crash at half more than their limit. The rest is left for requests that
+	// instances send before they hear of each other's.
 	coldBurstTime = 200 * time.Millisecond
 	// keyPrefix distinguishes the quotas of endpoints from those of customers, whose names are sent in HTTP headers and therefore
 	// contain no NUL byte.
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -32,7 +32,7 @@
 	Full bool
 	// FailureRate is the fraction of recent calls that failed, from 0 to 1.
 	FailureRate float64
-	// SpeedFactor is the expected duration of work at the engine in relation to its service; zero if it is not to be used.
+	// SpeedFactor is the expected duration of work at the engine in relation to the mean of its service; zero if it is not to be used.
 	SpeedFactor float64
 }
 
@@ -60,8 +60,8 @@
 	return max(slots, memory)
 }
 
-// idleDecodeLoad is the part of the duration of a decode that does not depend on the utilization of the engine, as a utilization. A greater
-// one would fill fast engines, whose requests then wait for memory, while slower ones idle.
+// idleDecodeLoad is the part of the duration of a decode that does not depend on the engine's utilization, in units of utilization. With
+// a greater value, requests would wait for the memory of fast engines while slower ones are idle.
 const idleDecodeLoad = 0.25
 
 // decodeCost is the expected duration of a decode, as the utilization of an engine of usual speed.
@@ -73,22 +73,22 @@
 	return (idleDecodeLoad+utilization)*c.SpeedFactor - idleDecodeLoad
 }
 
-// SelectDecode returns the index of an engine that has room for the tokens, or -1. It picks at random among the least utilized
-// engines, or those with the shortest expected duration if the speed of the engines is known, and among those prefers the given domain, which is that of the prefill engine or of the router. A deterministic choice
-// would send all instances, whose load data is equally stale, to the same engine and exceed its memory. The random number is in
-// [0, 1).
+// SelectDecode returns the index of an engine that has room for the tokens, or -1. It picks at random among the least utilized engines,
+// or those with the shortest expected duration if the speed of the engines is known, and among those prefers the given domain, which is
+// that of the prefill engine or of the router. A deterministic choice would send all instances, whose load data is equally stale, to the
+// same engine and exceed its memory. The random number is in [0, 1).
 func SelectDecode(candidates []Candidate, capacity Capacity, tokens int64, domain string, random float64) int {
-	utilizations := make([]float64, len(candidates))
+	costs := make([]float64, len(candidates))
 	least := math.Inf(1)
 	for i, c := range candidates {
-		utilizations[i] = math.Inf(1)
+		costs[i] = math.Inf(1)
 		if c.hasRoom(capacity, tokens) {
-			utilizations[i] = c.decodeCost(capacity) + failurePenalty*c.FailureRate
-			least = min(least, utilizations[i])
+			costs[i] = c.decodeCost(capacity) + failurePenalty*c.FailureRate
+			least = min(least, costs[i])
 		}
 	}
 	var tied, sameDomain []int
-	for i, utilization := range utilizations {
+	for i, utilization := range costs {
 		if math.IsInf(utilization, 1) || utilization > least+tieMarginRequests*float64(tokens)/float64(max(1, capacity.Tokens)) {
 			continue
 		}
@@ -106,8 +106,8 @@
 	return tied[int(random*float64(len(tied)))]
 }
 
-// SelectPrefill returns the index of the engine with the shortest prefill queue in tokens, or in time if the speed of the engines is known, or -1 if there is none. The domain is
-// that of the decode engine.
+// SelectPrefill returns the index of the engine with the shortest prefill queue in tokens, or in time if the speed of the engines is
+// known, or -1 if there is none. The domain is that of the decode engine.
 func SelectPrefill(candidates []Candidate, tokens int64, domain string) int {
 	best, bestCost := -1, 0.0
 	for i, c := range candidates {
--- a/router/internal/domain/evacuation/evacuation.go
+++ b/router/internal/domain/evacuation/evacuation.go
@@ -2,8 +2,8 @@
 // and ends the evacuation by removing the entry. Instances read the entries or hear of them from each other, in any order and from copies
 // of different ages.
 //
-// What is known is kept as one record for each domain, ordered by the store's revisions. Copies are merged record by record: the later
-// record holds. Revisions of different eras of the store need more care, because a backup may hold an entry whose removal it lacks, and may
+// What is known is kept as one record for each domain, ordered by the store's revisions. Copies are merged record by record, and the later
+// record takes precedence. Revisions of different eras of the store need more care, because a backup may hold an entry whose removal it lacks, and may
 // lack an entry that was written after it:
 //
 //   - An evacuation in force that the restored store lacks stays in force. It ends when its entry is written and removed again.
@@ -33,7 +33,7 @@
 // Record is the latest that is known of the evacuation of a domain.
 type Record struct {
 	Domain string `json:"domain"`
-	// Revision is that of the entry, or if Ended is set, one at which the entry did not exist.
+	// Revision is the revision of the entry, or if Ended is set, one at which the entry did not exist.
 	Revision uint64 `json:"revision"`
 	Ended    bool   `json:"ended,omitempty"`
 	// Earlier and EarlierEnded are the Revision and Ended of the latest record of an earlier era; zero if none is known.
@@ -41,8 +41,8 @@
 	EarlierEnded bool   `json:"earlier_ended,omitempty"`
 }
 
-// before reports whether another record of the domain holds instead of this one. Of two records of one revision, the one that says that the
-// evacuation has ended holds.
+// before reports whether another record of the domain takes precedence over this one. Of two records of one revision, the one that says
+// that the evacuation has ended takes precedence.
 func (r Record) before(other Record) bool {
 	return r.Revision < other.Revision || r.Revision == other.Revision && !r.Ended && other.Ended
 }
@@ -59,7 +59,7 @@
 
 // Snapshot is the state that instances pass on to each other.
 type Snapshot struct {
-	// Revision is that up to which all changes of its era are included; zero if the records are a part of them.
+	// Revision is the one up to which all changes of its era are included; zero if the records are incomplete.
 	Revision uint64 `json:"revision,omitempty"`
 	// EraStart is the lowest revision of the era of Revision at which a list or watch was answered.
 	EraStart uint64   `json:"era_start,omitempty"`
@@ -210,7 +210,7 @@
 	}
 }
 
-// advance notes up to which revision the state is complete.
+// advance records up to which revision the state is complete.
 func (s *state) advance(revision, eraStart uint64) {
 	switch {
 	case revision == 0:
@@ -255,8 +255,8 @@
 	}
 }
 
-// Snapshot returns the state for another instance. It leaves out evacuations that ended in the current era, since a complete state says so by
-// lacking them, and holds at most maxSharedRecords records: those that have not ended first, and of these the latest.
+// Snapshot returns the state for another instance. It leaves out evacuations that ended in the current era, since a complete state says
+// so by lacking them, and holds at most maxSharedRecords records: those that have not ended first, and of these the latest.
 func (t *Tracker) Snapshot() Snapshot {
 	s := t.state.Load()
 	out := Snapshot{Revision: s.revision, EraStart: s.eraStart}
--- a/router/internal/domain/priority/priority.go
+++ b/router/internal/domain/priority/priority.go
@@ -1,6 +1,6 @@
 // Package priority determines the order in which requests of different priority are admitted. A request has the priority of its
 // customer if the configuration gives one, and that of its route otherwise. Priorities are in force for a service only where its
-// requests differ in priority; the requests of any other service are all of the usual class.
+// requests differ in priority; the requests of any other service are all of the default class.
 package priority
 
 import (
@@ -12,21 +12,21 @@
 )
 
 const (
-	// mostUrgent and leastUrgent bound the priorities.
+	// mostUrgent and leastUrgent are the bounds of valid priorities.
 	mostUrgent  = 0
 	leastUrgent = 9
-	// reservedOneIn is the part of the less urgent requests that is queued like the most urgent ones: one in three. Those are served
-	// as often as the most urgent ones, so that each class is served at least a third as often, whatever the load.
+	// reservedOneIn says that one in three of the less urgent requests is queued like the most urgent ones, and is served as often as
+	// these. Each class is therefore served at least a third as often as the most urgent one, whatever the load.
 	reservedOneIn = 3
-	// allowanceFraction is the fraction of the burst below which a customer's allowance shows that the customer is beyond its rate.
-	// It is less than the half that the allowance of a new instance holds.
+	// allowanceFraction is the fraction of the burst that a customer within its rate has left. It is less than the half with which
+	// the bucket of a new instance may begin, so that a restart does not make customers count as beyond their rate.
 	allowanceFraction = 0.3
 )
 
-// Class is the class in which a request is admitted. The zero value is the class of requests of the usual priority, which is also
-// that of requests reported by instances that do not send a class.
+// Class is the class in which a request is admitted. The zero value is the class of requests of the default priority, and also of
+// requests reported by instances that do not send a class.
 type Class struct {
-	// Offset is the priority relative to the usual one; negative if more urgent.
+	// Offset is the priority relative to the default one; negative if more urgent.
 	Offset int `json:"p,omitempty"`
 	// BeyondRate is set if the customer is using up its burst. Such requests come after the others of the same priority.
 	BeyondRate bool `json:"b,omitempty"`
@@ -34,11 +34,11 @@
 
 // NewClass returns the class of a priority, which is limited to the valid range.
 func NewClass(priority int, beyondRate bool) Class {
-	return Class{Offset: limited(priority) - routing.UsualPriority, BeyondRate: beyondRate}
+	return Class{Offset: clampPriority(priority) - routing.DefaultPriority, BeyondRate: beyondRate}
 }
 
 // Priority returns the priority of the class, from 0 to 9.
-func (c Class) Priority() int { return limited(c.Offset + routing.UsualPriority) }
+func (c Class) Priority() int { return clampPriority(c.Offset + routing.DefaultPriority) }
 
 // Valid returns the class with its priority limited to the valid range.
 func (c Class) Valid() Class { return NewClass(c.Priority(), c.BeyondRate) }
@@ -54,14 +54,14 @@
 	return -1
 }
 
-func limited(priority int) int { return min(max(priority, mostUrgent), leastUrgent) }
+func clampPriority(priority int) int { return min(max(priority, mostUrgent), leastUrgent) }
 
 // Effective returns the priority of a request. The customer is nil for requests without one.
 func Effective(route *routing.Route, customer *routing.Customer) int {
 	if customer != nil && customer.Priority != nil {
-		return limited(*customer.Priority)
+		return clampPriority(*customer.Priority)
 	}
-	return limited(route.Priority)
+	return clampPriority(route.Priority)
 }
 
 // Service describes the priorities of the requests of one service.
@@ -114,7 +114,7 @@
 			r.someWithout = true
 			continue
 		}
-		r.priorities[limited(*c.Customers[i].Priority)] = true
+		r.priorities[clampPriority(*c.Customers[i].Priority)] = true
 	}
 	return r
 }
@@ -127,7 +127,7 @@
 
 func (r *priorityRange) addRoute(route *routing.Route, customers customerRange) {
 	if customers.someWithout || route.Public {
-		r.add(limited(route.Priority), route.Objective)
+		r.add(clampPriority(route.Priority), route.Objective)
 	}
 	for p := range customers.priorities {
 		r.add(p, route.Objective)
--- a/router/internal/domain/priority/priority_test.go
+++ b/router/internal/domain/priority/priority_test.go
@@ -56,7 +56,7 @@
 // service of equal priorities on the wire.
 func TestClassOnTheWire(t *testing.T) {
 	var absent priority.Class
-	if err := json.Unmarshal([]byte(`{}`), &absent); err != nil || absent.Priority() != routing.UsualPriority || absent != priority.NewClass(5, false) {
+	if err := json.Unmarshal([]byte(`{}`), &absent); err != nil || absent.Priority() != routing.DefaultPriority || absent != priority.NewClass(5, false) {
 		t.Error(absent, err)
 	}
 	sent, err := json.Marshal(priority.Service{}.Class(0, true))
--- a/router/internal/domain/sharedlimit/bucket.go
+++ b/router/internal/domain/sharedlimit/bucket.go
@@ -3,16 +3,17 @@
 import "time"
 
 const (
-	// initialLevelFraction is the part of the burst that a new bucket holds of a quota that has not been in force since the start of the
-	// instance. What was admitted before is not known.
+	// toleranceWindow, toleranceFraction and toleranceTokens are the tolerance for customers that are limited in tokens: in any window,
+	// what is admitted may exceed the rate and the burst by this fraction of both, and by this number of tokens.
+	toleranceWindow   = 8 * time.Second
+	toleranceFraction = 0.1
+	toleranceTokens   = 73_000
+	// initialToleranceFraction is the part of the tolerance that a new bucket holds. The burst may have been used just before all
+	// instances restarted. The rest is for what instances admit before they hear from each other.
+	initialToleranceFraction = 0.5
+	// initialLevelFraction is the part of the burst that the new bucket of any other quota holds. What was admitted before it was created
+	// is not known.
 	initialLevelFraction = 0.5
-	// In any ruleWindow, (1 + ruleExcess) times the rate and the burst and ruleSlackTokens may be admitted. The burst may have been used
-	// just before all instances restarted, so that a new bucket holds initialExcessFraction of what exceeds the rate and the burst; the
-	// rest is for what instances admit before they hear from each other.
-	ruleWindow            = 8 * time.Second
-	ruleExcess            = 0.1
-	ruleSlackTokens       = 73_000
-	initialExcessFraction = 0.5
 	// sufficientFraction is the part of the burst at which a request of any size is admitted. A bucket never holds more
 	// than its burst, so larger requests would never be admitted otherwise.
 	sufficientFraction = 0.9
@@ -34,8 +35,8 @@
 	return min(b.burst, b.level+max(0, now-b.updated).Seconds()*b.rate)
 }
 
-// discardExcess lowers the level by what it exceeded the burst by at the given time. Without it, what others admit after that would be
-// taken from an allowance that nobody had.
+// discardExcess lowers the level by the amount by which it exceeded the burst at the given time. Otherwise, what others admit after that
+// would be taken from tokens that the bucket could not have held.
 func (b *bucket) discardExcess(at time.Duration) {
 	if b.burst > 0 {
 		b.level -= max(0, b.level+max(0, at-b.updated).Seconds()*b.rate-b.burst)
@@ -48,10 +49,11 @@
 	return max(0, time.Duration((required-b.level)/q.RatePerSecond*float64(time.Second)))
 }
 
-// initialLevel returns the level of a new bucket.
+// initialLevel returns the level of a new bucket of the quota.
 func (q *Quota) initialLevel() float64 {
 	if !q.Standing || !q.CountsTokens {
 		return initialLevelFraction * q.Burst
 	}
-	return min(q.Burst, initialExcessFraction*(ruleExcess*(q.RatePerSecond*ruleWindow.Seconds()+q.Burst)+ruleSlackTokens))
+	tolerance := toleranceFraction*(q.RatePerSecond*toleranceWindow.Seconds()+q.Burst) + toleranceTokens
+	return min(q.Burst, initialToleranceFraction*tolerance)
 }
--- a/router/internal/domain/sharedlimit/sharedlimit.go
+++ b/router/internal/domain/sharedlimit/sharedlimit.go
@@ -26,8 +26,8 @@
 	Key           string
 	RatePerSecond float64
 	Burst         float64
-	// Standing is set if all that is admitted under the quota is counted against it, from the start of the instance. An unused standing
-	// quota accrues before its first use.
+	// Standing is set if everything that is admitted under the quota has been counted since the start of the instance. The bucket of
+	// such a quota accrues before its first use.
 	Standing bool
 	// CountsTokens is set if the units are tokens. Otherwise they are requests.
 	CountsTokens bool
@@ -52,7 +52,7 @@
 	// charged is the total taken from the buckets for other instances, including removed ones.
 	charged        map[string]float64
 	silenceTimeout time.Duration
-	// countedSince is the time since boot from which on all that is admitted is counted; neverCounted until Begin.
+	// countedSince is the time since boot since which everything that is admitted is counted; neverCounted until Begin.
 	countedSince time.Duration
 }
 
@@ -217,8 +217,8 @@
 	}
 }
 
-// applySpent charges what a peer has spent since its last report, thus after it was last confirmed. It also creates buckets of quotas without requests
-// at this instance, because other instances ask it for their levels. l.mu is held.
+// applySpent charges what a peer has spent since its last report, thus after it was last confirmed. It also creates buckets of quotas
+// without requests at this instance, because other instances ask it for their levels. l.mu is held.
 func (l *Limiter) applySpent(p *peer, spent map[string]int64, now time.Duration) {
 	for key, n := range spent {
 		if q := l.findQuota(key); q != nil && q.RatePerSecond > 0 && l.buckets[key] == nil && n != p.spent[key] {
@@ -438,7 +438,7 @@
 	return b
 }
 
-// newBucket returns the bucket of a quota under which nothing has been admitted since all is counted. l.mu is held.
+// newBucket returns the bucket of a quota under which nothing has been admitted since countedSince. l.mu is held.
 func (l *Limiter) newBucket(q *Quota, now time.Duration) *bucket {
 	b := &bucket{level: q.initialLevel(), updated: now}
 	if q.Standing {
--- a/router/internal/domain/waitlist/order_test.go
+++ b/router/internal/domain/waitlist/order_test.go
@@ -107,11 +107,11 @@
 		random := rand.New(rand.NewPCG(seed, 12))
 		type request struct {
 			id    string
-			place waitlist.Place
+			place waitlist.Position
 		}
 		var requests []request
 		for i := range 12 {
-			requests = append(requests, request{fmt.Sprint(i), waitlist.Place{
+			requests = append(requests, request{fmt.Sprint(i), waitlist.Position{
 				Class: priority.NewClass(random.IntN(10), random.IntN(3) == 0), LatestStart: time.Second + time.Duration(random.IntN(800))*ms,
 			}})
 		}
@@ -163,7 +163,7 @@
 func TestReservedPlace(t *testing.T) {
 	l := &list{}
 	e := l.add("reserved", 900*ms)
-	e.Class, e.Reserved = priority.NewClass(2, false), &waitlist.Place{Class: priority.NewClass(0, false), LatestStart: 300 * ms}
+	e.Class, e.Reserved = priority.NewClass(2, false), &waitlist.Position{Class: priority.NewClass(0, false), LatestStart: 300 * ms}
 	urgent := []waitlist.PeerRequest{{ID: "urgent", LatestStart: 700 * ms, Class: priority.NewClass(0, false)}}
 	l.dispatch(100*ms, urgent, slots(0))
 	if got := l.Requests("m", 100*ms)[0]; got.Class.Priority() != 0 || got.SlackMS != 200 {
--- a/router/internal/domain/waitlist/waitlist.go
+++ b/router/internal/domain/waitlist/waitlist.go
@@ -1,8 +1,7 @@
-// Package waitlist orders the requests that wait for a decode slot, across all instances, by their class and then by their latest
-// start time. A request waits only while it can still be answered on time; one that is clearly too late is refused at once, so that
-// a burst does not build a queue that delays later requests in turn. Each instance receives the waiting requests of its peers and leaves free
-// slots to those that come before its own, because instances that compete for the same slot at the same moment overload the
-// engine.
+// Package waitlist orders the requests that wait for a decode slot, across all instances, by their class and then by their latest start
+// time. A request waits only while it can still be answered on time; one that is clearly too late is refused at once, so that a burst
+// does not build a queue that delays later requests in turn. Each instance receives the waiting requests of its peers and leaves free
+// slots to those that come before its own, because instances that compete for the same slot at the same moment overload the engine.
 package waitlist
 
 import (
@@ -35,8 +34,9 @@
 	// LatestStart is when the request must leave the list to be answered on time.
 	LatestStart time.Duration
 	Class       priority.Class
-	// Reserved is set while the request is queued as one of the share of the less urgent requests that is reserved for them.
-	Reserved *Place
+	// Reserved is the position in which the request is queued while it belongs to the reserved share of the less urgent requests; nil
+	// otherwise.
+	Reserved *Position
 	// ExcludedEngines holds the IDs of the engines that have failed the request.
 	ExcludedEngines map[string]bool
 	// Allowed is the filter of the failure domains in which the request may run; nil if it may run anywhere.
@@ -48,18 +48,18 @@
 	admitted bool
 }
 
-// Place is a request's place in the order: its class, and its latest start in that class.
-type Place struct {
+// Position is a request's position in the order: its class, and its latest start in that class.
+type Position struct {
 	Class       priority.Class
 	LatestStart time.Duration
 }
 
-// place returns the place in which the request is queued at present.
-func (e *Entry) place() Place {
+// position returns the position in which the request is queued at present.
+func (e *Entry) position() Position {
 	if e.Reserved != nil {
 		return *e.Reserved
 	}
-	return Place{Class: e.Class, LatestStart: e.LatestStart}
+	return Position{Class: e.Class, LatestStart: e.LatestStart}
 }
 
 // PeerRequest is a waiting request of another instance.
@@ -84,8 +84,8 @@
 // Add inserts a request.
 func (l *List) Add(e *Entry) {
 	at, _ := slices.BinarySearchFunc(l.entries, e, func(a, b *Entry) int {
-		placeA, placeB := a.place(), b.place()
-		return cmp.Or(priority.Compare(placeA.Class, placeB.Class), cmp.Compare(placeA.LatestStart, placeB.LatestStart))
+		x, y := a.position(), b.position()
+		return cmp.Or(priority.Compare(x.Class, y.Class), cmp.Compare(x.LatestStart, y.LatestStart))
 	})
 	l.entries = slices.Insert(l.entries, at, e)
 }
@@ -118,8 +118,10 @@
 		if e.Allowed != nil {
 			continue
 		}
-		place := e.place()
-		out = append(out, Request{ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (place.LatestStart - now).Milliseconds(), Class: place.Class})
+		at := e.position()
+		out = append(out, Request{
+			ID: e.ID, Service: service, Tokens: e.Tokens, SlackMS: (at.LatestStart - now).Milliseconds(), Class: at.Class,
+		})
 	}
 	return out
 }
@@ -165,8 +167,8 @@
 // Dispatch visits the requests of all instances in the order in which they should be served. The first on-time request without an
 // engine ends the assignments, since later slots are kept for it and the requests behind it. Requests of this instance leave the
 // list when they are assigned an engine. They also leave it, refused, if they are late, or if they are new and enough slots are
-// not expected to be released before their latest start. A request with a reserved place that would be refused there stays in the
-// list in its own class.
+// not expected to be released before their latest start. A request in a reserved position that would be refused there stays
+// in the list in its own class.
 func (l *List) Dispatch(now time.Duration, others []PeerRequest, turnover Turnover, take AssignFunc) {
 	blocked := 0
 	for _, w := range l.serviceOrder(now, others) {
@@ -178,7 +180,7 @@
 		switch {
 		case engine != nil || w.late:
 		case w.own != nil && w.own.Allowed != nil:
-			ahead++ // the engines that it may use are kept for it by the function take
+			ahead++ // take keeps the engines that it may use for it
 		default:
 			blocked++
 			ahead++
@@ -187,9 +189,9 @@
 		if w.own == nil {
 			continue
 		}
-		refused := engine == nil && (w.late || !w.own.admitted && now+turnover.timeToFree(ahead) > w.own.place().LatestStart)
+		refused := engine == nil && (w.late || !w.own.admitted && now+turnover.timeToFree(ahead) > w.own.position().LatestStart)
 		if refused && w.own.Reserved != nil {
-			l.leaveReservedPlace(w.own)
+			l.leaveReservedPosition(w.own)
 			continue
 		}
 		if engine != nil || refused {
@@ -200,8 +202,8 @@
 	}
 }
 
-// leaveReservedPlace queues a request in its own class, in which the next dispatch decides about it as about a new one.
-func (l *List) leaveReservedPlace(e *Entry) {
+// leaveReservedPosition queues a request in its own class, in which the next dispatch decides about it as about a new one.
+func (l *List) leaveReservedPosition(e *Entry) {
 	l.Remove(e)
 	e.Reserved, e.admitted = nil, false
 	l.Add(e)
@@ -225,14 +227,20 @@
 	return false
 }
 
+// newQueuedRequest returns a request that is queued in the given position; own is nil for requests of other instances.
+func newQueuedRequest(at Position, now time.Duration, id string, tokens int64, own *Entry) queuedRequest {
+	return queuedRequest{
+		class: at.Class, late: now > at.LatestStart, urgency: at.LatestStart / urgencyResolution, id: id, tokens: tokens, own: own,
+	}
+}
+
 func (l *List) serviceOrder(now time.Duration, others []PeerRequest) []queuedRequest {
 	all := make([]queuedRequest, 0, len(l.entries)+len(others))
 	for _, e := range l.entries {
-		place := e.place()
-		all = append(all, queuedRequest{class: place.Class, late: now > place.LatestStart, urgency: place.LatestStart / urgencyResolution, id: e.ID, tokens: e.Tokens, own: e})
+		all = append(all, newQueuedRequest(e.position(), now, e.ID, e.Tokens, e))
 	}
 	for _, o := range others {
-		all = append(all, queuedRequest{class: o.Class, late: now > o.LatestStart, urgency: o.LatestStart / urgencyResolution, id: o.ID, tokens: o.Tokens})
+		all = append(all, newQueuedRequest(Position{Class: o.Class, LatestStart: o.LatestStart}, now, o.ID, o.Tokens, nil))
 	}
 	slices.SortStableFunc(all, func(a, b queuedRequest) int {
 		if byClass := priority.Compare(a.class, b.class); byClass != 0 {
--- a/router/internal/node/domains_test.go
+++ b/router/internal/node/domains_test.go
@@ -59,8 +59,8 @@
 var _ = Describe("cold endpoints", func() {
 	const coldTime, window, perSecond, allowed = 4 * time.Second, time.Second, 4.0, 4*1.5 + 5
 
-	// Guards against more requests of all instances than a cold server takes, and against a limit that outlasts its time or that holds for a
-	// service without one.
+	// Guards against more requests of all instances than a cold server takes, and against a limit that outlasts its time or that holds
+	// for a service without one.
 	DescribeTable("get from all instances together", func(limit string, limited bool) {
 		cluster := newTestCluster()
 		cluster.change(`{"name":"s","max_connections":100`, `{"name":"s","max_connections":100`+limit)
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -52,7 +52,8 @@
 	bodyMemoryFraction    = 0.25
 	answerMemoryFraction  = 0.1
 	controlMemoryFraction = 0.1
-	// slowCallerMemoryFraction is the fraction that requests may hold together whose callers have read nothing for a second.
+	// slowCallerMemoryFraction is the fraction of the memory that all requests whose callers have read nothing for slowreader.Grace may
+	// hold together.
 	slowCallerMemoryFraction = 0.1
 	answerAllowanceBytes     = 16 << 10
 	controlAllowanceBytes    = 64 << 10
--- a/router/internal/node/reload.go
+++ b/router/internal/node/reload.go
@@ -69,7 +69,7 @@
 
 // newRegistry returns a metrics registry with gauges for dropped log lines, invalid latency samples and notices, leaving, paused
 // and limited endpoints, quarantined parts of prompts, and the era of the platform's store.
-func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, crashes *quarantine.Tracker, cold *coldstart.Tracker, storeEra func() uint64) metrics.Registry {
+func newRegistry(droppedLines, invalidSamples func() int64, tracker *availability.Tracker, crashes *quarantine.Tracker, storeEra func() uint64) metrics.Registry {
 	r := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("pace.ignored", r, invalidSamples)
 	metrics.NewRegisteredFunctionalGauge("notices.ignored", r, tracker.InvalidNotices)
@@ -82,7 +82,6 @@
 		return int64(paused)
 	})
 	metrics.NewRegisteredFunctionalGauge("endpoints.limited", r, func() int64 { return int64(tracker.LimitedCount()) })
-	metrics.NewRegisteredFunctionalGauge("endpoints.cold", r, func() int64 { return int64(cold.Count(clock.System{}.Boot())) })
 	metrics.NewRegisteredFunctionalGauge("limit.requests_sent", r, tracker.TotalSentUnderLimit)
 	metrics.NewRegisteredFunctionalGauge("quarantine.prompts", r, func() int64 {
 		return int64(len(crashes.Quarantined(clock.System{}.Boot())))
@@ -95,6 +94,11 @@
 	return r
 }
 
+// registerColdGauge adds the number of cold endpoints.
+func registerColdGauge(r metrics.Registry, cold *coldstart.Tracker) {
+	metrics.NewRegisteredFunctionalGauge("endpoints.cold", r, func() int64 { return int64(cold.Count(clock.System{}.Boot())) })
+}
+
 // registerSpeedGauges adds the number of services whose endpoints state their speed, and of endpoints that deviate from their service.
 func registerSpeedGauges(r metrics.Registry, speeds *speed.Tracker) {
 	metrics.NewRegisteredFunctionalGauge("speed.services", r, func() int64 {
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -168,7 +168,7 @@
 	return slices.DeleteFunc(all, s.Evacuated)
 }
 
-// listedInStage is endpointsInStage with the endpoints in evacuated domains.
+// listedInStage returns what endpointsInStage returns, and also the endpoints in evacuated domains.
 func (s routingState) listedInStage(service string, stage routing.Stage) []routing.Endpoint {
 	var out []routing.Endpoint
 	now := s.boot()
@@ -222,8 +222,8 @@
 	return s != nil && s.ColdPerSecond > 0
 }
 
-// refuseEvacuated returns an error if an endpoint must get nothing because its domain is evacuated. Requests that were assigned to the
-// endpoint before the evacuation are refused here, whatever they wait for.
+// refuseEvacuated returns an error if nothing may be sent to an endpoint because its domain is evacuated. It is the last check before a
+// send, and finds requests that were assigned to the endpoint before the evacuation.
 func (n *Node) refuseEvacuated(ep routing.Endpoint) error {
 	p := n.components.Load()
 	if !p.state.Evacuated(ep) {
@@ -283,7 +283,8 @@
 	store := platform.NewStore(s.PlatformAddress, deadConnectionTimeout)
 	store.LimitMemory(n.controlMemory)
 	do.ProvideValue(i, store)
-	registry := newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, cold, store.Era)
+	registry := newRegistry(n.options.DroppedLines, latencyEstimator.InvalidSamples, availabilityTracker, crashes, store.Era)
+	registerColdGauge(registry, cold)
 	do.ProvideValue(i, registry)
 	do.ProvideValue(i, inflight.NewTracker())
 	do.ProvideValue(i, latencyEstimator)
@@ -405,6 +406,7 @@
 	return i
 }
 
+// registerSlowCallerGauges adds the memory that is held for callers that do not read, and the number of writes that were cut.
 func registerSlowCallerGauges(r metrics.Registry, t *slowreader.Tracker) {
 	metrics.NewRegisteredFunctionalGauge("callers.blocked_bytes", r, t.Held)
 	metrics.NewRegisteredFunctionalGauge("callers.cut_slow", r, t.CutWrites)
--- a/router/internal/settings/node.go
+++ b/router/internal/settings/node.go
@@ -54,7 +54,8 @@
 	FixedRetries float64
 	RetryWindow  time.Duration
 
-	// EndpointPacing places work by the speed of each endpoint for all services, not only for those that ask for it.
+	// EndpointPacing has work placed by the speed of each endpoint for all services, also for those whose endpoints do not state their
+	// speed and that have no limit for cold endpoints.
 	EndpointPacing bool
 
 	LogLevel string
@@ -155,7 +156,8 @@
 		problems = append(problems, problem("config-within, -drain-within", "less than "+minPropagationLimit.String()+" is too short for a change to reach all instances", "give a time such as 2s"))
 	}
 	if n.EvacuationLimit != 0 && n.EvacuationLimit < minPropagationLimit {
-		problems = append(problems, problem("evacuate-within", "less than "+minPropagationLimit.String()+" is too short for a change to reach all instances", "give a time such as 5s, or 0"))
+		problems = append(problems, problem("evacuate-within",
+			"less than "+minPropagationLimit.String()+" is too short for a change to reach all instances", "give a time such as 5s, or 0"))
 	}
 	if n.EndpointHeartbeat <= 0 {
 		problems = append(problems, problem("endpoint-heartbeat", "it is not positive", "give a time such as 1200ms"))
--- a/router/internal/settings/table.go
+++ b/router/internal/settings/table.go
@@ -43,8 +43,8 @@
 	return nil
 }
 
-// parseSettingsFile parses a settings file: a JSON object with values for flags. Unlike ff.JSONParser, it accepts objects, and sets the flag
-// to their text.
+// parseSettingsFile parses a settings file: a JSON object with values for flags. Unlike ff.JSONParser, it accepts objects, and sets the
+// flag to their text.
 func parseSettingsFile(r io.Reader, set func(name, value string) error) error {
 	raw, err := io.ReadAll(r)
 	if err != nil {
