Choose engines without speed factors; check regions and limits in three places

The read-through found room in other regions counted for region-bound requests, cold times kept for services without a limit, and engines kept for a request that had failed there.

--- a/router/internal/app/dispatch/dispatch.go
+++ b/router/internal/app/dispatch/dispatch.go
@@ -309,17 +309,14 @@
 // decodeCandidates lists the decode engines of a service.
 func (d *Dispatcher) decodeCandidates(service string, now time.Duration) []engines.Candidate {
 	endpoints := health.UsableEndpoints(d.Health, d.State.Stage(service, routing.Decode), endpointID, now)
+	paced := d.Speeds.InForce(service)
 	out := make([]engines.Candidate, 0, len(endpoints))
-	usesSpeed := d.Speeds.InForce(service)
 	for _, ep := range endpoints {
+		load := d.EndpointLoad.TotalAt(ep.ID)
 		out = append(out, engines.Candidate{
-			Endpoint: ep, Load: d.EndpointLoad.TotalAt(ep.ID), FailureRate: d.Health.FailureRate(ep.ID, now),
-			Full: now < d.fullUntil[ep.ID] || d.Limits.Delay(ep) > 0,
+			Endpoint: ep, Load: load, FailureRate: d.Health.FailureRate(ep.ID, now),
+			Full: now < d.fullUntil[ep.ID] || d.Limits.Delay(ep) > 0, Withheld: paced && d.withheld(ep, load.Requests, now),
 		})
-		if usesSpeed {
-			out[len(out)-1].SpeedFactor = d.Speeds.Factor(ep, now)
-			out[len(out)-1].Withheld = d.withheld(ep, out[len(out)-1].Load.Requests, now)
-		}
 	}
 	return out
 }
@@ -446,7 +443,7 @@
 		return
 	}
 	for i, c := range candidates {
-		candidates[i].Full = c.Full || own.Allowed(c.Endpoint.Domain)
+		candidates[i].Full = c.Full || own.Allowed(c.Endpoint.Domain) && !own.ExcludedEngines[c.Endpoint.ID]
 	}
 }
 
--- a/router/internal/app/forward/priority.go
+++ b/router/internal/app/forward/priority.go
@@ -119,7 +119,7 @@
 // hasPlainRoom reports whether an endpoint has fewer requests of all instances than slots. Endpoints whose slots are unknown have
 // room, and so does a service without usable endpoints, which is decided about elsewhere.
 func (r *requestState) hasPlainRoom(now time.Duration) bool {
-	usable := health.UsableEndpoints(r.Health, r.State.Stage(r.service.Name, ""), endpointID, now)
+	usable := health.UsableEndpoints(r.Health, r.stage(""), endpointID, now)
 	for _, ep := range usable {
 		if ep.Slots == 0 || r.EndpointLoad.TotalAt(ep.ID).Requests < ep.Slots {
 			return true
--- a/router/internal/domain/coldstart/coldstart.go
+++ b/router/internal/domain/coldstart/coldstart.go
@@ -81,6 +81,9 @@
 
 // RecordAnswer records for how long an endpoint is cold according to one of its answers.
 func (t *Tracker) RecordAnswer(ep routing.Endpoint, remaining, now time.Duration) {
+	if perSecond, _ := t.limitOf(ep.Service); perSecond == 0 {
+		return
+	}
 	if _, cold := t.Limit(ep, now); !cold && remaining <= 0 {
 		return
 	}
--- a/router/internal/domain/engines/engines.go
+++ b/router/internal/domain/engines/engines.go
@@ -35,8 +35,6 @@
 	Withheld bool
 	// FailureRate is the fraction of recent calls that failed, from 0 to 1.
 	FailureRate float64
-	// SpeedFactor is the expected duration of work at the engine in relation to the mean of its service; zero if it is not to be used.
-	SpeedFactor float64
 }
 
 // Capacity is the capacity of each engine of a service.
@@ -63,23 +61,9 @@
 	return max(slots, memory)
 }
 
-// idleDecodeLoad is the part of the duration of a decode that does not depend on the engine's utilization, in units of utilization. With
-// a greater value, requests would wait for the memory of fast engines while slower ones are idle.
-const idleDecodeLoad = 0.25
-
-// decodeCost is the expected duration of a decode, as the utilization of an engine of usual speed.
-func (c Candidate) decodeCost(capacity Capacity) float64 {
-	utilization := c.Utilization(capacity)
-	if c.SpeedFactor <= 0 {
-		return utilization
-	}
-	return (idleDecodeLoad+utilization)*c.SpeedFactor - idleDecodeLoad
-}
-
 // SelectDecode returns the index of an engine that has room for the tokens, or -1. It picks at random among the least utilized engines,
-// or those with the shortest expected duration if the speed of the engines is known, and among those prefers the given domain, which is
-// that of the prefill engine or of the router. A deterministic choice would send all instances, whose load data is equally stale, to the
-// same engine and exceed its memory. The random number is in [0, 1).
+// and among those prefers the given domain, which is that of the prefill engine or of the router. A deterministic choice would send all
+// instances, whose load data is equally stale, to the same engine and exceed its memory. The random number is in [0, 1).
 func SelectDecode(candidates []Candidate, capacity Capacity, tokens int64, domain string, random float64) int {
 	costs := make([]float64, len(candidates))
 	least := math.Inf(1)
@@ -87,7 +71,7 @@
 	for i, c := range candidates {
 		costs[i] = math.Inf(1)
 		if (useWithheld || !c.Withheld) && c.hasRoom(capacity, tokens) {
-			costs[i] = c.decodeCost(capacity) + failurePenalty*c.FailureRate
+			costs[i] = c.Utilization(capacity) + failurePenalty*c.FailureRate
 			least = min(least, costs[i])
 		}
 	}
@@ -110,15 +94,12 @@
 	return tied[int(random*float64(len(tied)))]
 }
 
-// SelectPrefill returns the index of the engine with the shortest prefill queue in tokens, or in time if the speed of the engines is
-// known, or -1 if there is none. The domain is that of the decode engine.
+// SelectPrefill returns the index of the engine with the shortest prefill queue in tokens, or -1 if there is none. The domain is
+// that of the decode engine.
 func SelectPrefill(candidates []Candidate, tokens int64, domain string) int {
 	best, bestCost := -1, 0.0
 	for i, c := range candidates {
 		cost := float64(c.Load.Tokens+tokens) * (1 + failurePenalty*c.FailureRate)
-		if c.SpeedFactor > 0 {
-			cost *= c.SpeedFactor
-		}
 		if c.Endpoint.Domain != domain {
 			cost += crossDomainTokens
 		}
