--- a/router/internal/app/gossip/network_test.go
+++ b/router/internal/app/gossip/network_test.go
@@ -277,7 +277,11 @@
 		}
 		return n.customer(key)
 	})
-	nd := &node{network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, cold: cold, crashes: quarantine.New(), transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }), speeds: speed.New(func(service string) bool { return service == paced }), heard: map[string]int{}}
+	nd := &node{
+		network: n, address: name, book: inflight.NewTracker(), limiter: limiter, notices: notices, cold: cold, crashes: quarantine.New(),
+		transitions: stages.NewTransitions(), health: health.NewTracker(func() int { return 2 }),
+		speeds: speed.New(func(service string) bool { return service == paced }), heard: map[string]int{},
+	}
 	nd.mirror = routingcache.New(platform, routingcache.PropagationLimits{Config: n.propagationLimit, Endpoints: n.propagationLimit},
 		func() int { return nd.FleetSize() }, quiet, boot)
 	if n.evacuations != nil {
--- a/router/internal/app/routingcache/routingcache.go
+++ b/router/internal/app/routingcache/routingcache.go
@@ -149,8 +149,12 @@
 // New returns a cache without a configuration and with an empty endpoint list. The function instanceCount returns the number of
 // instances in the fleet, and boot the time since boot.
 func New(p PlatformClient, limits PropagationLimits, instanceCount func() int, logger *log.Logger, boot func() time.Duration) *Cache {
-	m := &Cache{platform: p, limits: limits, instanceCount: instanceCount, fleet: singleInstance{}, onEndpoints: func(map[string]routing.Endpoint) {}, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{}, recoveredAt: noOutage, departures: newDepartureLog(),
-		outage: newOutageDetector(limits.Heartbeat, boot()), restoredAt: noOutage}
+	m := &Cache{
+		platform: p, limits: limits, instanceCount: instanceCount, fleet: singleInstance{},
+		onEndpoints: func(map[string]routing.Endpoint) {}, logger: logger, sinceBoot: boot, kept: map[string]keptEndpoint{},
+		recoveredAt: noOutage, departures: newDepartureLog(), outage: newOutageDetector(limits.Heartbeat, boot()),
+		restoredAt: noOutage,
+	}
 	m.ownAnswer.Store(int64(noOutage))
 	m.fleetAnswer.Store(int64(noOutage))
 	m.lastReceivedAt.Store(int64(noOutage))
@@ -234,9 +238,11 @@
 // feeds returns the feeds that the cache follows.
 func (m *Cache) feeds() []*feed {
 	feeds := []*feed{
-		{name: configFeed, limit: m.limits.Config, restart: m.restartWatch[0], away: &m.away[0], answeredAt: &m.configAnsweredAt, list: m.readConfig, watch: m.watchConfig,
+		{name: configFeed, limit: m.limits.Config, restart: m.restartWatch[0], away: &m.away[0], answeredAt: &m.configAnsweredAt,
+			list: m.readConfig, watch: m.watchConfig,
 			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Config, afterChange) }},
-		{name: endpointsFeed, limit: m.limits.Endpoints, restart: m.restartWatch[1], away: &m.away[1], answeredAt: &m.endpointsAnsweredAt, list: m.listEndpoints, watch: m.watchEndpoints,
+		{name: endpointsFeed, limit: m.limits.Endpoints, restart: m.restartWatch[1], away: &m.away[1], answeredAt: &m.endpointsAnsweredAt,
+			list: m.listEndpoints, watch: m.watchEndpoints,
 			wait: func(afterChange bool) time.Duration { return m.watchWait(m.limits.Endpoints, afterChange) }},
 	}
 	if m.evacuations != nil {
