Have collectors that the platform rejects fetch new versions at once

Change: a collector whose calls fail fetches after 100 ms, whatever arrives; the fake platform reports progress for refusals.

--- a/router/internal/app/gossip/following_test.go
+++ b/router/internal/app/gossip/following_test.go
@@ -26,8 +26,8 @@
 	*p.refused = on
 }
 
-// answers returns an error if the instance is refused. A refusal is a call of the platform, too.
-func (p refusingPlatform) answers() error {
+// answers returns an error if the instance is refused. A refusal is a call of the platform, too, and a response of which parts arrive.
+func (p refusingPlatform) answers(ctx context.Context) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !*p.refused {
@@ -36,32 +36,33 @@
 	p.silentPlatform.mu.Lock()
 	defer p.silentPlatform.mu.Unlock()
 	p.calls++
+	routing.ReportProgress(ctx)
 	return errors.New("503")
 }
 
 func (p refusingPlatform) ReadConfig(ctx context.Context) (*routing.Config, uint64, error) {
-	if err := p.answers(); err != nil {
+	if err := p.answers(ctx); err != nil {
 		return nil, 0, err
 	}
 	return p.silentPlatform.ReadConfig(ctx)
 }
 
 func (p refusingPlatform) WatchConfig(ctx context.Context, since uint64, wait time.Duration) (*routing.Config, uint64, error) {
-	if err := p.answers(); err != nil {
+	if err := p.answers(ctx); err != nil {
 		return nil, 0, err
 	}
 	return p.silentPlatform.WatchConfig(ctx, since, wait)
 }
 
 func (p refusingPlatform) ListEndpoints(ctx context.Context) ([]routing.Endpoint, uint64, error) {
-	if err := p.answers(); err != nil {
+	if err := p.answers(ctx); err != nil {
 		return nil, 0, err
 	}
 	return p.silentPlatform.ListEndpoints(ctx)
 }
 
 func (p refusingPlatform) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) ([]routing.EndpointChange, uint64, error) {
-	if err := p.answers(); err != nil {
+	if err := p.answers(ctx); err != nil {
 		return nil, 0, err
 	}
 	return p.silentPlatform.WatchEndpoints(ctx, since, wait)
--- a/router/internal/app/gossip/versions.go
+++ b/router/internal/app/gossip/versions.go
@@ -149,6 +149,8 @@
 // fetchDelay is how long a peer may have a newer version before its copy is fetched; s.mu is held.
 func (s *Service) fetchDelay(hasConfig, receiving bool, now time.Duration) time.Duration {
 	switch {
+	case hasConfig && s.hasReaders() && s.Mirror.IsAway():
+		return collectorRefreshDelay // the readers wait for it, and refusals of the platform look like an answer that is arriving
 	case receiving:
 		return receivingFetchDelay
 	case !hasConfig:
