Read without a lock whether speed estimates are in force

Cause: the read-through found a mutex that each request takes several times, also for services without estimates. Change: the services whose endpoints state their speed are a map that is replaced; the reason of slowFactor is worded without figures.

--- a/router/internal/domain/pace/pace.go
+++ b/router/internal/domain/pace/pace.go
@@ -30,7 +30,8 @@
 	silentRounds = 2
 	// minRound bounds the length of a round for endpoints that answer at once: others learn of requests some milliseconds later.
 	minRound = 20 * time.Millisecond
-	// slowFactor is the speed factor from which an endpoint counts as slow. Sound endpoints differ by 0.7 to 1.7.
+	// slowFactor is the speed factor from which an endpoint counts as slow: nearly twice as long as its service takes. Lower ones are
+	// common among machines of different generations.
 	slowFactor = 1.8
 	// flappingMemory is the time after which earlier returns of an endpoint count no more, and maxFlaps the number that counts at most.
 	flappingMemory = 20 * time.Second
--- a/router/internal/domain/speed/speed.go
+++ b/router/internal/domain/speed/speed.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tanagerwood.dev/api/routing"
@@ -132,10 +133,11 @@
 type Tracker struct {
 	// configured reports whether the estimates are in force for a service by its configuration.
 	configured func(service string) bool
+	// stated holds the services of which an endpoint has stated its speed. It is replaced with mu held and read without, so that requests
+	// of services without estimates take no lock.
+	stated atomic.Pointer[map[string]bool]
 
-	mu sync.Mutex
-	// stated holds the services of which an endpoint has stated its speed.
-	stated     map[string]bool
+	mu         sync.Mutex
 	records    map[Start]*record
 	references map[Work]*mean
 	// reports holds the sums of the other instances by instance, and peerSums their sum.
@@ -148,24 +150,29 @@
 
 // New returns a Tracker without measurements. The function reports whether the estimates are in force for a service by configuration.
 func New(configured func(service string) bool) *Tracker {
-	return &Tracker{
-		configured: configured, stated: map[string]bool{}, records: map[Start]*record{}, references: map[Work]*mean{},
+	t := &Tracker{
+		configured: configured, records: map[Start]*record{}, references: map[Work]*mean{},
 		reports: map[string]map[Start]sums{}, peerSums: map[Start]sums{},
 	}
+	t.stated.Store(&map[string]bool{})
+	return t
 }
 
 // InForce reports whether the estimates are in force for a service.
 func (t *Tracker) InForce(service string) bool {
-	if t == nil {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.inForce(service)
+	return t != nil && ((*t.stated.Load())[service] || t.configured(service))
 }
 
-// inForce reports whether the estimates are in force; t.mu is held.
-func (t *Tracker) inForce(service string) bool { return t.stated[service] || t.configured(service) }
+// markStated records that an endpoint of the service has stated its speed; t.mu is held.
+func (t *Tracker) markStated(service string) {
+	stated := *t.stated.Load()
+	if stated[service] {
+		return
+	}
+	next := maps.Clone(stated)
+	next[service] = true
+	t.stated.Store(&next)
+}
 
 // record returns the record of an endpoint; t.mu is held.
 func (t *Tracker) record(key Start) *record {
@@ -180,14 +187,14 @@
 // RecordLoad records the load that an endpoint has stated. local is the number of requests of this instance at the endpoint. It reports
 // whether the estimates have come into force for the service.
 func (t *Tracker) RecordLoad(ep routing.Endpoint, load routing.Load, local int, now time.Duration) (started bool) {
+	if load.SpeedPercent <= 0 && !t.InForce(ep.Service) {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if load.SpeedPercent > 0 {
-		started = !t.inForce(ep.Service)
-		t.stated[ep.Service] = true
-	}
-	if !t.inForce(ep.Service) {
-		return false
+		started = !t.InForce(ep.Service)
+		t.markStated(ep.Service)
 	}
 	r := t.record(startOf(ep))
 	r.queue, r.queueAt, r.hasQueue = float64(max(0, load.Running+load.Waiting-local)), now, true
@@ -202,14 +209,11 @@
 // Record records how long an endpoint took for some units of work: tokens for a prefill, and 1 otherwise. What the endpoint has stated of
 // its speed in the same response must have been recorded before.
 func (t *Tracker) Record(ep routing.Endpoint, work Work, units int64, took, now time.Duration) {
-	if t == nil || took <= 0 || took > maxSample || units <= 0 {
+	if took <= 0 || took > maxSample || units <= 0 || !t.InForce(work.Service) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.inForce(work.Service) {
-		return
-	}
 	key := startOf(ep)
 	r := t.record(key)
 	if work.Step == Plain && r.waiting {
@@ -239,14 +243,11 @@
 
 // Factor returns the expected duration of work at an endpoint in relation to its service. It is 1 if the estimates are not in force.
 func (t *Tracker) Factor(ep routing.Endpoint, now time.Duration) float64 {
-	if t == nil {
+	if !t.InForce(ep.Service) {
 		return 1
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.inForce(ep.Service) {
-		return 1
-	}
 	key := startOf(ep)
 	r := t.records[key]
 	log := t.learnt(key, r, now)
@@ -267,7 +268,7 @@
 			deviating++
 		}
 	}
-	return len(t.stated), deviating
+	return len(*t.stated.Load()), deviating
 }
 
 // Prune drops what is known of starts that the platform lists no longer, and reports of other instances that are too old.
