--- a/review/standin-2/cmd/case7/main.go
+++ b/review/standin-2/cmd/case7/main.go
@@ -24,7 +24,7 @@
 	eventGap           = 20 * time.Millisecond
 	// window is the size of the receive buffer of a consumer. The first part of the answer is read before the pause.
 	window, firstPart = 4096, 400
-	// pause is how long a consumer reads nothing. It gives a stream up after 3.6 s without an event: four times target_latency_ms.
+	// pause is how long a consumer reads nothing. It gives a stream up after 3.2 s without an event: four times target_latency_ms.
 	pause = 3 * time.Second
 	// grace is grace_s, termDelay the time from the requests to the SIGTERM.
 	grace     = 8 * time.Second
@@ -37,10 +37,13 @@
 	server := kit.StartServer("127.0.0.3", "i-1")
 	server.Respond = stream
 	store.Register(server.ID, "writer", server.Address, "z1", "", 64)
-	store.Put("config", "main", kit.Config(7, "writer", kit.Route("brief", "/brief/", "streaming", "writer", 14000)))
+	route := kit.Route("brief", "/brief/", "streaming", "writer", 14000)
+	route["target_latency_ms"] = 800
+	store.Put("config", "main", kit.Config(7, "writer", route))
 	r := kit.NewRouter("front-1", "127.0.0.11", "z1", store.Address, kit.FreePorts("127.0.0.11"), "127.0.0.11:1")
 	r.Start()
 	r.AwaitReady(10 * time.Second)
+	time.Sleep(5 * time.Second) // stable_window_ms and more
 	lost := make(chan bool, consumers)
 	var wg sync.WaitGroup
 	for n := range consumers {
