Reject answers whose status is no status of HTTP

Callers saw: on the users' platform, an answer with status 600 or 999 as it was; with a status from 000 to 099, whatever followed it on the connection, also an answer inside its body, or nothing until the deadline. In serve, services' answers with such a status were used: 600 and more were passed on, those below 100 end the caller's connection when they are written (by the source; not played).

Cause: net/http accepts any three bytes that make a number of at least zero, and h1 took all below 200 for interim answers that are skipped.

With 000 and 099 and a body that is no answer, node gave 502 before, too; enginehttp, peerhttp and platformhttp use expected statuses only and rejected them before.

Change: h1 checks the status of each answer, and h1.Strict applies the same check, to interim answers too, below the clients of net/http. Why it works: all answers are read through one of the two. The error is that of an answer that broke off, so that safe requests go to another server, others are not sent again, and the connection is closed. Not more than 100 interim answers are taken for a request, because net/http counts their bytes no longer.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -295,15 +295,20 @@
 		if fieldCount(resp.Header) > maxHeadLines {
 			return nil, ErrHeadTooLong
 		}
+		if isInterim(resp.StatusCode) {
+			if err := checkInterim(resp.StatusCode, resp.Header); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if err := checkFinal(resp); err != nil {
+			return nil, err
+		}
 		match := Belongs
 		if r.Match != nil {
 			match = r.Match(resp, kept)
 		}
 		switch {
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("h1: the peer switches protocols without being asked")
-		case resp.StatusCode < 200:
-			continue
 		case match == Belongs:
 			return resp, nil
 		case match == Ambiguous || resp.Close:
--- a/api/h1/h1_test.go
+++ b/api/h1/h1_test.go
@@ -58,9 +58,14 @@
 	return h1.NewClient(h1.Options{DialTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 4})
 }
 
+// callTimeout ends a call whose response never ends.
+const callTimeout = 10 * time.Second
+
 func get(c *h1.Client, address string, r *h1.Request) (int, string, error) {
 	r.Method, r.Target, r.Host = http.MethodGet, "/a?b", "h"
-	resp, err := c.Do(context.Background(), address, 0, r)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp, err := c.Do(ctx, address, 0, r)
 	if err != nil {
 		return 0, "", err
 	}
--- /dev/null
+++ b/api/h1/transport.go
@@ -0,0 +1,50 @@
+package h1
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
+
+// maxInterims is the largest number of interim responses to a request that is sent with a strict round tripper.
+const maxInterims = 100
+
+// Strict returns a round tripper over a Transport of net/http that fails with ErrInvalidResponse, and closes the connection, if a response
+// is one that HTTP does not allow. It never sends a request again for it.
+func Strict(base http.RoundTripper) http.RoundTripper { return &strictTransport{base: base} }
+
+type strictTransport struct{ base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t *strictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used net.Conn
+	interims := 0
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used = info.Conn },
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			if interims++; interims > maxInterims {
+				return fmt.Errorf("%w: more than %d interim responses", ErrInvalidResponse, maxInterims)
+			}
+			return checkInterim(status, http.Header(header))
+		},
+	}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFinal(resp); err != nil {
+		_ = resp.Body.Close()
+		closeUsed(used)
+		return nil, err
+	}
+	return resp, nil
+}
+
+// closeUsed closes the connection of an invalid response. The pool may have it already, and what follows such a response may be anything.
+func closeUsed(c net.Conn) {
+	if c != nil {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/router/internal/adapter/broken_test.go
@@ -0,0 +1,96 @@
+package adapter_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"tanagerwood.dev/api/openai"
+	"tanagerwood.dev/platform/standin"
+	"tanagerwood.dev/router/internal/adapter/servicehttp"
+	"tanagerwood.dev/router/internal/fault"
+	"tanagerwood.dev/router/internal/port"
+)
+
+// The calls of services, of which one opens a new connection each time.
+const (
+	callOfService       = "service"
+	pooledCallOfService = "pooled service"
+)
+
+// soundAnswer returns a complete answer that a client accepts.
+func soundAnswer(client string) string {
+	if client == "decode" {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\ndata: {}\n\ndata: [DONE]\n\n"
+	}
+	return "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"version\":1}"
+}
+
+// brokenAnswers returns variants of a sound answer that are no answers in the protocol.
+func brokenAnswers(sound string) map[string]string {
+	withStatus := func(status string) string { return strings.Replace(sound, "200", status, 1) }
+	return map[string]string{
+		"status 000":              withStatus("000"),
+		"status 099":              withStatus("099"),
+		"status with a sign":      withStatus("+20"),
+		"status 600":              withStatus("600"),
+		"status 999":              withStatus("999"),
+		"unasked switch":          withStatus("101"),
+		"interim with status 000": "HTTP/1.1 000 Oops\r\n\r\n" + sound,
+		"interim with status 099": "HTTP/1.1 099 Oops\r\n\r\n" + sound,
+	}
+}
+
+// Guards against clients that take a broken answer for a whole one, on new connections and on kept ones, and against calls that are sent
+// again for it although the service may have run them.
+func TestBrokenAnswersFailTheirCall(t *testing.T) {
+	calls := clients()
+	pooled := servicehttp.New(nil)
+	calls[pooledCallOfService] = func(ctx context.Context, url string) error {
+		_, err := pooled.Call(ctx, port.Endpoint{Name: "s", URL: url}, port.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("{}")})
+		return err
+	}
+	for client, call := range calls {
+		sound := soundAnswer(client)
+		for name, broken := range brokenAnswers(sound) {
+			t.Run(client+" "+name+" new", func(t *testing.T) { checkFails(t, client, call, broken) })
+			if client != callOfService {
+				t.Run(client+" "+name+" kept", func(t *testing.T) { checkFails(t, client, call, sound, broken) })
+			}
+		}
+	}
+}
+
+// checkFails makes one call for each answer, and expects the last one to fail after the others have succeeded on the same connection.
+func checkFails(t *testing.T, client string, call callFunc, answers ...string) {
+	script := &standin.Script{Answers: answers}
+	address, err := script.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer script.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	for range answers[1:] {
+		if err := call(ctx, "http://"+address); err != nil {
+			t.Fatal("a sound answer:", err)
+		}
+	}
+	err = call(ctx, "http://"+address)
+	if err == nil {
+		t.Error("the answer was used")
+	}
+	if ctx.Err() != nil {
+		t.Error("the call waited for the rest of the answer")
+	}
+	if ofService := client == callOfService || client == pooledCallOfService; ofService && err != nil && fault.As(err).Outcome != openai.Unknown {
+		t.Error("the outcome must be unknown:", err)
+	}
+	if script.Requests() != len(answers) {
+		t.Errorf("%d requests were sent for %d calls", script.Requests(), len(answers))
+	}
+	if script.Connections() != 1 {
+		t.Errorf("%d connections were opened", script.Connections())
+	}
+}
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -108,8 +108,8 @@
 	c := &Client{opts: opts}
 	c.inferenceTransport = newTransport(opts, inferenceIdleTimeout, inferenceIdleConnsPerHost)
 	c.managementTransport = newTransport(opts, managementIdleTimeout, managementIdleConnsPerHost)
-	c.inference = &http.Client{Transport: log.Transport(c.inferenceTransport), CheckRedirect: refuseRedirect}
-	c.management = &http.Client{Transport: log.Transport(c.managementTransport), CheckRedirect: refuseRedirect, Timeout: opts.ManagementTimeout}
+	c.inference = &http.Client{Transport: log.Transport(h1.Strict(c.inferenceTransport)), CheckRedirect: refuseRedirect}
+	c.management = &http.Client{Transport: log.Transport(h1.Strict(c.managementTransport)), CheckRedirect: refuseRedirect, Timeout: opts.ManagementTimeout}
 	return c
 }
 
--- a/router/internal/adapter/junk_test.go
+++ b/router/internal/adapter/junk_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -46,6 +47,7 @@
 	engines.LimitMemory(memory)
 	services.LimitMemory(memory)
 	peers.LimitMemory(memory)
+	platformAt := platformClients(memory)
 	call := port.EngineCall{Path: "/v1/completions", Body: []byte("{}")}
 	return map[string]callFunc{
 		"prefill": func(ctx context.Context, url string) error {
@@ -58,7 +60,12 @@
 				return err
 			}
 			defer stream.Close()
-			_, err = stream.Next()
+			for err == nil {
+				_, err = stream.Next()
+			}
+			if err == io.EOF {
+				return nil
+			}
 			return err
 		},
 		"management": func(ctx context.Context, url string) error {
@@ -74,14 +81,27 @@
 			return err
 		},
 		"platform": func(ctx context.Context, url string) error {
-			client := platformhttp.New(platformhttp.Options{BaseURL: url, Timeout: deadline})
-			client.LimitMemory(memory)
-			_, err := client.Get(ctx, apiplatform.KindCatalogue, apiplatform.SingletonName)
+			_, err := platformAt(url).Get(ctx, apiplatform.KindCatalogue, apiplatform.SingletonName)
 			return err
 		},
 	}
 }
 
+// platformClients returns a function that returns the client of the platform at a URL, the same one each time.
+func platformClients(memory *membudget.Budget) func(url string) *platformhttp.Client {
+	var mu sync.Mutex
+	clients := map[string]*platformhttp.Client{}
+	return func(url string) *platformhttp.Client {
+		mu.Lock()
+		defer mu.Unlock()
+		if clients[url] == nil {
+			clients[url] = platformhttp.New(platformhttp.Options{BaseURL: url, Timeout: deadline})
+			clients[url].LimitMemory(memory)
+		}
+		return clients[url]
+	}
+}
+
 // Guards against the sum of what hundreds of calls hold of answers that never end, which took the process's memory although each single
 // answer was bounded, and against ordinary calls that fail meanwhile.
 func TestAnswersWithoutEndTakeASmallPartOfTheMemory(t *testing.T) {
--- a/router/internal/adapter/peerhttp/client.go
+++ b/router/internal/adapter/peerhttp/client.go
@@ -90,7 +90,7 @@
 	return &Client{
 		authorization: bearerPrefix + token,
 		timeouts:      timeouts,
-		http:          &http.Client{Transport: log.Transport(base)},
+		http:          &http.Client{Transport: log.Transport(h1.Strict(base))},
 	}
 }
 
--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -99,9 +99,9 @@
 	base.MaxIdleConnsPerHost = maxIdleConnections
 	base.MaxResponseHeaderBytes = h1.MaxUncountedHeadBytes
 	base.Proxy = nil // connect directly, ignoring the proxy environment variables
-	var transport http.RoundTripper = base
+	transport := h1.Strict(base)
 	if o.Events != nil {
-		transport = o.Events.Transport(base)
+		transport = o.Events.Transport(transport)
 	}
 	return &Client{
 		url:     strings.TrimSuffix(o.BaseURL, "/"),
--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -47,9 +47,9 @@
 	c := &Client{pooled: newTransport(), fresh: newTransport()}
 	c.fresh.DisableKeepAlives = true
 	c.fresh.DialContext = resetOnCloseDial(c.fresh.DialContext)
-	c.pooledRoundTripper, c.freshRoundTripper = c.pooled, c.fresh
+	c.pooledRoundTripper, c.freshRoundTripper = h1.Strict(c.pooled), h1.Strict(c.fresh)
 	if wrapper != nil {
-		c.pooledRoundTripper, c.freshRoundTripper = wrapper.Transport(c.pooled), wrapper.Transport(c.fresh)
+		c.pooledRoundTripper, c.freshRoundTripper = wrapper.Transport(c.pooledRoundTripper), wrapper.Transport(c.freshRoundTripper)
 	}
 	return c
 }
