Reject answers with a blank in the name of a field

Callers saw: an answer whose head had a line such as "Content-Length : 3" or "X Bad: 1" as a success; its body ended where another field or the connection said, and a line that begins with a blank changed the field before it. With such a line in a trailer, the answer looked complete. Refusals with one were believed, so that a request that may not be repeated could be sent again.

Cause: net/http keeps names with blanks, contrary to RFC 9110, section 5.6.2, and nothing looked at them; it joins lines that begin with a blank to the field before; the trailers of refusals, failures and ended streams were read and their errors dropped.

Control bytes in the names of heads and of interim answers were rejected before; these cases stay as tests.

Change: the checks of h1 look at the names in heads, interim answers and, at the end of a body, in trailers, for h1 and for all clients of net/http. h1 also rejects lines that begin with a blank. Invalid refusals and the end marker of a stream with an invalid trailer are not believed. Why it works: there is one place through which each head and each end of a body goes.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -287,9 +287,12 @@
 	cn.beginResponse()
 	for range maxSkipped {
 		cn.limitHead()
+		if err := checkFolding(cn.reader); err != nil {
+			return nil, fmt.Errorf("h1: reading the answer: %w", err)
+		}
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, fmt.Errorf("h1: reading the answer: %w", err)
+			return nil, fmt.Errorf("h1: reading the answer: %w", parseError(err))
 		}
 		cn.unlimitHead()
 		if fieldCount(resp.Header) > maxHeadLines {
@@ -304,6 +307,7 @@
 		if err := checkFinal(resp); err != nil {
 			return nil, err
 		}
+		resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp}
 		match := Belongs
 		if r.Match != nil {
 			match = r.Match(resp, kept)
--- a/api/h1/transport.go
+++ b/api/h1/transport.go
@@ -20,6 +20,12 @@
 // RoundTrip implements http.RoundTripper.
 func (t *strictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used net.Conn
+	// What follows an invalid response may be anything, and the pool may have the connection already.
+	closeUsed := func() {
+		if used != nil {
+			_ = used.Close()
+		}
+	}
 	interims := 0
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { used = info.Conn },
@@ -36,15 +42,9 @@
 	}
 	if err := checkFinal(resp); err != nil {
 		_ = resp.Body.Close()
-		closeUsed(used)
+		closeUsed()
 		return nil, err
 	}
+	resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp, onInvalid: closeUsed}
 	return resp, nil
 }
-
-// closeUsed closes the connection of an invalid response. The pool may have it already, and what follows such a response may be anything.
-func closeUsed(c net.Conn) {
-	if c != nil {
-		_ = c.Close()
-	}
-}
--- a/router/internal/adapter/broken_test.go
+++ b/router/internal/adapter/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,10 +14,12 @@
 	"tanagerwood.dev/router/internal/port"
 )
 
-// The calls of services, of which one opens a new connection each time.
 const (
+	// callOfService opens a new connection each time.
 	callOfService       = "service"
 	pooledCallOfService = "pooled service"
+	// readOfPlatform changes nothing, so that its outcome does not matter.
+	readOfPlatform = "platform"
 )
 
 // soundAnswer returns a complete answer that a client accepts.
@@ -30,6 +33,11 @@
 // brokenAnswers returns variants of a sound answer that are no answers in the protocol.
 func brokenAnswers(sound string) map[string]string {
 	withStatus := func(status string) string { return strings.Replace(sound, "200", status, 1) }
+	withLine := func(line string) string { return strings.Replace(sound, "\r\n", "\r\n"+line+"\r\n", 1) }
+	withTrailer := func(status, line string) string {
+		_, body, _ := strings.Cut(sound, "\r\n\r\n")
+		return fmt.Sprintf("HTTP/1.1 %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", status, len(body), body, line)
+	}
 	return map[string]string{
 		"status 000":              withStatus("000"),
 		"status 099":              withStatus("099"),
@@ -39,6 +47,16 @@
 		"unasked switch":          withStatus("101"),
 		"interim with status 000": "HTTP/1.1 000 Oops\r\n\r\n" + sound,
 		"interim with status 099": "HTTP/1.1 099 Oops\r\n\r\n" + sound,
+		"blank in a name":         withLine("X Bad: 1"),
+		"blank before the colon":  withLine("X-Bad : 1"),
+		"blank after the length":  strings.Replace(sound, "Content-Length:", "Content-Length :", 1),
+		"control byte in a name":  withLine("X\x01Bad: 1"),
+		"interim with a blank":    "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + sound,
+		"interim with a control":  "HTTP/1.1 103 Early Hints\r\nX\x01Bad: 1\r\n\r\n" + sound,
+		"trailer with a blank":    withTrailer("200 OK", "X Bad: 1"),
+		"trailer with a control":  withTrailer("200 OK", "X\x01Bad: 1"),
+		"refusal with a trailer":  withTrailer("503 Full", "X Bad: 1"),
+		"refusal with a control":  withTrailer("503 Full", "X\x01Bad: 1"),
 	}
 }
 
@@ -84,7 +102,7 @@
 	if ctx.Err() != nil {
 		t.Error("the call waited for the rest of the answer")
 	}
-	if ofService := client == callOfService || client == pooledCallOfService; ofService && err != nil && fault.As(err).Outcome != openai.Unknown {
+	if err != nil && client != readOfPlatform && fault.As(err).Outcome != openai.Unknown {
 		t.Error("the outcome must be unknown:", err)
 	}
 	if script.Requests() != len(answers) {
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -291,7 +291,10 @@
 // statusError converts a response with a status other than 200 into a *fault.Error. Engines reject a request before they
 // run any of it, except with a 5xx status other than 503.
 func (c *Client) statusError(resp *http.Response, ep port.Endpoint) error {
-	raw, _ := c.readAll(resp.Body, maxErrorBodyBytes)
+	raw, err := c.readAll(resp.Body, maxErrorBodyBytes)
+	if errors.Is(err, h1.ErrInvalidResponse) {
+		return fault.Wrap(err, fault.EndpointFailed, openai.Unknown, "the answer of "+ep.Name+" is not valid")
+	}
 	message := "engine " + ep.Name + " answered " + resp.Status
 	var body openai.ErrorBody
 	if json.Unmarshal(raw, &body) == nil && body.Error.Message != "" {
--- a/router/internal/adapter/enginehttp/stream.go
+++ b/router/internal/adapter/enginehttp/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/router/internal/fault"
@@ -67,9 +68,11 @@
 		return openai.Completion{}, s.client.transportError(s.ctx, err, true)
 	}
 	if bytes.Equal(data, doneMarker) {
+		// Reading to the end returns the connection to the pool, and shows whether the trailer is valid.
+		if _, err := io.Copy(io.Discard, io.LimitReader(s.reader, maxErrorBodyBytes)); errors.Is(err, h1.ErrInvalidResponse) {
+			return openai.Completion{}, s.client.transportError(s.ctx, err, true)
+		}
 		s.done = true
-		// Reading to the end returns the connection to the pool.
-		_, _ = io.Copy(io.Discard, io.LimitReader(s.reader, maxErrorBodyBytes))
 		return openai.Completion{}, io.EOF
 	}
 	return parseChunk(data)
--- a/router/internal/node/broken_heads_test.go
+++ b/router/internal/node/broken_heads_test.go
@@ -10,7 +10,7 @@
 	"tanagerwood.dev/platform/standin"
 )
 
-var _ = Describe("an endpoint that breaks the head of its answer", func() {
+var _ = Describe("an endpoint that breaks the head or the trailer of its answer", func() {
 	var cluster *testCluster
 	var r *router
 	// The first answers are sound, so that the connections of the others are kept ones.
@@ -52,10 +52,38 @@
 			Expect(a.body).To(Equal(completeStreamBody(a.id)))
 		}
 	}, brokenHeads)
+
+	// Guards against an answer whose end is not valid and that looks complete, in place of a cut one.
+	It("gives no success with an invalid trailer, and no second run where requests may not be repeated", func() {
+		for _, s := range append(cluster.plain, cluster.decode...) {
+			s.InjectFault(standin.InvalidTrailers, 1, always)
+		}
+		before := len(cluster.runs())
+		for range heads {
+			a := r.send(context.Background(), http.MethodPost, "/book/a", "key")
+			Expect(a.status).To(Equal(http.StatusBadGateway), a.body)
+			Expect(r.stream("/brief/x").err).To(HaveOccurred(), "the events were passed on before the trailer came")
+		}
+		Expect(cluster.runs()).To(HaveLen(before + 2*heads))
+	})
+
+	// Guards against the same where another endpoint has the whole answer, and against events that come twice.
+	It("is followed by another one after an invalid trailer where requests may be repeated", func() {
+		cluster.plain[0].InjectFault(standin.InvalidTrailers, 1, always)
+		cluster.decode[0].InjectFault(standin.InvalidTrailers, 1, always)
+		for range heads {
+			a := r.send(context.Background(), http.MethodPost, "/look/a", "key")
+			Expect(a.body).To(Equal("answer to " + a.id))
+			a = r.stream("/digest/x")
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(a.body).To(Equal(completeStreamBody(a.id)))
+		}
+	})
 })
 
 // brokenHeads are the faults that break the head of an answer.
 var brokenHeads = []TableEntry{
 	Entry("by closing inside it", standin.TruncatedHeads),
 	Entry("with an invalid status", standin.InvalidStatuses),
+	Entry("with an invalid field name", standin.InvalidFieldNames),
 }
