Report answers whose connection was reset while the request was written

Callers saw: the first part of an answer without a length as a complete 200, if its server answered a long upload at once and then reset the connection. Streams that were cut so between two events ended like whole ones.

Cause: such an answer ends with its connection, and only the error of a read tells a reset from an orderly close. Linux reports the reset once. If the write of the upload gets it, the read sees an end of file. h1 dropped the write's error; in net/http, the read can be ahead of it.

Change: h1.DetectResets wraps the connections of h1 and of all clients of net/http. At an end of file it ends a write in progress, waits for it, and returns the error of the first write that failed, unless that shows that the peer had closed in good order before. Why it works: if a write took the error of a reset, it took it before the read saw the end of file, so that it is known when the write has returned.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,7 +36,7 @@
 // Client sends requests over a pool of persistent connections. It is safe for concurrent use.
 type Client struct {
 	options Options
-	dialer  net.Dialer
+	dial    DialFunc
 	memory  *membudget.Budget
 
 	mu    sync.Mutex
@@ -51,7 +50,8 @@
 
 // NewClient returns a Client without open connections.
 func NewClient(o Options) *Client {
-	return &Client{options: o, dialer: NewDialer(o.DialTimeout, o.SilenceTimeout), peers: map[string]*peer{}}
+	dialer := NewDialer(o.DialTimeout, o.SilenceTimeout)
+	return &Client{options: o, dial: DetectResets(dialer.DialContext), peers: map[string]*peer{}}
 }
 
 // LimitMemory has the heads of responses take their memory out of a budget. It must be called before the first request.
@@ -129,7 +129,7 @@
 	if cn != nil || err != nil {
 		return cn, err
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		c.countClosed(address)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -141,7 +141,7 @@
 
 // Probe establishes a connection to the address and closes it. It returns the error of the attempt.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/router/internal/adapter/broken_test.go
+++ b/router/internal/adapter/broken_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/platform/standin"
-	"tanagerwood.dev/router/internal/adapter/servicehttp"
 	"tanagerwood.dev/router/internal/fault"
-	"tanagerwood.dev/router/internal/port"
 )
 
 const (
@@ -20,6 +17,9 @@
 	pooledCallOfService = "pooled service"
 	// readOfPlatform changes nothing, so that its outcome does not matter.
 	readOfPlatform = "platform"
+	// uploadBytes is the size of a body that does not fit the buffers of a connection, uploads the number of resets of each client.
+	uploadBytes = 8 << 20
+	uploads     = 4
 )
 
 // soundAnswer returns a complete answer that a client accepts.
@@ -63,26 +63,37 @@
 // Guards against clients that take a broken answer for a whole one, on new connections and on kept ones, and against calls that are sent
 // again for it although the service may have run them.
 func TestBrokenAnswersFailTheirCall(t *testing.T) {
-	calls := clients()
-	pooled := servicehttp.New(nil)
-	calls[pooledCallOfService] = func(ctx context.Context, url string) error {
-		_, err := pooled.Call(ctx, port.Endpoint{Name: "s", URL: url}, port.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("{}")})
-		return err
-	}
-	for client, call := range calls {
+	for client, call := range clients("") {
 		sound := soundAnswer(client)
 		for name, broken := range brokenAnswers(sound) {
-			t.Run(client+" "+name+" new", func(t *testing.T) { checkFails(t, client, call, broken) })
+			t.Run(client+" "+name+" new", func(t *testing.T) { checkFails(t, client, call, &standin.Script{Answers: []string{broken}}) })
+			if client != callOfService {
+				t.Run(client+" "+name+" kept", func(t *testing.T) { checkFails(t, client, call, &standin.Script{Answers: []string{sound, broken}}) })
+			}
+		}
+	}
+}
+
+// Guards against an answer that ends with its connection and is taken for a whole one although the connection was reset while the request
+// was written, because the write got the error.
+func TestAnswersThatAreResetDuringAnUploadFailTheirCall(t *testing.T) {
+	calls := clients(strings.Repeat("x", uploadBytes))
+	for _, client := range []string{"prefill", "decode", callOfService, pooledCallOfService, "platform write"} {
+		sound := soundAnswer(client)
+		_, body, _ := strings.Cut(sound, "\r\n\r\n")
+		body = strings.ReplaceAll(body, "data: [DONE]\n\n", "") // a stream with its end marker is whole
+		for range uploads {
+			checkFails(t, client, calls[client], &standin.Script{ResetUploads: true, Answers: []string{"HTTP/1.1 200 OK\r\n\r\n" + body}})
 			if client != callOfService {
-				t.Run(client+" "+name+" kept", func(t *testing.T) { checkFails(t, client, call, sound, broken) })
+				checkFails(t, client, calls[client], &standin.Script{ResetUploads: true, Answers: []string{sound, "HTTP/1.1 200 OK\r\n\r\n" + body}})
 			}
 		}
 	}
 }
 
-// checkFails makes one call for each answer, and expects the last one to fail after the others have succeeded on the same connection.
-func checkFails(t *testing.T, client string, call callFunc, answers ...string) {
-	script := &standin.Script{Answers: answers}
+// checkFails makes one call for each answer of a script, and expects the last one to fail after the others have succeeded on the same connection.
+func checkFails(t *testing.T, client string, call callFunc, script *standin.Script) {
+	t.Helper()
 	address, err := script.Start()
 	if err != nil {
 		t.Fatal(err)
@@ -90,7 +101,7 @@
 	defer script.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	for range answers[1:] {
+	for range script.Answers[1:] {
 		if err := call(ctx, "http://"+address); err != nil {
 			t.Fatal("a sound answer:", err)
 		}
@@ -105,8 +116,8 @@
 	if err != nil && client != readOfPlatform && fault.As(err).Outcome != openai.Unknown {
 		t.Error("the outcome must be unknown:", err)
 	}
-	if script.Requests() != len(answers) {
-		t.Errorf("%d requests were sent for %d calls", script.Requests(), len(answers))
+	if script.Requests() != len(script.Answers) {
+		t.Errorf("%d requests were sent for %d calls", script.Requests(), len(script.Answers))
 	}
 	if script.Connections() != 1 {
 		t.Errorf("%d connections were opened", script.Connections())
--- a/router/internal/adapter/enginehttp/client.go
+++ b/router/internal/adapter/enginehttp/client.go
@@ -132,7 +132,7 @@
 	}
 	return &http.Transport{
 		MaxResponseHeaderBytes: h1.MaxUncountedHeadBytes,
-		DialContext:            dialer.DialContext,
+		DialContext:            h1.DetectResets(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
--- a/router/internal/adapter/junk_test.go
+++ b/router/internal/adapter/junk_test.go
@@ -34,8 +34,8 @@
 // callFunc makes one call to a server at a URL with a new client's connections.
 type callFunc func(ctx context.Context, url string) error
 
-// clients returns a call of each client that reads answers, by what it reads.
-func clients() map[string]callFunc {
+// clients returns a call of each client that reads answers, by what it reads. Calls that may have a large body send the upload in it.
+func clients(upload string) map[string]callFunc {
 	memory := membudget.New(allowance, budget)
 	log := event.NewLog("r1", "1", 64, time.Now)
 	engines := enginehttp.New(enginehttp.Options{PrefillTimeout: deadline, FirstTokenTimeout: deadline, ProgressTimeout: deadline,
@@ -48,7 +48,7 @@
 	services.LimitMemory(memory)
 	peers.LimitMemory(memory)
 	platformAt := platformClients(memory)
-	call := port.EngineCall{Path: "/v1/completions", Body: []byte("{}")}
+	call := port.EngineCall{Path: "/v1/completions", Body: []byte(`{"prompt":"` + upload + `"}`)}
 	return map[string]callFunc{
 		"prefill": func(ctx context.Context, url string) error {
 			_, err := engines.Prefill(ctx, port.Endpoint{Name: "e", URL: url}, call)
@@ -73,7 +73,12 @@
 			return err
 		},
 		"service": func(ctx context.Context, url string) error {
-			_, err := services.Call(ctx, port.Endpoint{Name: "s", URL: url}, port.ServiceCall{Method: http.MethodGet, Path: "/", NewConnection: true})
+			_, err := services.Call(ctx, port.Endpoint{Name: "s", URL: url},
+				port.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte(upload), NewConnection: true})
+			return err
+		},
+		"pooled service": func(ctx context.Context, url string) error {
+			_, err := services.Call(ctx, port.Endpoint{Name: "s", URL: url}, port.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte(upload)})
 			return err
 		},
 		"peer": func(ctx context.Context, url string) error {
@@ -84,6 +89,10 @@
 			_, err := platformAt(url).Get(ctx, apiplatform.KindCatalogue, apiplatform.SingletonName)
 			return err
 		},
+		"platform write": func(ctx context.Context, url string) error {
+			_, err := platformAt(url).Create(ctx, apiplatform.KindCatalogue, apiplatform.SingletonName, []byte(`"`+upload+`"`))
+			return err
+		},
 	}
 }
 
@@ -110,7 +119,7 @@
 		_, _ = w.Write([]byte(`{"version":1}` + strings.Repeat(" ", 4<<10)))
 	}))
 	t.Cleanup(healthy.Close)
-	for client, call := range clients() {
+	for client, call := range clients("") {
 		for answer, junk := range map[string]*standin.Junk{
 			"header lines":    {Beginning: "HTTP/1.1 200 OK\r\n", Filler: "X-A: b\r\n", Burst: 60 << 10},
 			"one header line": {Beginning: "HTTP/1.1 200 OK\r\nX-A: ", Filler: "aaaaaaaa", Burst: 60 << 10},
--- a/router/internal/adapter/peerhttp/client.go
+++ b/router/internal/adapter/peerhttp/client.go
@@ -77,7 +77,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Transport{
 		MaxResponseHeaderBytes: h1.MaxUncountedHeadBytes,
-		DialContext:            dialer.DialContext,
+		DialContext:            h1.DetectResets(dialer.DialContext),
 		MaxIdleConns:           0, // no limit, so that every peer has a pooled connection at any fleet size
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
 		IdleConnTimeout:        idleConnTimeout,
--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -97,6 +97,7 @@
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.IdleConnTimeout = idleTimeout
 	base.MaxIdleConnsPerHost = maxIdleConnections
+	base.DialContext = h1.DetectResets(base.DialContext)
 	base.MaxResponseHeaderBytes = h1.MaxUncountedHeadBytes
 	base.Proxy = nil // connect directly, ignoring the proxy environment variables
 	transport := h1.Strict(base)
--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -44,9 +44,8 @@
 
 // New returns a Client. If wrapper is nil, calls carry no hybrid logical clock timestamps.
 func New(wrapper TransportWrapper) *Client {
-	c := &Client{pooled: newTransport(), fresh: newTransport()}
+	c := &Client{pooled: newTransport(newDialer().DialContext), fresh: newTransport(resetOnCloseDial(newDialer().DialContext))}
 	c.fresh.DisableKeepAlives = true
-	c.fresh.DialContext = resetOnCloseDial(c.fresh.DialContext)
 	c.pooledRoundTripper, c.freshRoundTripper = h1.Strict(c.pooled), h1.Strict(c.fresh)
 	if wrapper != nil {
 		c.pooledRoundTripper, c.freshRoundTripper = wrapper.Transport(c.pooledRoundTripper), wrapper.Transport(c.freshRoundTripper)
@@ -60,24 +59,24 @@
 // Close closes the idle pooled connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	secure := &tls.Dialer{NetDialer: dialer, Config: &tls.Config{NextProtos: []string{"http/1.1"}}}
+func newDialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod} }
+
+// newTransport returns a transport that establishes connections without TLS with a dial function.
+func newTransport(dial h1.DialFunc) *http.Transport {
+	secure := &tls.Dialer{NetDialer: newDialer(), Config: &tls.Config{NextProtos: []string{"http/1.1"}}}
 	return &http.Transport{
 		MaxResponseHeaderBytes: h1.MaxUncountedHeadBytes,
-		DialContext:            trackingDial(dialer.DialContext),
-		DialTLSContext:         trackingDial(secure.DialContext),
+		DialContext:            trackingDial(h1.DetectResets(dial)),
+		DialTLSContext:         trackingDial(h1.DetectResets(secure.DialContext)),
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
 	}
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // trackingDial wraps the connections of a dial function in a conn, which tracks the writes of its call. A TLS connection is
 // wrapped outside TLS, so that the bytes of the handshake do not count as bytes of the call.
-func trackingDial(dial dialFunc) dialFunc {
+func trackingDial(dial h1.DialFunc) h1.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
 		if err != nil {
@@ -89,13 +88,13 @@
 
 // resetOnCloseDial sets SO_LINGER to 0, so that closing a connection discards unsent data. Otherwise the kernel could deliver a
 // call that was abandoned during a network outage minutes later.
-func resetOnCloseDial(dial dialFunc) dialFunc {
+func resetOnCloseDial(dial h1.DialFunc) h1.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := c.(*conn).Conn.(*net.TCPConn); ok {
+		if tcp, ok := c.(*net.TCPConn); ok {
 			err = tcp.SetLinger(0)
 		}
 		return c, err
