--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -292,7 +292,7 @@
 		}
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, fmt.Errorf("h1: reading the answer: %w", parseError(err))
+			return nil, fmt.Errorf("h1: reading the answer: %w", markMalformed(err))
 		}
 		cn.unlimitHead()
 		if fieldCount(resp.Header) > maxHeadLines {
--- a/api/h1/reset.go
+++ b/api/h1/reset.go
@@ -67,9 +67,9 @@
 }
 
 // endOfFile returns io.EOF if the peer has closed the connection in good order, and the error that has ended it otherwise. It ends a write
-// that is in progress, whose error counts: the peer answers nothing any more.
+// that is in progress, because only its result shows whether it got that error; nothing follows the peer's last answer anyway.
 func (d *resetDetector) endOfFile() error {
-	_ = d.Conn.SetWriteDeadline(time.Unix(1, 0)) // if it fails, the connection is closed, and so the write ends
+	_ = d.Conn.SetWriteDeadline(time.Unix(1, 0)) // it fails only if the connection is closed, which ends the write too
 	d.writing.Lock()
 	defer d.writing.Unlock()
 	if d.writeErr == nil || errors.Is(d.writeErr, os.ErrDeadlineExceeded) {
--- a/api/h1/transport.go
+++ b/api/h1/transport.go
@@ -8,13 +8,14 @@
 	"net/textproto"
 )
 
-// maxInterims is the largest number of interim responses to a request that is sent with a strict round tripper.
+// maxInterims is the largest number of interim responses to a request. net/http limits their total size only if nobody looks at them.
 const maxInterims = 100
 
-// Strict returns a round tripper over a Transport of net/http that fails with ErrInvalidResponse, and closes the connection, if a response
-// is one that HTTP does not allow. It never sends a request again for it.
+// Strict returns a round tripper over a Transport of net/http that fails with ErrInvalidResponse if a response, the body included, is one
+// that HTTP does not allow. It then closes the connection, and does not send the request again.
 func Strict(base http.RoundTripper) http.RoundTripper { return &strictTransport{base: base} }
 
+// strictTransport implements Strict.
 type strictTransport struct{ base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
--- a/api/h1/validate.go
+++ b/api/h1/validate.go
@@ -55,8 +55,8 @@
 	return nil
 }
 
-// parseError marks an error of net/http that says that a head or a trailer is malformed with ErrInvalidResponse.
-func parseError(err error) error {
+// markMalformed wraps an error of net/http with ErrInvalidResponse if it says that a head or a trailer is malformed.
+func markMalformed(err error) error {
 	var malformed textproto.ProtocolError
 	if errors.As(err, &malformed) {
 		return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
@@ -64,7 +64,7 @@
 	return err
 }
 
-// checkedBody is the body of a response, whose end it reports as ErrInvalidResponse if the trailer is invalid.
+// checkedBody is the body of a response that ends with ErrInvalidResponse in place of io.EOF if the trailer is invalid.
 type checkedBody struct {
 	io.ReadCloser
 	resp *http.Response
@@ -83,7 +83,7 @@
 			err = invalid
 		}
 	}
-	err = parseError(err)
+	err = markMalformed(err)
 	if b.onInvalid != nil && errors.Is(err, ErrInvalidResponse) {
 		b.onInvalid()
 	}
--- a/router/internal/adapter/servicehttp/client.go
+++ b/router/internal/adapter/servicehttp/client.go
@@ -59,9 +59,10 @@
 // Close closes the idle pooled connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
+// newDialer returns the dialer of all connections to services.
 func newDialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod} }
 
-// newTransport returns a transport that establishes connections without TLS with a dial function.
+// newTransport returns a transport whose connections without TLS are established by the given function.
 func newTransport(dial h1.DialFunc) *http.Transport {
 	secure := &tls.Dialer{NetDialer: newDialer(), Config: &tls.Config{NextProtos: []string{"http/1.1"}}}
 	return &http.Transport{
