--- a/router/internal/node/odd_entries_test.go
+++ b/router/internal/node/odd_entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -61,4 +62,25 @@
 		Entry("of decode engines", "m", "decode"),
 		Entry("of prefill engines", "m", "prefill"),
 	)
+
+	// Guards against entries whose sum keeps an instance that starts, or that must list again, out of service.
+	It("does no harm if there are many large ones", func() {
+		const entries, entryBytes = 20, 1_000_000
+		cluster := newTestCluster()
+		runsOn := cluster.start("runs-on")
+		for i := range entries {
+			cluster.store.Put("servers", fmt.Sprintf("large-%d", i), `{"padding":"`+strings.Repeat("x", entryBytes)+`"}`)
+		}
+		expectServed(cluster.start("starts"))
+		cluster.store.CompactHistory()
+		replacement := standin.NewServer("s-new", "")
+		cluster.registerServer(replacement, "s")
+		for _, s := range cluster.plain {
+			cluster.announceLeaving(s, "s")
+		}
+		Eventually(func() int {
+			Expect(runsOn.send(context.Background(), http.MethodPost, "/book/a", "key").status).To(Equal(http.StatusOK))
+			return len(replacement.Runs())
+		}, eventuallyTimeout).Should(BeNumerically(">", 0))
+	})
 })
