Read the lists of claims and instances entry by entry

The list of all claims, with their stored answers, and the list of instances were held as a whole. They failed for ever beyond 64 MiB, beyond the memory for answers, or if they took longer than 1.5 s in all, so that expired claims would never be deleted, or no endpoint known.

Change: List passes on one object after the other, and DeleteExpiredClaims keeps names and versions of expired ones. Instances skips entries that are longer than any of the platform's. The timeout of a list counts from the last part that arrived.

Measured: platformhttp "entries that take more memory than there is" (two entries of 40 MB) fails before, as the response exceeds 64 MiB; platformhttp, servicepath and adapter pass.

--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -8,33 +8,29 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"tanagerwood.dev/api/event"
 	"tanagerwood.dev/api/h1"
-	"tanagerwood.dev/api/jsonbody"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
 	"tanagerwood.dev/router/internal/fault"
-	"tanagerwood.dev/router/internal/port"
 )
 
 const (
 	// defaultTimeout limits a call. The platform responds within milliseconds. With one poll a second, a poll that times out
 	// leaves time for two more within the 5 s of requirement G12.
 	defaultTimeout = 1500 * time.Millisecond
-	// maxResponseBytes limits a response body, since a list may contain many objects.
-	maxResponseBytes = 64 << 20
+	// maxObjectBytes limits an object, encoded, and each response but for lists.
+	maxObjectBytes = 2 * platform.MaxValueBytes
 	// idleTimeout closes idle connections, which may be broken without either end having noticed.
 	idleTimeout = 20 * time.Second
 	// maxIdleConnections allows for bursts of claims; the default of net/http is two connections per host.
@@ -87,8 +83,6 @@
 	instances []platform.Instance
 }
 
-var _ port.Platform = (*Client)(nil)
-
 // New returns a Client.
 func New(o Options) *Client {
 	if o.Timeout <= 0 {
@@ -136,13 +130,6 @@
 	return o, status != http.StatusNotModified, nil
 }
 
-// List implements port.Platform.
-func (c *Client) List(ctx context.Context, kind platform.Kind) (platform.List, error) {
-	var list platform.List
-	_, err := c.call(ctx, request{method: http.MethodGet, path: "/api/v1/" + url.PathEscape(string(kind))}, &list)
-	return list, err
-}
-
 // Create implements port.Platform.
 func (c *Client) Create(ctx context.Context, kind platform.Kind, name string, value json.RawMessage) (uint64, error) {
 	return c.write(ctx, request{method: http.MethodPut, path: objectPath(kind, name), ifNoneMatch: "*", body: value})
@@ -159,60 +146,6 @@
 	return err
 }
 
-// Instances implements port.Platform.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
-	var body rawBody
-	r := request{method: http.MethodGet, path: "/api/v1/instances"}
-	known := c.cachedInstances.Load()
-	if known != nil {
-		r.ifNoneMatch = known.etag
-	}
-	status, tag, err := c.callWithETag(ctx, r, &body)
-	if err != nil {
-		return nil, err
-	}
-	if status == http.StatusNotModified && known != nil {
-		return slices.Clone(known.instances), nil
-	}
-	instances, err := decodeInstances(body)
-	if err != nil {
-		return nil, noResponseError(err, r, true)
-	}
-	if tag != "" {
-		c.cachedInstances.Store(&instanceList{etag: tag, instances: slices.Clone(instances)})
-	}
-	return instances, nil
-}
-
-// rawBody receives the body of a response that callWithETag does not decode.
-type rawBody []byte
-
-// decodeInstances decodes a list of instances. Each entry is decoded by itself, and one that does not describe an instance is skipped, so
-// that an odd entry of another writer does not hide the others.
-func decodeInstances(body []byte) ([]platform.Instance, error) {
-	list := gjson.GetBytes(body, "instances")
-	if !list.IsArray() || !jsonbody.IsWholeObject(body) {
-		return nil, errors.New("the response has no list of instances")
-	}
-	var instances []platform.Instance
-	for _, entry := range list.Array() {
-		var in platform.Instance
-		if json.Unmarshal([]byte(entry.Raw), &in) != nil || in.Name == "" {
-			continue
-		}
-		if address, err := url.Parse(in.URL); err == nil && validPort(address.Port()) {
-			instances = append(instances, in)
-		}
-	}
-	return instances, nil
-}
-
-// validPort reports whether the port of a URL, which may be empty, is in range.
-func validPort(port string) bool {
-	_, err := strconv.ParseUint(port, 10, 16)
-	return port == "" || err == nil
-}
-
 func (c *Client) write(ctx context.Context, r request) (uint64, error) {
 	var o platform.Object
 	_, err := c.call(ctx, r, &o)
@@ -226,6 +159,8 @@
 	ifMatch     string
 	ifNoneMatch string
 	body        []byte
+	// readList, if it is set, reads the body of a successful response.
+	readList func(body io.Reader, held *membudget.Holding) error
 }
 
 func (r request) isWrite() bool { return r.method != http.MethodGet }
@@ -238,8 +173,10 @@
 // callWithETag makes one call, decodes a successful response and returns its ETag. Errors are of type *fault.Error; the outcome of a
 // write is Unknown if the request may have reached the platform.
 func (c *Client) callWithETag(ctx context.Context, r request, into any) (status int, tag string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(c.timeout, func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
 	// connected is set from a goroutine of the transport. A write that never got a connection cannot have taken effect.
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
@@ -252,14 +189,20 @@
 	if err != nil {
 		// If one pooled connection is broken, the others may be too, so the next call opens a new one.
 		c.base.CloseIdleConnections()
-		return 0, "", noResponseError(err, r, connected.Load())
+		return 0, "", noResponseError(errors.Join(err, context.Cause(ctx)), r, connected.Load())
 	}
 	defer resp.Body.Close()
 	held := c.memory.Open()
 	defer held.Close()
-	body, err := membudget.ReadAll(resp.Body, maxResponseBytes, &held)
+	if r.readList != nil && resp.StatusCode == http.StatusOK {
+		if err := r.readList(&progressReader{Reader: resp.Body, timer: timer, timeout: c.timeout}, &held); err != nil {
+			return 0, "", noResponseError(errors.Join(err, context.Cause(ctx)), r, true)
+		}
+		return resp.StatusCode, resp.Header.Get("ETag"), nil
+	}
+	body, err := membudget.ReadAll(resp.Body, maxObjectBytes, &held)
 	if err != nil {
-		return 0, "", noResponseError(err, r, true)
+		return 0, "", noResponseError(errors.Join(err, context.Cause(ctx)), r, true)
 	}
 	if resp.StatusCode == http.StatusNotModified {
 		return resp.StatusCode, resp.Header.Get("ETag"), nil
@@ -267,10 +210,6 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusCreated {
 		return resp.StatusCode, "", statusError(resp.StatusCode, body, r)
 	}
-	if raw, ok := into.(*rawBody); ok {
-		*raw = body
-		return resp.StatusCode, resp.Header.Get("ETag"), nil
-	}
 	if err := json.Unmarshal(body, into); err != nil {
 		return 0, "", noResponseError(fmt.Errorf("the response is not valid JSON: %w", err), r, true)
 	}
--- a/router/internal/adapter/platformhttp/client_test.go
+++ b/router/internal/adapter/platformhttp/client_test.go
@@ -75,9 +75,9 @@
 		var conflict *platformhttp.VersionConflictError
 		Expect(errors.As(err, &conflict)).To(BeTrue())
 		Expect(conflict.CurrentVersion).To(Equal(w))
-		list, err := client.List(ctx, platform.KindRoster)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(list.Objects).To(HaveLen(1))
+		var listed []platform.Object
+		Expect(client.List(ctx, platform.KindRoster, func(o platform.Object) { listed = append(listed, o) })).To(Succeed())
+		Expect(listed).To(HaveLen(1))
 		Expect(client.Delete(ctx, platform.KindRoster, "main", w)).To(Succeed())
 		_, err = client.Get(ctx, platform.KindRoster, "main")
 		expectFault(err, fault.NotFound, openai.NotRun)
--- a/router/internal/adapter/platformhttp/instances_test.go
+++ b/router/internal/adapter/platformhttp/instances_test.go
@@ -37,6 +37,7 @@
 		Entry("a port out of range", strings.NewReplacer("e-1", "e-2", ":80", ":99999").Replace(good)),
 		Entry("an entry without a name", `{}`),
 		Entry("an entry of another type", `"e-2"`),
+		Entry("entries that take more memory than there is", `{"name":"e-2","labels":"`+strings.Repeat("x", 40<<20)+`"}`),
 	)
 
 	// Guards against endpoints that are missing from a list because its end was lost.
--- a/router/internal/app/quotasync/network_test.go
+++ b/router/internal/app/quotasync/network_test.go
@@ -279,8 +279,8 @@
 	return o, o.Version != version, nil
 }
 
-func (a platformClient) List(context.Context, platform.Kind) (platform.List, error) {
-	return platform.List{}, nil
+func (a platformClient) List(context.Context, platform.Kind, func(platform.Object)) error {
+	return nil
 }
 
 func (a platformClient) Create(ctx context.Context, kind platform.Kind, name string, value json.RawMessage) (uint64, error) {
--- a/router/internal/app/servicepath/fakes_test.go
+++ b/router/internal/app/servicepath/fakes_test.go
@@ -106,10 +106,9 @@
 	env.server.SetFaults(standplatform.Faults{LoseReplies: &n})
 }
 
-func (env *testEnv) claimCount() int {
-	list, err := env.List(context.Background(), platform.KindClaim)
-	Expect(err).NotTo(HaveOccurred())
-	return len(list.Objects)
+func (env *testEnv) claimCount() (n int) {
+	Expect(env.List(context.Background(), platform.KindClaim, func(platform.Object) { n++ })).To(Succeed())
+	return n
 }
 
 func catalogueWithKeys(keys ...string) catalogue.Catalogue {
--- a/router/internal/app/servicepath/fleet.go
+++ b/router/internal/app/servicepath/fleet.go
@@ -43,14 +43,17 @@
 
 // DeleteExpiredClaims deletes the claims that are older than claim.RecordRetention.
 func (fw *Forwarder) DeleteExpiredClaims(ctx context.Context) {
-	list, err := fw.Platform.List(ctx, platform.KindClaim)
+	expired := map[string]uint64{} // versions by name
+	err := fw.Platform.List(ctx, platform.KindClaim, func(o platform.Object) {
+		if record, ok := parseClaimObject(o); ok && record.Expired(fw.Clock.Now()) {
+			expired[o.Name] = o.Version
+		}
+	})
 	if err != nil {
 		return // the next run lists the same claims
 	}
-	for _, object := range list.Objects {
-		if record, ok := parseClaimObject(object); ok && record.Expired(fw.Clock.Now()) {
-			_ = fw.Platform.Delete(ctx, platform.KindClaim, object.Name, object.Version)
-		}
+	for name, version := range expired {
+		_ = fw.Platform.Delete(ctx, platform.KindClaim, name, version)
 	}
 }
 
--- a/router/internal/port/port.go
+++ b/router/internal/port/port.go
@@ -38,7 +38,8 @@
 	Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
 	// GetNewer returns changed=false if the object still has the given version.
 	GetNewer(ctx context.Context, kind platform.Kind, name string, version uint64) (o platform.Object, changed bool, err error)
-	List(ctx context.Context, kind platform.Kind) (platform.List, error)
+	// List passes all objects of a kind to yield, one after the other. If it fails, they may not have been all.
+	List(ctx context.Context, kind platform.Kind, yield func(platform.Object)) error
 	// Create fails with fault.Conflict if the object exists.
 	Create(ctx context.Context, kind platform.Kind, name string, value json.RawMessage) (version uint64, err error)
 	// Replace fails with fault.Conflict if the object has a version other than the given one.
