Keep connections whose peers respond but read nothing for a while

Cause: TCP_USER_TIMEOUT, 2 s on the connections to callers, endpoints, the store and other instances, is meant for dead peers. Linux also counts with it the time for which a live peer's receive window is closed, and drops what lies in the kernel's buffers.

With the old deadline, frontend "are not cut while they read slowly" failed.

Change: api/deadpeer sets the option as before and looks at connections with unacknowledged bytes every 250 ms. It lifts the option while a peer answers probes, and closes the connection itself when the peer no longer does, or has read nothing for the callers' 10 s. What is unread counts to the memory for slow callers, closed connections included, and a planned stop waits for it within its grace period. Cuts are logged and counted. The 10 s of callers, and the 30 s of the product's own interface, count from the last part that was read; a cut for memory can no longer be undone by the deadline of the next write. Why it works: who answers probes isn't dead, and the kernel tells when it did.

--- a/api/h1/client.go
+++ b/api/h1/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"tanagerwood.dev/api/deadpeer"
 	"tanagerwood.dev/api/membudget"
 )
 
@@ -27,7 +28,8 @@
 type Options struct {
 	// DialTimeout limits how long establishing a connection may take.
 	DialTimeout time.Duration
-	// SilenceTimeout is the time after which unacknowledged bytes, or unanswered keep-alive probes, close a connection.
+	// SilenceTimeout is the time without a response of the peer to what was sent, or to probes, after which a connection is closed. A peer
+	// that responds and reads nothing is limited by the contexts of the requests.
 	SilenceTimeout time.Duration
 	// MaxIdle is the largest number of idle connections that are kept for each peer.
 	MaxIdle int
@@ -50,8 +52,8 @@
 
 // NewClient returns a Client without open connections.
 func NewClient(o Options) *Client {
-	dialer := NewDialer(o.DialTimeout, o.SilenceTimeout)
-	return &Client{options: o, dial: DetectResets(dialer.DialContext), peers: map[string]*peer{}}
+	dial := deadpeer.New(deadpeer.Options{Silence: o.SilenceTimeout}).Dialer(o.DialTimeout)
+	return &Client{options: o, dial: DetectResets(dial), peers: map[string]*peer{}}
 }
 
 // LimitMemory has the heads of responses take their memory out of a budget. It must be called before the first request.
--- a/router/internal/adapter/callers/handler.go
+++ b/router/internal/adapter/callers/handler.go
@@ -30,6 +30,8 @@
 	defaultMaxBody = 8 << 20
 	// defaultWriteTimeout is the time without any bytes read by the caller after which it is treated as disconnected.
 	defaultWriteTimeout = 30 * time.Second
+	// writePartBytes is the size of the parts in which an answer is written.
+	writePartBytes = 16 << 10
 	// readTimeout limits the time to read a request body.
 	readTimeout = 30 * time.Second
 	// statusClientClosedRequest is the status in logs of requests whose caller disconnected; no caller receives it.
@@ -200,9 +202,16 @@
 	return &deadlineWriter{ResponseWriter: w, controller: http.NewResponseController(w), timeout: h.WriteTimeout}
 }
 
-func (w *deadlineWriter) Write(p []byte) (int, error) {
-	_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
-	return w.ResponseWriter.Write(p)
+// Write implements http.ResponseWriter. Long answers are written in parts, so that a caller that reads them slowly is not disconnected.
+func (w *deadlineWriter) Write(p []byte) (written int, err error) {
+	for {
+		_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
+		n, err := w.ResponseWriter.Write(p[:min(len(p), writePartBytes)])
+		written += n
+		if p = p[n:]; err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
 }
 
 func (w *deadlineWriter) flush() error { return w.controller.Flush() }
--- a/router/internal/adapter/frontend/frontend.go
+++ b/router/internal/adapter/frontend/frontend.go
@@ -2,6 +2,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,8 +32,8 @@
 	// length, so that a client which declares much and sends nothing does not take the memory for bodies from others.
 	initialBodyBufferBytes = 4 << 10
 	reservedBodyBytes      = 64 << 10
-	// writeTimeout is how long a write to the caller may block before the caller is treated as disconnected.
-	writeTimeout = 10 * time.Second
+	// DefaultWriteTimeout is how long a caller may read nothing before it is treated as disconnected.
+	DefaultWriteTimeout = 10 * time.Second
 	// bodyMemoryRetryAfter is the Retry-After value when no memory is available for a request body.
 	bodyMemoryRetryAfter = 500 * time.Millisecond
 )
@@ -57,6 +58,8 @@
 	MaxBufferedBodyBytes int64
 	// SlowCallers bounds the memory that is held for callers that do not read; nil means no limit.
 	SlowCallers *slowreader.Tracker
+	// WriteTimeout is how long a caller may read nothing; zero means DefaultWriteTimeout.
+	WriteTimeout time.Duration
 	// StopPhase returns the current phase of a planned stop.
 	StopPhase func() StopPhase
 	// Stop ends the waits of requests in a planned stop.
@@ -86,7 +89,10 @@
 }
 
 // New returns a Handler with the given dependencies.
-func New(d Deps) *Handler { return &Handler{Deps: d} }
+func New(d Deps) *Handler {
+	d.WriteTimeout = cmp.Or(d.WriteTimeout, DefaultWriteTimeout)
+	return &Handler{Deps: d}
+}
 
 // OpenRequests returns the number of requests in progress.
 func (h *Handler) OpenRequests() int { return int(h.openRequests.Load()) }
@@ -204,6 +210,8 @@
 	headerWritten bool
 	handler       *Handler
 	body          *bodyReader
+	// cut is set once the caller has been cut.
+	cut atomic.Bool
 }
 
 func (s *responseWriter) setHeader(header http.Header) {
@@ -238,15 +246,10 @@
 	if err := s.writeTracked(p); err != nil {
 		return err
 	}
+	s.extendWriteDeadline()
 	return s.track(0, s.controller.Flush)
 }
 
-// extendWriteDeadline resets the write deadline before each write, so that only a caller that stops reading is disconnected.
-func (s *responseWriter) extendWriteDeadline() {
-	// A response recorder in a test does not support deadlines; a network connection always does.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-}
-
 // bodyReader reads a request body and accounts for its memory against Deps.MaxBufferedBodyBytes.
 type bodyReader struct {
 	handler       *Handler
--- a/router/internal/adapter/frontend/slow.go
+++ b/router/internal/adapter/frontend/slow.go
@@ -16,10 +16,10 @@
 	writePieceBytes = 16 << 10
 )
 
-// writeTracked writes p in parts, so that a caller that reads nothing of one for long can be cut.
+// writeTracked writes p in parts, so that a caller that reads nothing of one for long can be cut, and one that reads slowly is not.
 func (s *responseWriter) writeTracked(p []byte) error {
-	s.extendWriteDeadline()
 	for {
+		s.extendWriteDeadline()
 		piece := p[:min(len(p), writePieceBytes)]
 		if err := s.track(int64(len(p)), func() error {
 			_, err := s.w.Write(piece)
@@ -33,7 +33,7 @@
 
 // track calls write, and has it cut if it is blocked while too much memory is held for such callers.
 func (s *responseWriter) track(held int64, write func() error) error {
-	if s.handler == nil || s.handler.SlowCallers == nil {
+	if s.handler.SlowCallers == nil {
 		return write()
 	}
 	w := &slowreader.Write{Bytes: held + s.body.reservedBytes + answerOverheadBytes, Cut: s.cutWrite}
@@ -43,8 +43,20 @@
 	return write()
 }
 
-// cutWrite has the write in progress fail.
-func (s *responseWriter) cutWrite() { _ = s.controller.SetWriteDeadline(time.Now()) }
+// cutWrite has the write in progress fail, and those after it.
+func (s *responseWriter) cutWrite() {
+	s.cut.Store(true)
+	_ = s.controller.SetWriteDeadline(time.Now())
+}
+
+// extendWriteDeadline resets the write deadline before each write, so that only a caller that stops reading is disconnected.
+func (s *responseWriter) extendWriteDeadline() {
+	// A response recorder in a test does not support deadlines; a network connection always does.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.handler.WriteTimeout))
+	if s.cut.Load() { // it may have been cut just before
+		_ = s.controller.SetWriteDeadline(time.Now())
+	}
+}
 
 // scheduleSlowCheck has blocked writes checked in a while, unless that is scheduled already.
 func (h *Handler) scheduleSlowCheck() {
--- a/router/internal/adapter/frontend/slow_test.go
+++ b/router/internal/adapter/frontend/slow_test.go
@@ -53,4 +53,26 @@
 		}).Should(BeEquivalentTo(1))
 		Eventually(ended).Should(Receive(HaveOccurred()))
 	})
+
+	// Guards against callers that read a long answer slowly and are cut when the whole of it takes longer than a caller may read nothing.
+	It("are not cut while they read slowly", func() {
+		const answerBytes, partBytes, writeTimeout = 24 << 20, 2 << 20, 400 * time.Millisecond
+		h := frontend.New(frontend.Deps{
+			CallerDecoder: headerDecoder{}, SinceBoot: func() time.Duration { return 0 }, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+			RequestHandler: handlerFunc(func(_ context.Context, _ *forward.Request, w forward.ResponseWriter) error {
+				return w.WriteResponse(http.StatusOK, nil, make([]byte, answerBytes))
+			}),
+			WriteTimeout: writeTimeout, StopPhase: func() frontend.StopPhase { return frontend.Serving }, Stop: plannedstop.New(),
+		})
+		server := httptest.NewServer(h)
+		DeferCleanup(server.Close)
+		resp, err := http.Get(server.URL)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		for range answerBytes / partBytes {
+			_, err := io.CopyN(io.Discard, resp.Body, partBytes)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(writeTimeout / 4)
+		}
+	})
 })
--- a/router/internal/adapter/peerudp/peerudp.go
+++ b/router/internal/adapter/peerudp/peerudp.go
@@ -15,6 +15,7 @@
 
 	"github.com/phuslu/log"
 
+	"tanagerwood.dev/api/deadpeer"
 	"tanagerwood.dev/api/h1"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/router/internal/adapter/clientlimit"
@@ -62,8 +63,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("peerudp: cannot listen; choose a free address: %w", err)
 	}
-	config := h1.ListenConfig(silenceTimeout)
-	listener, err := config.Listen(ctx, "tcp4", address)
+	detector := deadpeer.New(deadpeer.Options{Silence: silenceTimeout, MaxPause: stateRequestTimeout})
+	listener, err := detector.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("peerudp: cannot listen; choose a free address: %w", err), conn.Close())
 	}
--- a/router/internal/node/clients.go
+++ b/router/internal/node/clients.go
@@ -19,6 +19,8 @@
 	// peerConnectionDivisor those of the peers.
 	sideConnectionDivisor = 8
 	peerConnectionDivisor = 4
+	// lingeringDivisor gives the part of the callers' connections that may linger.
+	lingeringDivisor = 8
 	// sideHeadBytes limits heads on all listeners but the callers'. peerHeadTimeout and peerIdleTimeout apply to the peers'.
 	sideHeadBytes   = 16 << 10
 	peerHeadTimeout = 3 * time.Second
@@ -35,14 +37,31 @@
 func (n *Node) newClientLimits(s *settings.Node) clientLimits {
 	budget := clientlimit.NewBudget(cmp.Or(int64(s.HeadMemoryMB)<<20, memoryShare(s, headMemoryFraction)))
 	metrics.NewRegisteredFunctionalGauge("clients.head_memory_bytes", n.components.Load().metrics, budget.Used)
-	callers := clientlimit.MaxConnections(clientlimit.Descriptors(s.MaxDescriptors), memoryShare(s, connectionMemoryFraction))
-	return clientLimits{node: n, budget: budget, callers: cmp.Or(s.MaxConnections, callers)}
+	return clientLimits{node: n, budget: budget, callers: maxCallerConnections(s)}
 }
 
-// options returns the options of a listener that may have the maximum of callers' connections divided by the divisor.
-func (l clientLimits) options(name string, divisor int, limits func() clientlimit.Limits) clientlimit.Options {
+// maxCallerConnections returns the number of callers' connections that the node may have, lingering ones included.
+func maxCallerConnections(s *settings.Node) int {
+	derived := clientlimit.MaxConnections(clientlimit.Descriptors(s.MaxDescriptors), memoryShare(s, connectionMemoryFraction))
+	return cmp.Or(s.MaxConnections, derived)
+}
+
+// maxLingering returns how many of the callers' connections may linger after they were closed, until their answers have been read.
+func maxLingering(s *settings.Node) int { return maxCallerConnections(s) / lingeringDivisor }
+
+// callerOptions returns the options of the callers' listener.
+func (l clientLimits) callerOptions() clientlimit.Options {
+	return l.options("callers", l.callers-maxLingering(l.node.options.Settings), l.node.callerLimits)
+}
+
+// sideOptions returns the options of a listener that may have the maximum of callers' connections divided by the divisor.
+func (l clientLimits) sideOptions(name string, divisor int, limits func() clientlimit.Limits) clientlimit.Options {
+	return l.options(name, l.callers/divisor, limits)
+}
+
+func (l clientLimits) options(name string, connections int, limits func() clientlimit.Limits) clientlimit.Options {
 	return clientlimit.Options{
-		Name: name, Limits: limits, Budget: l.budget, MaxConnections: max(clientlimit.MinConnections, l.callers/divisor),
+		Name: name, Limits: limits, Budget: l.budget, MaxConnections: max(clientlimit.MinConnections, connections),
 		Metrics: l.node.components.Load().metrics, Logger: l.node.options.Logger,
 	}
 }
--- a/router/internal/node/node.go
+++ b/router/internal/node/node.go
@@ -15,7 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/samber/do/v2"
 
-	"tanagerwood.dev/api/h1"
+	"tanagerwood.dev/api/deadpeer"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/platform"
@@ -163,7 +163,7 @@
 	failed := make(chan error, 3)
 	var servers []*http.Server
 	limits := n.newClientLimits(s)
-	transport.LimitClients(limits.options("peers", peerConnectionDivisor, peerLimits))
+	transport.LimitClients(limits.sideOptions("peers", peerConnectionDivisor, peerLimits))
 	for _, l := range n.listeners(limits) {
 		server, err := n.serve(ctx, l, failed)
 		if err != nil {
@@ -188,10 +188,10 @@
 	return errors.Join(err, transport.Close())
 }
 
-// drain waits until the platform no longer sends connections and all open requests are answered, or until stopMargin before the
-// end of the stop grace period. In between it ends the waits of requests that no endpoint has.
+// drain waits until the platform no longer sends connections and callers have got the answers of all open requests, or until stopMargin
+// before the end of the stop grace period. In between it ends the waits of requests that no endpoint has.
 func (n *Node) drain(ctx context.Context, callers *http.Server) {
-	handler := n.components.Load().handler
+	handler, connections := n.components.Load().handler, n.components.Load().callers
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
@@ -200,8 +200,10 @@
 			n.stopSignals.EndWaits()
 			callers.SetKeepAlivesEnabled(false) // closes idle connections
 		}
-		if elapsed > n.settings.Load().StopGrace-stopMargin || elapsed > n.stopNotice() && handler.OpenRequests() == 0 {
-			n.options.Logger.Info().Str("event", "process.drained").Int("open", handler.OpenRequests()).Dur("took", elapsed).Msg("")
+		answered := handler.OpenRequests() == 0 && connections.Unread() == 0
+		if elapsed > n.settings.Load().StopGrace-stopMargin || elapsed > n.stopNotice() && answered {
+			n.options.Logger.Info().Str("event", "process.drained").Int("open", handler.OpenRequests()).Int("unread", connections.Unread()).
+				Dur("took", elapsed).Msg("")
 			return
 		}
 		select {
@@ -271,26 +273,27 @@
 }
 
 type listener struct {
-	address string
-	handler http.Handler
-	clients clientlimit.Options
+	address  string
+	handler  http.Handler
+	clients  clientlimit.Options
+	detector *deadpeer.Detector
 }
 
 func (n *Node) listeners(limits clientLimits) []listener {
 	s := n.options.Settings
+	side := deadpeer.New(deadpeer.Options{Silence: deadConnectionTimeout, MaxPause: frontend.DefaultWriteTimeout})
 	out := []listener{
-		{s.CallerListen, n.components.Load().handler, limits.options("callers", 1, n.callerLimits)},
-		{s.ReadyListen, http.HandlerFunc(n.serveReadiness), limits.options("readiness", sideConnectionDivisor, sideLimits)},
+		{s.CallerListen, n.components.Load().handler, limits.callerOptions(), n.components.Load().callers},
+		{s.ReadyListen, http.HandlerFunc(n.serveReadiness), limits.sideOptions("readiness", sideConnectionDivisor, sideLimits), side},
 	}
 	if s.MetricsListen != "" {
-		out = append(out, listener{s.MetricsListen, http.HandlerFunc(n.serveMetrics), limits.options("metrics", sideConnectionDivisor, sideLimits)})
+		out = append(out, listener{s.MetricsListen, http.HandlerFunc(n.serveMetrics), limits.sideOptions("metrics", sideConnectionDivisor, sideLimits), side})
 	}
 	return out
 }
 
 func (n *Node) serve(ctx context.Context, l listener, failed chan<- error) (*http.Server, error) {
-	config := h1.ListenConfig(deadConnectionTimeout)
-	tcp, err := config.Listen(ctx, "tcp", l.address)
+	tcp, err := l.detector.Listen(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen: %w; choose a free address", err)
 	}
--- a/router/internal/node/wiring.go
+++ b/router/internal/node/wiring.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
 
+	"tanagerwood.dev/api/deadpeer"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/platform"
@@ -46,6 +47,7 @@
 	dispatcher   *dispatch.Dispatcher
 	rebalancer   *rebalance.Rebalancer
 	handler      *frontend.Handler
+	callers      *deadpeer.Detector
 	endpoints    *platform.Endpoints
 	health       *health.Tracker
 	availability *availability.Tracker
@@ -68,6 +70,7 @@
 		dispatcher:   do.MustInvoke[*dispatch.Dispatcher](n.injector),
 		rebalancer:   do.MustInvoke[*rebalance.Rebalancer](n.injector),
 		handler:      do.MustInvoke[*frontend.Handler](n.injector),
+		callers:      do.MustInvoke[*deadpeer.Detector](n.injector),
 		endpoints:    do.MustInvoke[*platform.Endpoints](n.injector),
 		health:       do.MustInvoke[*health.Tracker](n.injector),
 		availability: do.MustInvoke[*availability.Tracker](n.injector),
@@ -405,9 +408,9 @@
 			OnTransitionsChanged: func() { peers.SendState(false) }, Boot: boot, Logger: logger,
 		}), nil
 	})
+	slowCallers := slowreader.NewTracker(memoryShare(s, slowCallerMemoryFraction))
+	do.ProvideValue(i, newCallerDetector(s, slowCallers, registry, logger))
 	do.Provide(i, func(i do.Injector) (*frontend.Handler, error) {
-		slowCallers := slowreader.NewTracker(memoryShare(s, slowCallerMemoryFraction))
-		registerSlowCallerGauges(do.MustInvoke[metrics.Registry](i), slowCallers)
 		return frontend.New(frontend.Deps{
 			CallerDecoder: platform.CallerDecoder{}, RequestHandler: do.MustInvoke[*forward.Forwarder](i), SinceBoot: boot, Logger: logger,
 			MaxBufferedBodyBytes: memoryShare(s, bodyMemoryFraction), StopPhase: n.stopPhase, Stop: n.stopSignals, SlowCallers: slowCallers,
@@ -415,9 +418,3 @@
 	})
 	return i
 }
-
-// registerSlowCallerGauges adds the memory that is held for callers that do not read, and the number of writes that were cut.
-func registerSlowCallerGauges(r metrics.Registry, t *slowreader.Tracker) {
-	metrics.NewRegisteredFunctionalGauge("callers.blocked_bytes", r, t.Held)
-	metrics.NewRegisteredFunctionalGauge("callers.cut_slow", r, t.CutWrites)
-}
