Reject broken answers in commands that read instances

Operators saw: a status with a blank in the name of a field, or whose connection was reset, as the instance's; and drain -wait said "stopped", with exit code 0, for any answer that it could not use, also for one with status 000 or half of a status, while the instance ran on.

Cause: status, timeline and drain used net/http as it is, which accepts such heads, and decoded JSON without reading the answer to its end. drain took each failed call for a stop.

An instance is stopped if nothing listens at its address or it closes the connection without an answer; drain asks again after anything else.

--- a/router/cmd/tanagerwood/command.go
+++ b/router/cmd/tanagerwood/command.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -170,9 +169,6 @@
 // String implements flag.Value.
 func (l *urlList) String() string { return strings.Join(*l, ",") }
 
-// instanceClient returns an HTTP client for operators' ports.
-func instanceClient() *http.Client { return &http.Client{Timeout: instanceTimeout} }
-
 // problemsError returns an error that lists all problems, one per line.
 func problemsError(what string, problems catalogue.Problems) error {
 	lines := make([]string, len(problems))
--- a/router/cmd/tanagerwood/drain.go
+++ b/router/cmd/tanagerwood/drain.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"tanagerwood.dev/router/internal/adapter/operators"
-	"tanagerwood.dev/router/internal/app/drain"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -53,28 +52,34 @@
 	return c.waitUntilStopped(ctx, out, client)
 }
 
-// waitUntilStopped prints phase changes until the operators' port no longer answers.
+// waitUntilStopped prints phase changes until the instance is gone. An answer that cannot be used is asked for again.
 func (c *drainFlags) waitUntilStopped(ctx context.Context, out io.Writer, client *http.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
-	lastPhase := drain.Phase("")
-	for {
+	var known operators.Status
+	var lastErr error
+	for ctx.Err() == nil {
 		var status operators.Status
 		err := fetchJSON(ctx, client, http.MethodGet, c.operatorURL+"/status", &status)
-		if ctx.Err() != nil {
-			return fmt.Errorf("the instance is still %s after %s, with %d open requests", lastPhase, c.wait, status.OpenRequests)
-		}
-		if fault.Is(err, fault.EndpointFailed) {
+		switch {
+		case isGone(err):
 			fmt.Fprintf(out, "%s: stopped\n", c.operatorURL)
 			return nil
-		}
-		if err != nil {
+		case err != nil && !fault.Is(err, fault.EndpointFailed):
 			return err
-		}
-		if status.Phase != lastPhase {
-			fmt.Fprintf(out, "%s: %s, %d open requests\n", c.operatorURL, status.Phase, status.OpenRequests)
-			lastPhase = status.Phase
+		case err != nil && ctx.Err() == nil:
+			lastErr = err
+		case err == nil:
+			if status.Phase != known.Phase {
+				fmt.Fprintf(out, "%s: %s, %d open requests\n", c.operatorURL, status.Phase, status.OpenRequests)
+			}
+			known, lastErr = status, nil
 		}
 		_ = sleep(ctx, drainPollInterval) // the loop checks ctx
 	}
+	still := fmt.Errorf("the instance is still %s after %s, with %d open requests", known.Phase, c.wait, known.OpenRequests)
+	if lastErr != nil {
+		return fmt.Errorf("%w; last answer: %v", still, lastErr) // the exit code is that of a stop that takes longer
+	}
+	return still
 }
--- a/router/cmd/tanagerwood/status.go
+++ b/router/cmd/tanagerwood/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -169,24 +168,3 @@
 	group.Wait()
 	return all
 }
-
-// fetchJSON calls an operators' port and decodes the JSON response.
-func fetchJSON(ctx context.Context, client *http.Client, method, url string, into any) error {
-	r, err := http.NewRequestWithContext(ctx, method, url, nil)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	resp, err := client.Do(r)
-	if err != nil {
-		return fault.Wrap(err, fault.EndpointFailed, openai.Unknown, "the instance does not answer; check its address and whether it runs")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		cause := fmt.Errorf("%s %s: status %d", method, url, resp.StatusCode)
-		return fault.Wrap(cause, fault.EndpointFailed, openai.Unknown, "the answer is not that of an operators' port; check the address")
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(into); err != nil {
-		return fault.Wrap(err, fault.EndpointFailed, openai.Unknown, "the instance's answer cannot be read; check its version")
-	}
-	return nil
-}
