Keep the timeout of calls that make progress in one place

Cause: the store's client and that of the product's platform each had a context that ends when nothing of an answer arrives.

Change: package progress; objects of up to 8 MiB. No other behaviour changed.

Measured: platform, platformhttp, servicepath and configsync pass.

--- a/router/internal/adapter/platformhttp/client.go
+++ b/router/internal/adapter/platformhttp/client.go
@@ -22,6 +22,7 @@
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/openai"
 	"tanagerwood.dev/api/platform"
+	"tanagerwood.dev/api/progress"
 	"tanagerwood.dev/router/internal/fault"
 )
 
@@ -29,8 +30,8 @@
 	// defaultTimeout limits a call. The platform responds within milliseconds. With one poll a second, a poll that times out
 	// leaves time for two more within the 5 s of requirement G12.
 	defaultTimeout = 1500 * time.Millisecond
-	// maxObjectBytes limits an object, encoded, and each response but for lists.
-	maxObjectBytes = 2 * platform.MaxValueBytes
+	// maxObjectBytes limits an object, and each response but for lists. Escapes may make an object several times as long as its value.
+	maxObjectBytes = 8 * platform.MaxValueBytes
 	// idleTimeout closes idle connections, which may be broken without either end having noticed.
 	idleTimeout = 20 * time.Second
 	// maxIdleConnections allows for bursts of claims; the default of net/http is two connections per host.
@@ -173,10 +174,8 @@
 // callWithETag makes one call, decodes a successful response and returns its ETag. Errors are of type *fault.Error; the outcome of a
 // write is Unknown if the request may have reached the platform.
 func (c *Client) callWithETag(ctx context.Context, r request, into any) (status int, tag string, err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(c.timeout, func() { cancel(context.DeadlineExceeded) })
-	defer timer.Stop()
+	ctx, arriving, cancel := progress.WithTimeout(ctx, c.timeout, c.timeout, func() {})
+	defer cancel()
 	// connected is set from a goroutine of the transport. A write that never got a connection cannot have taken effect.
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
@@ -195,7 +194,7 @@
 	held := c.memory.Open()
 	defer held.Close()
 	if r.readList != nil && resp.StatusCode == http.StatusOK {
-		if err := r.readList(&progressReader{Reader: resp.Body, timer: timer, timeout: c.timeout}, &held); err != nil {
+		if err := r.readList(arriving.Reader(resp.Body), &held); err != nil {
 			return 0, "", noResponseError(errors.Join(err, context.Cause(ctx)), r, true)
 		}
 		return resp.StatusCode, resp.Header.Get("ETag"), nil
--- a/router/internal/adapter/platformhttp/lists.go
+++ b/router/internal/adapter/platformhttp/lists.go
@@ -9,14 +9,12 @@
 	"net/url"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/tidwall/gjson"
 
 	"tanagerwood.dev/api/jsonbody"
 	"tanagerwood.dev/api/membudget"
 	"tanagerwood.dev/api/platform"
-	"tanagerwood.dev/router/internal/port"
 )
 
 const (
@@ -99,21 +97,3 @@
 	_, err := strconv.ParseUint(port, 10, 16)
 	return port == "" || err == nil
 }
-
-// progressReader extends the timeout of a call with each part of the response that arrives.
-type progressReader struct {
-	io.Reader
-	timer   *time.Timer
-	timeout time.Duration
-}
-
-// Read implements io.Reader.
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.Reader.Read(b)
-	if n > 0 {
-		p.timer.Reset(p.timeout)
-	}
-	return n, err
-}
-
-var _ port.Platform = (*Client)(nil)
