Name the state of a watched connection by what it says

Cause: on reading the diff, two functions named unsupported stood beside each other, one error was wrapped twice, and paused was both a flag for the lifted timeout and a time.

Change: stateError, lifted, one case for a system that does not tell the state.

--- a/api/deadpeer/conn.go
+++ b/api/deadpeer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -27,8 +28,8 @@
 	watched atomic.Bool
 	// closed is set by Close, abortive if unread bytes are to be dropped then.
 	closed, abortive atomic.Bool
-	// paused is set while the timeout for unread bytes is lifted.
-	paused atomic.Bool
+	// lifted is set while the connection does not have the timeout for unread bytes.
+	lifted atomic.Bool
 	// cut is set if Options.Unread has cut the connection.
 	cut atomic.Bool
 	// lingering is set while the connection is closed and still has unread bytes. The detector's mutex guards it.
@@ -93,12 +94,16 @@
 	waiting, err := unreadBytes(c.raw)
 	if err != nil || waiting == 0 {
 		c.end()
-		return false, c.unsupported(err)
+		return false, c.stateError(err)
 	}
 	info, err := tcpInfo(c.raw)
-	if err != nil || info.State == 0 {
+	if err != nil {
 		c.end()
-		return false, c.unsupported(errors.Join(err, errUnsupported))
+		return false, c.stateError(err)
+	}
+	if info.State == 0 {
+		c.end()
+		return false, errUnsupported
 	}
 	if info.State == unix.BPF_TCP_CLOSE {
 		c.endBroken(waiting, now)
@@ -112,12 +117,12 @@
 	return c.checkPause(now, waiting, info), nil
 }
 
-// unsupported returns an error that wraps errUnsupported if the state of an open connection is not known.
-func (c *conn) unsupported(err error) error {
+// stateError returns the error of a look at the state of the connection. That of a closed one tells nothing of the system.
+func (c *conn) stateError(err error) error {
 	if err == nil || c.closed.Load() || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
-	return unsupported(err)
+	return fmt.Errorf("%w: %w", errUnsupported, err)
 }
 
 // checkPause checks a connection whose peer has acknowledged nothing since the last check, and reports whether it is still open.
@@ -132,13 +137,13 @@
 	case o.MaxPause > 0 && paused >= o.MaxPause:
 		c.closeCut(PauseTooLong, waiting, now)
 		return false
-	case c.paused.Load() && sinceResponse >= o.Silence && now.Sub(c.unansweredAt) >= o.Silence/2+checkInterval:
+	case c.lifted.Load() && sinceResponse >= o.Silence && now.Sub(c.unansweredAt) >= o.Silence/2+checkInterval:
 		c.closeCut(PeerDead, waiting, now)
 		return false
-	case !c.paused.Load() && sinceResponse > 0 && sinceResponse < paused:
+	case !c.lifted.Load() && sinceResponse > 0 && sinceResponse < paused:
 		c.liftTimeout()
 	}
-	if c.paused.Load() {
+	if c.lifted.Load() {
 		c.hold(waiting)
 	}
 	return true
@@ -147,7 +152,7 @@
 // liftTimeout lifts the timeout for unread bytes, because the peer responds.
 func (c *conn) liftTimeout() {
 	o := c.detector.options
-	c.paused.Store(true)
+	c.lifted.Store(true)
 	var backstop time.Duration // zero means none
 	if o.MaxPause > 0 {
 		backstop = o.MaxPause + o.Silence
@@ -158,7 +163,7 @@
 
 // restoreTimeout restores the timeout for unread bytes.
 func (c *conn) restoreTimeout() {
-	if c.paused.Swap(false) {
+	if c.lifted.Swap(false) {
 		_ = c.setUserTimeout(c.detector.options.Silence) // fails only if the connection is closed
 	}
 }
--- a/api/deadpeer/detector.go
+++ b/api/deadpeer/detector.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -217,5 +216,3 @@
 
 // errUnsupported means that the system does not tell the state of a connection.
 var errUnsupported = errors.New("deadpeer: the state of a connection is not known")
-
-func unsupported(err error) error { return fmt.Errorf("%w: %w", errUnsupported, err) }
