Do not pass on a status that falsely says that a request has not run

Callers saw: a server runs a booking and fails with a 503 without X-Not-Run.

Cause: only a response with X-Not-Run, or with status 421, becomes a refusal (platform.Endpoints.send). Any other 503, 429 or 408 became an answer, and forwardResponse writes answers to the caller unchanged. The router's own failures are checked against the outcome of their request (refusalStatus); answers of endpoints were not.

Change: forwardResponse, through which all answers but streams that began go, returns an error for such a status if the request may run only once. Requests that may be repeated get the answer unchanged. The statuses stand in one place, fault.ImpliesNotRun, which refusalStatus uses as well.

Evidence: the log of the case has "status":503, "attempts":1 for these requests and no refused attempt.

--- a/router/internal/adapter/frontend/frontend.go
+++ b/router/internal/adapter/frontend/frontend.go
@@ -177,7 +177,7 @@
 	fault.EndpointFailed:       http.StatusBadGateway,
 }
 
-// refusalStatus returns the HTTP status of an error. 429 and 503 guarantee that the request has not run and will not run.
+// refusalStatus returns the HTTP status of an error. It implies that the request has not run only if that is so.
 func refusalStatus(e *fault.Error) int {
 	code, known := refusalStatuses[e.Kind]
 	switch {
@@ -185,7 +185,7 @@
 		return http.StatusBadGateway
 	case e.Outcome == openai.NotRun && code >= 500:
 		return http.StatusServiceUnavailable
-	case e.Outcome != openai.NotRun && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests):
+	case e.Outcome != openai.NotRun && fault.ImpliesNotRun(code):
 		return http.StatusBadGateway
 	}
 	return code
@@ -193,7 +193,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, e *fault.Error) {
 	code := refusalStatus(e)
-	if e.RetryAfter > 0 && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
+	if e.RetryAfter > 0 && fault.ImpliesNotRun(code) {
 		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -77,23 +77,6 @@
 		WithRetryAfter(noEndpointRetryAfter + r.State.PauseRemaining(r.service.Name, ""))
 }
 
-// failedResponse is an endpoint's 5xx response that was withheld from the caller.
-type failedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// forwardWithheldFailure passes the withheld response on to the caller if there is one, and returns err otherwise.
-func (r *requestState) forwardWithheldFailure(err error) error {
-	if r.withheldResponse == nil || r.responseStarted {
-		return err
-	}
-	r.responseStarted = true
-	r.status = r.withheldResponse.status
-	return ignoreWriteError(r.writer.WriteResponse(r.withheldResponse.status, r.withheldResponse.header, r.withheldResponse.body))
-}
-
 // pickPlain selects the least loaded endpoint that this request has not tried and whose request limit admits it.
 func (r *requestState) pickPlain() (routing.Endpoint, bool) {
 	usable := health.UsableEndpoints(r.Health, r.stage(""), endpointID, r.SinceBoot())
@@ -269,11 +252,13 @@
 	return r.Health.RecordFailure(ep.ID, unreachable, now)
 }
 
-// errEndpointFailure indicates a failure response of an endpoint, which another endpoint may not give.
-var errEndpointFailure = errors.New("the endpoint returned a failure response")
-
-// forwardResponse passes a response on to the caller. A 5xx response is withheld if the request may be sent to another endpoint.
+// forwardResponse passes a response on to the caller. A 5xx response is withheld if the request may be sent to another endpoint. A response
+// that falsely implies that a request has not run is not passed on if the caller would repeat a request that may run only once.
 func (r *requestState) forwardResponse(answer *routing.Answer) error {
+	if err := confirmOutcome(answer); err != nil && !r.route.MayRepeat() {
+		discardBody(answer)
+		return err
+	}
 	defer answer.Body.Close()
 	held := r.AnswerMemory.Open()
 	defer held.Close()
@@ -298,23 +283,6 @@
 	return r.copyBody(answer, body, &held)
 }
 
-// withholdMemory keeps the memory of a withheld response taken until the request ends.
-func (r *requestState) withholdMemory(held *membudget.Holding) {
-	r.withheldMemory.Close()
-	r.withheldMemory = *held
-	*held = r.AnswerMemory.Open()
-}
-
-// retriesFailure reports whether a 5xx response leads to an attempt at another endpoint.
-func (r *requestState) retriesFailure() bool {
-	return r.route.Kind == routing.Safe && r.attempts < r.route.MaxAttempts && r.sends < maxSends && r.hasUntriedEndpoint() &&
-		r.timeLeft() > r.route.Objective/4
-}
-
-func (r *requestState) hasUntriedEndpoint() bool {
-	return len(r.stage("")) > len(r.triedEndpoints)
-}
-
 // ignoreWriteError drops the error of a caller that disconnected while its complete response was written.
 func ignoreWriteError(error) error { return nil }
 
--- a/router/internal/app/forward/relay.go
+++ b/router/internal/app/forward/relay.go
@@ -29,14 +29,15 @@
 // relayStream passes a stream on as its events arrive. Only complete events are passed on, so that an interrupted stream can be
 // resumed at another endpoint. The function progress is called whenever events with data arrive.
 func (r *requestState) relayStream(answer *routing.Answer, recorder streamRecorder, start time.Duration, progress func()) error {
-	defer answer.Body.Close()
 	r.status = answer.Status
+	if !r.responseStarted && answer.Status != http.StatusOK {
+		return r.forwardResponse(answer)
+	}
+	defer answer.Body.Close()
 	if r.responseStarted {
 		if err := checkContinuation(answer); err != nil {
 			return err
 		}
-	} else if answer.Status != http.StatusOK {
-		return r.forwardResponse(answer)
 	}
 	r.streamEnd = streamEnd{closeDelimited: answer.CloseDelimited}
 	s := &streamRelay{requestState: r, answer: answer, recorder: recorder, start: start, progress: progress, memory: r.AnswerMemory.Open()}
--- a/router/internal/fault/fault.go
+++ b/router/internal/fault/fault.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,17 @@
 	InvalidCatalogue      Kind = "invalid_catalogue"
 )
 
+// ImpliesNotRun reports whether callers take an HTTP status to mean that the request has not run and never will. They then repeat even
+// requests that are not idempotent.
+func ImpliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Error is an error with a kind, an outcome and a message for callers.
 type Error struct {
 	Kind    Kind
