Count answers that falsely say not run as failures of their endpoint

Callers saw: nothing of it directly. A server whose failures were passed on, as a 503, 429 or 408 without X-Not-Run, went on getting its share of the requests, and failed these too.

Cause: recordOutcome took every answer that was passed on for a success.

Change: attemptFailure gives the health of the endpoint such an answer as a failure, whether the caller got it or not, and counts it in the new metric attempts.unconfirmed_refusals.

Evidence: "counts as a failure of the server" in unconfirmed_refusals_test.go sends 40 requests to two servers, of which one fails all of its own; it may get fewer than 10.

--- a/router/internal/app/forward/failures.go
+++ b/router/internal/app/forward/failures.go
@@ -27,6 +27,22 @@
 	return fmt.Errorf("%w: status %d", errUnconfirmedRefusal, answer.Status)
 }
 
+// attemptFailure returns the failure of an attempt as far as the endpoint's health is concerned: err, or that of an answer which was passed
+// on. The answer is nil if there is none.
+func (r *requestState) attemptFailure(answer *routing.Answer, err error) error {
+	if answer == nil {
+		return err
+	}
+	unconfirmed := confirmOutcome(answer)
+	if unconfirmed != nil {
+		r.metrics.unconfirmedRefusals.Inc(1)
+	}
+	if err != nil {
+		return err
+	}
+	return unconfirmed
+}
+
 const (
 	// discardTimeout is how long a caller waits until a body that is not passed on has been read, so that the connection is kept.
 	discardTimeout = 50 * time.Millisecond
--- a/router/internal/app/forward/model.go
+++ b/router/internal/app/forward/model.go
@@ -243,7 +243,7 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = fmt.Errorf("%w: %w", errStalled, err)
 	}
-	r.recordOutcome(ep, err, start)
+	r.recordOutcome(ep, r.attemptFailure(answer, err), start)
 	if err != nil {
 		r.recordFailure(ep, err)
 		r.reportCrash(ep, err)
--- a/router/internal/app/forward/plain.go
+++ b/router/internal/app/forward/plain.go
@@ -161,7 +161,7 @@
 		r.attempts++
 		r.mayHaveRun = true
 	}
-	r.recordOutcome(ep, err, start)
+	r.recordOutcome(ep, r.attemptFailure(answer, err), start)
 	if err == nil {
 		r.recordAnswer(0, true)
 	} else {
--- a/router/internal/app/forward/record.go
+++ b/router/internal/app/forward/record.go
@@ -20,6 +20,8 @@
 	registry       metrics.Registry
 	answered       metrics.Counter
 	failedAttempts metrics.Counter
+	// unconfirmedRefusals counts the answers with errUnconfirmedRefusal.
+	unconfirmedRefusals metrics.Counter
 	// rateAssumed counts the refusals by rate limits because of what silent instances were assumed to have admitted.
 	rateAssumed metrics.Counter
 	duration    metrics.Histogram
@@ -33,14 +35,15 @@
 		return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(histogramSampleSize, histogramAlpha))
 	}
 	return &requestMetrics{
-		registry:       r,
-		rateAssumed:    metrics.NewRegisteredCounter("requests.rate_limited_by_assumption", r),
-		answered:       metrics.NewRegisteredCounter("requests.answered", r),
-		failedAttempts: metrics.NewRegisteredCounter("attempts.failed", r),
-		duration:       histogram("request.milliseconds"),
-		firstEvent:     histogram("first_event.milliseconds"),
-		slotWait:       histogram("place_wait.milliseconds"),
-		prefill:        histogram("prefill.milliseconds"),
+		registry:            r,
+		rateAssumed:         metrics.NewRegisteredCounter("requests.rate_limited_by_assumption", r),
+		answered:            metrics.NewRegisteredCounter("requests.answered", r),
+		failedAttempts:      metrics.NewRegisteredCounter("attempts.failed", r),
+		unconfirmedRefusals: metrics.NewRegisteredCounter("attempts.unconfirmed_refusals", r),
+		duration:            histogram("request.milliseconds"),
+		firstEvent:          histogram("first_event.milliseconds"),
+		slotWait:            histogram("place_wait.milliseconds"),
+		prefill:             histogram("prefill.milliseconds"),
 	}
 }
 
--- a/router/internal/node/unconfirmed_refusals_test.go
+++ b/router/internal/node/unconfirmed_refusals_test.go
@@ -286,6 +286,25 @@
 		Entry("421", func(w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) }),
 	)
 
+	// Guards against a server that goes on getting requests because its failures count as answers.
+	DescribeTable("counts as a failure of the server", func(path string, status int) {
+		r := start(func(*settings.Node) {})
+		failing := cluster.plain[0]
+		failAfterRun(failing, func(w http.ResponseWriter) { writeFailure(w, status) })
+		serveStream(cluster.plain[1])
+		const sent = 40
+		for range sent {
+			r.stream(path)
+		}
+		Expect(len(failing.Runs())).To(BeNumerically("<", sent/4))
+	},
+		Entry("of requests that run once", "/book/x", http.StatusServiceUnavailable),
+		Entry("of requests that run once, 408", "/book/x", http.StatusRequestTimeout),
+		Entry("of streams that run once", "/feed/x", http.StatusTooManyRequests),
+		Entry("of idempotent requests, passed on at once", "/look/x", http.StatusTooManyRequests),
+		Entry("of streams that may be resumed", "/tail/x", http.StatusServiceUnavailable),
+	)
+
 	// Guards against a refund of what a server may have run, and against none for what no server has run.
 	DescribeTable("is charged", func(fail func(*standin.Server), rateLimited bool) {
 		r := start(func(*settings.Node) {})
