serve: do not pass on a status that falsely says that a call has not run

Callers saw: a service that runs a booking and answers 503, 429, 408 or 421. The answer was passed on, and returned for repeats, without an outcome; to a caller it reads as "not run", and a repeat under another key books twice.

Cause: the responses of services were passed on whatever they promise, and the protocol of serve has no word of a service for "not run". A service could even send X-Outcome, which is the router's own word for it.

Change: for calls that run at most once, such a status becomes the router's 502 with outcome unknown, for repeats from the claim as well. Repeatable calls get the response unchanged. X-Outcome of a service is removed. An endpoint that answers so is tried last for 2 s, as one that is unreachable.

--- a/lab/standin/service/faults.go
+++ b/lab/standin/service/faults.go
@@ -20,6 +20,8 @@
 	// SlowMS is the delay before a call runs, LateReplyMS the delay between the run and the response, in milliseconds.
 	SlowMS      int64 `json:"slow_ms,omitempty"`
 	LateReplyMS int64 `json:"late_reply_ms,omitempty"`
+	// FailStatus is the status with which calls are answered that have run, in place of success; zero means that it is off.
+	FailStatus int `json:"fail_status,omitempty"`
 	// DropBeforeReading is the number of following calls whose connection is closed before their body is read; these calls
 	// do not run.
 	DropBeforeReading int `json:"drop_before_reading,omitempty"`
--- a/lab/standin/service/service.go
+++ b/lab/standin/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"maps"
@@ -141,13 +142,13 @@
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
 		s.countLookup()
 		s.pause(r, f.LateReplyMS)
-		writeJSON(w, http.StatusOK, Response{Path: r.URL.RequestURI()})
+		writeJSON(w, cmp.Or(f.FailStatus, http.StatusOK), Response{Path: r.URL.RequestURI()})
 		return
 	}
 	response := s.run(r, body)
 	s.crashIfRequested()
 	s.pause(r, f.LateReplyMS)
-	writeJSON(w, http.StatusCreated, response)
+	writeJSON(w, cmp.Or(f.FailStatus, http.StatusCreated), response)
 }
 
 func (s *Service) countLookup() {
--- a/router/internal/app/servicepath/endpoints.go
+++ b/router/internal/app/servicepath/endpoints.go
@@ -9,21 +9,22 @@
 	"tanagerwood.dev/router/internal/port"
 )
 
-// unreachablePeriod is how long an endpoint is tried last after a connection to it could not be made.
-const unreachablePeriod = 2 * time.Second
+// failurePeriod is how long an endpoint is tried last after a connection to it could not be made, or after it refused or failed a call with
+// a status that implies that the call has not run.
+const failurePeriod = 2 * time.Second
 
-// endpointTracker tracks the open calls of this instance to each endpoint, and the endpoints that were unreachable lately.
+// endpointTracker tracks the open calls of this instance to each endpoint, and the endpoints that failed lately.
 type endpointTracker struct {
-	mu            sync.Mutex
-	openCalls     map[string]int
-	unreachableAt map[string]time.Duration
+	mu        sync.Mutex
+	openCalls map[string]int
+	failedAt  map[string]time.Duration
 }
 
 func newEndpointTracker() *endpointTracker {
-	return &endpointTracker{openCalls: make(map[string]int), unreachableAt: make(map[string]time.Duration)}
+	return &endpointTracker{openCalls: make(map[string]int), failedAt: make(map[string]time.Duration)}
 }
 
-// rank returns the endpoints of the pool that are not leaving: recently unreachable ones last, then by ascending number of open
+// rank returns the endpoints of the pool that are not leaving: those that failed recently last, then by ascending number of open
 // calls, ties in random order.
 func (e *endpointTracker) rank(now time.Duration, all []port.Endpoint, pool string) []port.Endpoint {
 	var list []port.Endpoint
@@ -36,7 +37,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sort.SliceStable(list, func(i, j int) bool {
-		avoidI, avoidJ := e.recentlyUnreachable(now, list[i].Name), e.recentlyUnreachable(now, list[j].Name)
+		avoidI, avoidJ := e.failedRecently(now, list[i].Name), e.failedRecently(now, list[j].Name)
 		if avoidI != avoidJ {
 			return avoidJ
 		}
@@ -45,9 +46,9 @@
 	return list
 }
 
-func (e *endpointTracker) recentlyUnreachable(now time.Duration, name string) bool {
-	at, ok := e.unreachableAt[name]
-	return ok && now-at < unreachablePeriod
+func (e *endpointTracker) failedRecently(now time.Duration, name string) bool {
+	at, ok := e.failedAt[name]
+	return ok && now-at < failurePeriod
 }
 
 // beginCall counts an open call to the endpoint until end is called.
@@ -64,9 +65,9 @@
 	}
 }
 
-// markUnreachable records that no connection to the endpoint could be made.
-func (e *endpointTracker) markUnreachable(name string, now time.Duration) {
+// markFailed records a failure of the endpoint; see failurePeriod.
+func (e *endpointTracker) markFailed(name string, now time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.unreachableAt[name] = now
+	e.failedAt[name] = now
 }
--- a/router/internal/app/servicepath/forwarder.go
+++ b/router/internal/app/servicepath/forwarder.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -105,7 +106,8 @@
 	return fw
 }
 
-// Handle forwards one call and returns the service's response, or a *fault.Error.
+// Handle forwards one call and returns the service's response, or a *fault.Error. A response to a call that runs at most once is replaced
+// by an error if its status implies that the call has not run.
 func (fw *Forwarder) Handle(ctx context.Context, c Call) (port.ServiceResponse, error) {
 	if !c.Route.Repeatable && c.IdempotencyKey == "" {
 		return port.ServiceResponse{}, fw.refuse(&c, fault.New(fault.IdempotencyKeyMissing,
@@ -114,6 +116,9 @@
 	ctx, done := fw.open.register(ctx, &c, fw.Config)
 	defer done()
 	resp, err := fw.admitAndForward(ctx, &c)
+	if err == nil {
+		err = checkOutcome(&c, resp.Status)
+	}
 	if err != nil {
 		return port.ServiceResponse{}, fw.refuse(&c, contextEndError(ctx, err))
 	}
@@ -121,6 +126,16 @@
 	return resp, nil
 }
 
+// checkOutcome returns an error if callers would take the status of a response to mean that the call has not run and send it again under
+// another key. Services cannot say whether such a call has run. A repeat under the same key gets the same error.
+func checkOutcome(c *Call, status int) error {
+	if c.Route.Repeatable || !fault.ImpliesNotRun(status) {
+		return nil
+	}
+	return fault.New(fault.EndpointFailed, fmt.Sprintf("the service answered with status %d; the call may have run, ask the service what became of it", status)).
+		WithOutcome(openai.Unknown)
+}
+
 func (fw *Forwarder) admitAndForward(ctx context.Context, c *Call) (port.ServiceResponse, error) {
 	charge, err := fw.admit(ctx, c)
 	if err != nil {
--- a/router/internal/app/servicepath/headers.go
+++ b/router/internal/app/servicepath/headers.go
@@ -23,7 +23,7 @@
 // itself.
 var strippedResponseHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Content-Length", "Date", event.ClockHeader, openai.RequestIDHeader,
+	"Upgrade", "Content-Length", "Date", event.ClockHeader, openai.RequestIDHeader, openai.OutcomeHeader,
 }
 
 // newServiceCall builds the call that is sent to the endpoint.
--- a/router/internal/app/servicepath/repeatable.go
+++ b/router/internal/app/servicepath/repeatable.go
@@ -82,13 +82,16 @@
 	attempt := c.attemptID(n)
 	fw.Events.Record(event.Event{Kind: event.ServiceSent, Request: attempt, Customer: c.customerName(), Endpoint: ep.Name})
 	resp, err := fw.ServiceClient.Call(ctx, ep, newServiceCall(c, attempt, fresh))
+	if err == nil && fault.ImpliesNotRun(resp.Status) {
+		fw.endpoints.markFailed(ep.Name, fw.Clock.Boot())
+	}
 	if err == nil {
 		fw.Events.Record(event.Event{Kind: event.ServiceAnswered, Request: attempt, Customer: c.customerName(), Endpoint: ep.Name})
 		return resp, nil
 	}
 	f := fault.As(err)
 	if f.Kind == fault.EndpointFailed && f.Outcome == openai.NotRun {
-		fw.endpoints.markUnreachable(ep.Name, fw.Clock.Boot())
+		fw.endpoints.markFailed(ep.Name, fw.Clock.Boot())
 	}
 	fw.Events.Record(event.Event{Kind: event.AttemptFailed, Request: attempt, Customer: c.customerName(), Endpoint: ep.Name,
 		Detail: string(f.Kind) + " " + string(f.Outcome)})
