serve: remember that an earlier attempt at a repeatable call may have run

Callers saw: a call that a service has run and answered 502, 503 or 504, and whose further attempts found no endpoint, ends with outcome not_run and without a charge.

Cause: handleRepeatable took the outcome from failed attempts only. An attempt that was answered with a status to retry counted as none.

Change: every attempt but one that cannot have arrived makes the outcome unknown, and so the call is charged.

Evidence: "leaves the outcome of a repeatable call unknown if no further attempt arrives" failed on (not_run, nothing charged) and passes now.

--- a/router/internal/app/modelpath/handler_test.go
+++ b/router/internal/app/modelpath/handler_test.go
@@ -213,6 +213,21 @@
 		})
 	})
 
+	// Guards against a refusal of an engine that reaches the caller as the promise that nothing has run, and against attempts beyond the budget.
+	It("has an unknown outcome when the engines go on refusing", func() {
+		withFakeClock(func() {
+			env := newTestEnv()
+			refusal := callBehaviour{refuse: fault.New(fault.EndpointRefused, "engine e answered 503")}
+			for range 100 {
+				env.engine.prefills = []callBehaviour{refusal, refusal, refusal, refusal}
+				_, err := env.serve(context.Background())
+				Expect(fault.As(err).Kind).To(Equal(fault.EndpointFailed))
+				Expect(fault.As(err).Outcome).To(Equal(openai.Unknown))
+			}
+			Expect(env.counterValue(modelpath.MetricAttempts)).To(BeNumerically("<=", 120)) // a tenth, and ten
+		})
+	})
+
 	It("does not repeat a request that the engine calls wrong", func() {
 		withFakeClock(func() {
 			env := newTestEnv()
--- a/router/internal/app/servicepath/outcomes_test.go
+++ b/router/internal/app/servicepath/outcomes_test.go
@@ -73,6 +73,20 @@
 		Expect(failing.RunCount("b1")).To(BeNumerically("<=", 1))
 	})
 
+	// Guards against not_run, and a refund, for a repeatable call that an endpoint has run before all were unreachable.
+	It("leaves the outcome of a repeatable call unknown if no further attempt arrives", func() {
+		env := newTestEnv()
+		a := env.startInstance("a")
+		var web *httptest.Server
+		web = env.startHandler("s1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = web.Listener.Close()
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		_, err := a.call(ctx, true, http.MethodGet, "/balance", "", "")
+		Expect(err).To(failWith(fault.EndpointFailed, openai.Unknown))
+		Expect(env.chargedTokens).To(Equal(int64(5)))
+	})
+
 	// Guards against a service that speaks in the router's name about the outcome of a call.
 	It("is not stated by a header of the service", func() {
 		env := newTestEnv()
--- a/router/internal/app/servicepath/repeatable.go
+++ b/router/internal/app/servicepath/repeatable.go
@@ -34,7 +34,7 @@
 		if err == nil && !isRetryableStatus(resp.Status) {
 			return resp, nil
 		}
-		if err != nil && fault.As(err).Outcome != openai.NotRun {
+		if err == nil || fault.As(err).Outcome != openai.NotRun {
 			outcome = openai.Unknown
 		}
 		if ctx.Err() != nil {
