--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -124,15 +124,15 @@
 }
 
 // checkResponse checks that a successful response is complete, in order and from a server that ran the request, and that a
-// server's error reaches the caller as that server sent it.
+// server's error reaches the caller as that server sent it, or in place of it an error of the router that has no server's stamp.
 func (e *execution) checkResponse(s *sentRequest) {
 	a := s.response
 	if a.Server != "" && !slices.ContainsFunc(e.runs[s.id], func(r standin.Run) bool { return r.Server == a.Server }) {
 		e.add("own answers", s.id, "the answer is from %s, which did not run it", a.Server)
 	}
 	if a.Status != http.StatusOK {
-		if a.Server != "" && a.Status != http.StatusInternalServerError {
-			e.add("own answers", s.id, "status %d bears the stamp of %s, which answers 200 or 500", a.Status, a.Server)
+		if a.Server != "" && !slices.ContainsFunc(e.runs[s.id], func(r standin.Run) bool { return r.Server == a.Server && r.FailureStatus == a.Status }) {
+			e.add("own answers", s.id, "status %d bears the stamp of %s, which did not answer with it", a.Status, a.Server)
 		}
 		return
 	}
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -152,6 +152,10 @@
 		Entry("an answer of a server that did not run it", "own answers", func(_ *execution, s *sentRequest) { s.response.Server = "c2" }),
 		Entry("a success of no server", "own answers", func(_ *execution, s *sentRequest) { s.response.Server = "" }),
 		Entry("a changed status", "own answers", func(_ *execution, s *sentRequest) { s.response.Status = http.StatusBadGateway }),
+		Entry("another failure than the server's", "own answers", func(e *execution, s *sentRequest) {
+			e.runs[s.id][0].FailureStatus = http.StatusServiceUnavailable
+			s.response.Status = http.StatusInternalServerError
+		}),
 		Entry("a stream that looks complete", "whole answers", func(e *execution, _ *sentRequest) {
 			e.served(unsafeStream, "brief-1", "d1", 11).response.Body = "id: 1\ndata: token 1 of brief-1\n\n"
 		}),
