Count the failures that callers get as failures of their endpoint

Callers saw: a server that fails a part of its requests with 500, while its status check is good, went on getting its share of bookings, and of all requests that are passed on at the last attempt.

Cause: recordOutcome took every answer that was passed on for a success, whatever its status; only withheld failures of idempotent requests counted.

Of the two new entries of "counts as a failure of the server", both failed before.

--- a/router/internal/app/forward/failures.go
+++ b/router/internal/app/forward/failures.go
@@ -33,14 +33,19 @@
 	if answer == nil {
 		return err
 	}
-	unconfirmed := confirmOutcome(answer)
-	if unconfirmed != nil {
+	if confirmOutcome(answer) != nil {
 		r.metrics.unconfirmedRefusals.Inc(1)
 	}
-	if err != nil {
-		return err
+	if err == nil && isEndpointFailure(answer.Status) {
+		return fmt.Errorf("%w: status %d", errEndpointFailure, answer.Status)
 	}
-	return unconfirmed
+	return err
+}
+
+// isEndpointFailure reports whether a status is that of an endpoint which fails. A 504 says that the request's time was over, which may have
+// been short.
+func isEndpointFailure(status int) bool {
+	return fault.ImpliesNotRun(status) || status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout
 }
 
 const (
--- a/router/internal/node/unconfirmed_refusals_test.go
+++ b/router/internal/node/unconfirmed_refusals_test.go
@@ -303,6 +303,8 @@
 		Entry("of streams that run once", "/feed/x", http.StatusTooManyRequests),
 		Entry("of idempotent requests, passed on at once", "/look/x", http.StatusTooManyRequests),
 		Entry("of streams that may be resumed", "/tail/x", http.StatusServiceUnavailable),
+		Entry("as other failures do, of requests that run once", "/book/x", http.StatusInternalServerError),
+		Entry("as other failures do, of streams that run once", "/feed/x", http.StatusBadGateway),
 	)
 
 	// Guards against a refund of what a server may have run, and against none for what no server has run.
