--- a/router/internal/node/unconfirmed_refusals_test.go
+++ b/router/internal/node/unconfirmed_refusals_test.go
@@ -221,6 +221,24 @@
 		expectNoPromise(cluster, r.stream("/brief/x"))
 	})
 
+	// Guards against the promise from a server that answers at once and reads on.
+	It("promises nothing before the body has been read", func() {
+		r := start(func(*settings.Node) {})
+		var ran atomic.Int32
+		for _, s := range cluster.plain {
+			s.Intercept(func(w http.ResponseWriter, req *http.Request) bool {
+				writeFailure(w, http.StatusServiceUnavailable)
+				flush(w)
+				_, _ = io.Copy(io.Discard, req.Body)
+				ran.Add(1)
+				return true
+			})
+		}
+		a := r.sendWith(context.Background(), http.MethodPost, "/book/x", "key", strings.Repeat("x", 90<<10))
+		Expect(a.status).To(Equal(http.StatusBadGateway))
+		Eventually(ran.Load, eventuallyTimeout).Should(Equal(int32(1)))
+	})
+
 	for _, status := range append([]int{http.StatusInternalServerError, http.StatusGatewayTimeout}, refusalStatuses...) {
 		// Guards against changed answers to requests that may run again.
 		DescribeTable(fmt.Sprintf("reaches callers of idempotent requests unchanged: %d", status), func(path string) {
