--- a/router/internal/node/unconfirmed_refusals_test.go
+++ b/router/internal/node/unconfirmed_refusals_test.go
@@ -16,16 +16,16 @@
 	"tanagerwood.dev/router/internal/settings"
 )
 
-// refusalStatuses are the statuses that promise callers that their request has not run, but for 421, with which servers do say so.
+// refusalStatuses are the statuses that imply for callers that their request has not run, but for 421, with which servers do say so.
 var refusalStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 
-// onceRoutes are routes whose requests may run at most once, and repeatableRoutes some whose requests may run again.
-const (
-	onceRoutes = plainStreamRoutes + `,
+// onceOnlyRoutes are further routes whose requests may run at most once, and those of streams of plain services.
+const onceOnlyRoutes = plainStreamRoutes + `,
  {"name":"submit","host":"h.example","path_prefix":"/submit/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":900,"service":"m","max_attempts":2},
  {"name":"order","host":"h.example","path_prefix":"/order/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"s","max_attempts":3}`
-	failureBody = "the work is done, the answer is lost"
-)
+
+// failureBody is the body of the servers' failures.
+const failureBody = "the work is done, the answer is lost"
 
 // onceOnlyPaths are paths of routes whose requests may run at most once, by what serves them.
 var onceOnlyPaths = map[string]string{
@@ -155,7 +155,7 @@
 	var cluster *testCluster
 	start := func(change func(*settings.Node)) *router {
 		cluster = newTestCluster()
-		cluster.configure(onceRoutes)
+		cluster.configure(onceOnlyRoutes)
 		return cluster.startWith("r-1", change)
 	}
 
