deadpeer: release what is recorded of a connection before its cut is reported

Cause: a connection that was cut for memory was reported to OnCut before its bytes were released; one that was cut for a pause, or as dead, the other way round. An operator's log line of the cut and callers.blocked_bytes could contradict each other in the same way, for microseconds; the limit itself was kept.

Change: the bytes are released first on all paths. The test now looks from within OnCut, so that the order is checked in each run in place of by chance.

--- a/api/deadpeer/conn.go
+++ b/api/deadpeer/conn.go
@@ -204,10 +204,11 @@
 
 // end ends the watch over a connection that has no unread bytes, has ended, or whose state is not known.
 func (c *conn) end() {
+	held := c.held
+	c.resume()
 	if c.cut.Load() {
-		c.report(HoldsTooMuch, c.held, time.Now())
+		c.report(HoldsTooMuch, held, time.Now())
 	}
-	c.resume()
 	c.progressAt = time.Time{}
 	if c.closed.Load() {
 		_ = c.TCPConn.Close()
@@ -217,6 +218,7 @@
 // endBroken ends the watch over a connection that the kernel has ended. Its user gets the error, unless it has closed the connection.
 func (c *conn) endBroken(waiting int, now time.Time) {
 	if c.closed.Load() && errors.Is(takeError(c.raw), syscall.ETIMEDOUT) {
+		c.release()
 		c.report(PeerDead, waiting, now)
 	}
 	c.end()
@@ -230,6 +232,7 @@
 	c.report(reason, waiting, now)
 }
 
+// report reports a cut. The caller has released what is recorded of unread bytes.
 func (c *conn) report(reason Reason, waiting int, now time.Time) {
 	cut := Cut{Reason: reason, Remote: c.RemoteAddr(), Unread: waiting}
 	if !c.progressAt.IsZero() {
--- a/api/deadpeer/deadpeer_test.go
+++ b/api/deadpeer/deadpeer_test.go
@@ -202,8 +202,15 @@
 	l.cuts = nil
 }
 
+// heldBytes returns the number of bytes that are recorded.
+func (l *limiter) heldBytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
 // Guards against unread answers that are held without limit, since they lie in the kernel's buffers: also those that grow while their peer
-// reads nothing, and those of connections that are closed on this side.
+// reads nothing, and those of connections that are closed on this side. Whoever is told of a cut finds its bytes released.
 func TestUnreadBytesCountToALimit(t *testing.T) {
 	for name, c := range map[string]struct {
 		limit int64
@@ -214,9 +221,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cuts := make(chan deadpeer.Cut, 1)
+			type report struct {
+				cut  deadpeer.Cut
+				held int64
+			}
+			reports := make(chan report, 1)
 			l := &limiter{limit: c.limit}
-			writer, _ := accepted(t, deadpeer.Options{Silence: silence, MaxPause: time.Minute, MaxLingering: 1, Unread: l, OnCut: func(c deadpeer.Cut) { cuts <- c }})
+			onCut := func(c deadpeer.Cut) { reports <- report{c, l.heldBytes()} }
+			writer, _ := accepted(t, deadpeer.Options{Silence: silence, MaxPause: time.Minute, MaxLingering: 1, Unread: l, OnCut: onCut})
 			if _, err := writer.Write(make([]byte, answerBytes)); err != nil {
 				t.Fatal(err)
 			}
@@ -224,11 +236,9 @@
 				t.Fatal(err)
 			}
 			select {
-			case cut := <-cuts:
-				l.mu.Lock()
-				defer l.mu.Unlock()
-				if cut.Reason != deadpeer.HoldsTooMuch || int64(cut.Unread) <= c.limit || l.held != 0 {
-					t.Errorf("%+v, %d bytes are still held", cut, l.held)
+			case r := <-reports:
+				if r.cut.Reason != deadpeer.HoldsTooMuch || int64(r.cut.Unread) <= c.limit || r.held != 0 {
+					t.Errorf("%+v, %d bytes are still held", r.cut, r.held)
 				}
 			case <-time.After(time.Minute):
 				t.Error("not cut")
--- a/api/deadpeer/detector.go
+++ b/api/deadpeer/detector.go
@@ -32,7 +32,7 @@
 	MaxLingering int
 	// Unread bounds what is held for peers that read nothing; nil means no limit.
 	Unread UnreadLimiter
-	// OnCut, if it is set, is called for each connection that is cut with unread bytes.
+	// OnCut, if it is set, is called for each connection that is cut with unread bytes, which Unread no longer counts by then.
 	OnCut func(Cut)
 }
 
