routingcache: make the steps of following a feed functions of their own

followFeed had grown to 71 lines with six variables that each branch of its switch changed. They are the fields of a follower now, and each step (turn, list, watch, success, failure, backoff) is a short method. No behaviour is meant to change.

--- a/router/internal/app/routingcache/feed.go
+++ b/router/internal/app/routingcache/feed.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"tanagerwood.dev/api/routing"
 	"tanagerwood.dev/router/internal/app/background"
 )
 
@@ -85,80 +83,6 @@
 	return shortest + rand.N(max(1, longest-shortest))
 }
 
-// followFeed lists, then watches. After a failure it retries with a growing, random backoff; if the platform has dropped the
-// history, it lists again.
-func (m *Cache) followFeed(ctx context.Context, f *feed) {
-	revision, pause, wait := uint64(0), minRetryPause, f.wait(true)
-	reason := CallWatch
-	for ctx.Err() == nil {
-		if f.awaitTurn != nil && f.awaitTurn(ctx) {
-			wait = checkTimeout
-		}
-		next, changed, interrupted, err := uint64(0), false, false, error(nil)
-		if routing.Era(revision) < m.era.Load() {
-			revision = 0 // the store was restored, and may have assigned the revision again to another change
-			background.SleepContext(ctx, randomPause(pause))
-		}
-		if revision == 0 {
-			m.calls.add(Call{f.name, CallList})
-			next, err = f.list(ctx)
-			receiveRestart(f.restart)
-		} else {
-			if reason != CallRequested {
-				if check := m.awaitOwnCheck(ctx, f); check != "" {
-					adopted, _ := m.adoptedRevision(f.name)
-					revision, wait, reason = max(revision, adopted), checkTimeout, check
-				}
-			}
-			if receiveRestart(f.restart) { // requested during the pause
-				wait, reason = checkTimeout, CallRequested
-			}
-			m.calls.add(Call{f.name, reason})
-			next, interrupted, err = callInterruptible(ctx, f.restart, func(ctx context.Context) (next uint64, err error) {
-				next, changed, err = f.watch(ctx, revision, wait)
-				return next, err
-			})
-		}
-		wait, reason = checkTimeout, CallRetry
-		switch {
-		case err == nil:
-			if m.RecordEra(routing.Era(next)) {
-				receiveRestart(f.restart)
-			}
-			if f.away.Swap(false) {
-				f.requestRestartOfOthers(true) // the platform answers again
-				m.logger.Info().Str("event", "platform.regained").Str("feed", f.name).Dur("away", m.sinceBoot()-time.Duration(f.answeredAt.Load())).Msg("")
-			}
-			advanced := revision != 0 && revision != next
-			revision, pause, wait, reason = next, minRetryPause, f.wait(changed), CallWatch
-			f.answeredAt.Store(int64(m.sinceBoot()))
-			m.recordFeedAnswer()
-			if advanced {
-				background.SleepContext(ctx, f.limit/changePauseDivisor)
-			}
-			continue
-		case interrupted:
-			reason = CallRequested
-			continue
-		case errors.Is(err, routing.ErrHistoryGone):
-			revision = 0
-			m.logger.Warn().Str("event", "platform.history_gone").Str("feed", f.name).Msg("")
-		case ctx.Err() != nil:
-			return
-		case !f.away.Swap(true):
-			if errors.Is(err, context.DeadlineExceeded) {
-				f.requestRestartOfOthers(false) // the platform may have lost the watches of the other feeds, too
-			}
-			m.logger.Warn().Str("event", "platform.lost").Str("feed", f.name).Uint64("era", routing.Era(revision)).Uint64("revision", routing.Number(revision)).
-				Dur("unanswered", m.sinceBoot()-time.Duration(f.answeredAt.Load())).Err(err).Msg("")
-		}
-		if sleepUntilRestart(ctx, f.restart, randomPause(pause)) {
-			reason = CallRequested
-		}
-		pause = min(2*pause, maxRetryPause)
-	}
-}
-
 // sleepUntilRestart sleeps until the time has passed, a restart is requested or ctx ends, and reports whether one was requested.
 func sleepUntilRestart(ctx context.Context, restart <-chan struct{}, d time.Duration) (requested bool) {
 	timer := time.NewTimer(d)
