--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -56,8 +57,10 @@
 const (
 	stormLength = 10
 	stormPause  = 80 * time.Millisecond
-	// rollPause is the pause between the stops of a rolling restart.
-	rollPause = 1100 * time.Millisecond
+	// rollPause is the pause between the steps of a rolling restart. In each step the part 1/rollDivisor of the instances restarts, but at
+	// least one.
+	rollPause   = 1100 * time.Millisecond
+	rollDivisor = 4
 )
 
 func (t *testbed) disturbInstances(a Action, i *instance) error {
@@ -65,20 +68,14 @@
 	case Kill:
 		return t.kill(i, a.Duration)
 	case KillAll:
-		var group sync.WaitGroup
-		for _, i := range t.instances {
-			group.Go(func() { t.recordError(t.kill(i, a.Duration)) })
-		}
-		group.Wait()
+		t.forEach(t.instances, func(i *instance) error { return t.kill(i, a.Duration) })
 	case Freeze:
 		return t.freeze(i, a.Duration)
 	case Stop:
 		return t.restart(i)
 	case RollingRestart:
-		for _, i := range t.instances {
-			if err := t.restart(i); err != nil {
-				return err
-			}
+		for step := range slices.Chunk(t.instances, max(1, len(t.instances)/rollDivisor)) {
+			t.forEach(step, t.restart)
 			time.Sleep(rollPause)
 		}
 	case Reload:
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -223,6 +223,15 @@
 	group.Wait()
 }
 
+// forEach calls f for all instances at the same time, and records its errors.
+func (t *testbed) forEach(instances []*instance, f func(*instance) error) {
+	var group sync.WaitGroup
+	for _, i := range instances {
+		group.Go(func() { t.recordError(f(i)) })
+	}
+	group.Wait()
+}
+
 func (t *testbed) recordError(err error) {
 	if err == nil {
 		return
@@ -288,14 +297,10 @@
 }
 
 func (t *testbed) stopAll() {
-	var group sync.WaitGroup
-	for _, i := range t.instances {
-		group.Go(func() {
-			_, err := i.stop(t.options.Bounds.Grace)
-			t.recordError(err)
-		})
-	}
-	group.Wait()
+	t.forEach(t.instances, func(i *instance) error {
+		_, err := i.stop(t.options.Bounds.Grace)
+		return err
+	})
 }
 
 // close stops all processes and listeners.
